--- /dev/null
+++ b/brackenloft/__main__.py
@@ -0,0 +1,114 @@
+"""One real gateway: reads its environment and configuration, runs until it is told to stop."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import json
+import logging
+import os
+import signal
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import uvloop
+
+from brackenloft import interface as api
+from brackenloft.logic import Gateway
+from brackenloft.net.clients import Clients
+from brackenloft.net.discovery import Discovery
+from brackenloft.net.driver import Clock, Driver
+from brackenloft.net.servers import Address, Servers
+from brackenloft.settings import settings_from
+
+log = logging.getLogger("brackenloft")
+
+OTHER_DESCRIPTORS = 64  # beside clients and servers: the log, the loop, discovery, the listener, a margin
+FIRST_LIST_S = 1.0  # how long the known list, which may be old, waits for discovery's before it must do
+ACCEPT_S = 0.45  # after SIGTERM: new connections go on coming for 0.4 s
+STOP_S = 3.4  # after SIGTERM: SIGKILL comes 3.7 s after it, if the longest deadline is so long
+
+
+def _address(text: str) -> Address:
+    host, _, port = text.rpartition(":")
+    return host, int(port)
+
+
+@dataclass(frozen=True)
+class Config:
+    """What the gateway is told at its start."""
+
+    listen: Address
+    discovery: Address
+    seed: int
+    descriptors: int
+    known: Any
+    settings: api.Settings
+
+    @staticmethod
+    def load(environment: dict[str, str]) -> Config:
+        """From EDGE_CONFIG; EDGE_LISTEN and EDGE_DISCOVERY, where set, say the same or come first."""
+        document = json.loads(Path(environment["EDGE_CONFIG"]).read_text())
+        return Config(
+            listen=_address(environment.get("EDGE_LISTEN") or document["listen"]),
+            discovery=_address(environment.get("EDGE_DISCOVERY") or document["discovery"]),
+            seed=int(document["seed"], 16), descriptors=int(document["limits"]["sockets"]),
+            known=document["known"], settings=settings_from(document["settings"]),
+        )
+
+
+async def serve(config: Config) -> None:
+    """Serve until SIGTERM, then see to what was taken and return."""
+    loop = asyncio.get_running_loop()
+    stop = asyncio.Event()
+    loop.add_signal_handler(signal.SIGTERM, stop.set)
+    loop.add_signal_handler(signal.SIGINT, stop.set)
+    budget = max(2, config.descriptors - OTHER_DESCRIPTORS)
+    servers = Servers(config.settings, budget // 2)
+    driver = Driver(Gateway(config.settings, config.seed), servers, Clock())
+    clients = Clients(driver, config.settings, budget // 2)
+
+    def news(listing: api.ServerList, addresses: dict[int, Address]) -> None:
+        servers.update(listing, addresses)
+        driver.post(listing)
+        if listing.kind is not api.ListKind.CACHED:
+            clients.ready = True
+
+    discovery = Discovery(config.discovery, news)
+    discovery.known(config.known)
+    watching = loop.create_task(discovery.run())
+    await clients.listen(*config.listen)
+    loop.call_later(FIRST_LIST_S, lambda: setattr(clients, "ready", True))
+    log.info("listening")
+    await stop.wait()
+    await _leave(clients)
+    watching.cancel()
+    servers.close()
+
+
+async def _leave(clients: Clients) -> None:
+    """Go on accepting for the stated span, then answer all that was taken and close."""
+    loop = asyncio.get_running_loop()
+    end = loop.time() + STOP_S
+    log.info("stopping")
+    await asyncio.sleep(ACCEPT_S)
+    clients.stop_listening()
+    while clients.connections and loop.time() < end:
+        await asyncio.sleep(0.01)
+    clients.abort()
+
+
+def main() -> int:
+    """Run the gateway; 0 after SIGTERM."""
+    logging.basicConfig(
+        stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(name)s %(message)s")
+    config = Config.load(dict(os.environ))
+    gc.freeze()
+    uvloop.run(serve(config))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/brackenloft/interface.py
+++ b/brackenloft/interface.py
@@ -10,6 +10,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
+DEFAULT_IDLE_MS = 30_000.0  # of a connection, where the settings do not tell
+
 
 class Effect(Enum):
     """Whether a request may be repeated: freely, within a group that knows its key, or never."""
@@ -140,10 +142,11 @@
     max_open: int = 1_000_000
     connect_timeout_ms: float = 250.0
     max_retry_after_ms: float = 0.0
+    connection_idle_ms: float = DEFAULT_IDLE_MS
 
     def __post_init__(self) -> None:
         _check(self, 1, "max_attempts", "max_open")
-        _check(self, 0.0, "connect_timeout_ms", "max_retry_after_ms")
+        _check(self, 0.0, "connect_timeout_ms", "max_retry_after_ms", "connection_idle_ms")
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/brackenloft/net/discovery.py
@@ -0,0 +1,175 @@
+"""The watch on discovery: keeps one open, turns its lines into lists for the decisions."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+from collections.abc import Callable, Iterable
+from typing import Any, cast
+
+import httptools
+
+from brackenloft import interface as api
+from brackenloft.net.servers import Address
+
+log = logging.getLogger(__name__)
+
+SILENT_S = 5.0  # an empty line comes every 2 s: after two and a half of them the watch is dead
+BACKOFF_S = (0.05, 1.0)  # before another watch, first and at most
+CONNECT_S = 1.0
+LONGEST_LINE = 4 * 1024 * 1024
+STATES = {
+    "Ready": api.ServerState.READY, "Terminating": api.ServerState.DRAINING, "Gone": api.ServerState.GONE,
+}
+News = Callable[[api.ServerList, dict[int, Address]], None]
+
+
+class Roster:
+    """Reads discovery's lists; servers get numbers, as the decisions know them."""
+
+    def __init__(self) -> None:
+        self.numbers: dict[str, int] = {}
+        self.generation: int | None = None
+
+    def read(self, document: Any, known: bool = False) -> tuple[api.ServerList, dict[int, Address]]:
+        """A list and the addresses in it; raises ValueError, KeyError or TypeError if it is malformed."""
+        full = known or bool(document["reset"])
+        entries, addresses = [], {}
+        for row in document["instances"]:
+            entry, address = self._entry(row)
+            entries.append(entry)
+            addresses[entry.server] = address
+        generation = int(document["generation"])
+        self._forget(row["instanceId"] for row in document["instances"] if row["lifecycle"] == "Gone")
+        self.generation = generation
+        kind = api.ListKind.CACHED if known else api.ListKind.FULL if full else api.ListKind.CHANGES
+        return api.ServerList(kind, tuple(entries), generation), addresses
+
+    def _entry(self, row: dict[str, Any]) -> tuple[api.ServerEntry, Address]:
+        host, _, port = row["hostPort"].rpartition(":")
+        name = row["instanceId"]
+        number = self.numbers.get(name)
+        if number is None:
+            number = self.numbers[name] = max(self.numbers.values(), default=0) + 1
+        entry = api.ServerEntry(
+            server=number, zone=row["zone"], kind=row.get("machineType", ""), cell=row.get("cell", 0),
+            state=STATES[row["lifecycle"]], size=row.get("weight", 1.0),
+            started_ms=float(row.get("startedAtMs") or 0.0),
+        )
+        return entry, (host, int(port))
+
+    def _forget(self, names: Iterable[str]) -> None:
+        for name in names:
+            self.numbers.pop(name, None)
+
+
+class Watch(asyncio.Protocol):
+    """One HTTP exchange: a chunked answer with a JSON object a line."""
+
+    def __init__(self, discovery: Discovery, target: str) -> None:
+        self.discovery, self.target = discovery, target
+        self.parser = httptools.HttpResponseParser(self)
+        self.line = bytearray()
+        self.transport: asyncio.Transport | None = None
+        self.silent: asyncio.TimerHandle | None = None
+        self.done = asyncio.get_running_loop().create_future()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        # uvloop's transports are not asyncio.Transport by class: no isinstance here
+        self.transport = cast(asyncio.Transport, transport)
+        host, port = self.discovery.address
+        self.transport.write(
+            f"GET {self.target} HTTP/1.1\r\nHost: {host}:{port}\r\nAccept: application/json\r\n\r\n".encode())
+        self._heard()
+
+    def _heard(self) -> None:
+        """Guards against a watch that has died without a word: no line for several beats ends it."""
+        if self.silent:
+            self.silent.cancel()
+        loop = asyncio.get_running_loop()
+        self.silent = loop.call_later(SILENT_S, self._close, "silent")
+
+    def _close(self, why: str) -> None:
+        log.warning("the watch on discovery ended: %s", why)
+        if self.transport:
+            self.transport.abort()
+
+    def data_received(self, data: bytes) -> None:
+        self._heard()
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            self._close(f"not HTTP: {error}")
+
+    def on_headers_complete(self) -> None:
+        status = self.parser.get_status_code()
+        if status != 200:
+            self._close(f"status {status}")
+
+    def on_body(self, body: bytes) -> None:
+        *lines, rest = (bytes(self.line) + body).split(b"\n")
+        self.line = bytearray(rest)
+        for line in lines:
+            if line.strip() and self.parser.get_status_code() == 200:
+                self.discovery.take(line, self)
+        if len(self.line) > LONGEST_LINE:
+            self._close("a line without end")
+
+    def on_message_complete(self) -> None:
+        self._close("the answer is complete")
+
+    def malformed(self) -> None:
+        """A line that could not be read: what it told is missing, so all of it is asked for again."""
+        self._close("malformed line")
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        if self.silent:
+            self.silent.cancel()
+        if not self.done.done():
+            self.done.set_result(None)
+
+
+class Discovery:
+    """Keeps a watch open for as long as the gateway runs."""
+
+    def __init__(self, address: Address, news: News) -> None:
+        self.address, self.news = address, news
+        self.roster = Roster()
+        self.backoff_s = BACKOFF_S[0]
+
+    def known(self, document: Any) -> None:
+        """The list as the configuration has it; it may be old."""
+        try:
+            self.news(*self.roster.read(document, known=True))
+        except (ValueError, KeyError, TypeError, AttributeError) as error:
+            log.error("malformed known list: %r", error)
+
+    def take(self, line: bytes, watch: Watch) -> None:
+        """One line of the watch; a malformed one is logged and the whole list asked for."""
+        try:
+            news = self.roster.read(json.loads(line))
+        except (ValueError, KeyError, TypeError, AttributeError) as error:
+            log.error("malformed line from discovery: %r", error)
+            self.roster.generation = None
+            watch.malformed()
+            return
+        self.backoff_s = BACKOFF_S[0]
+        self.news(*news)
+
+    async def run(self) -> None:
+        """Watch, and watch anew, from where the last one ended."""
+        loop = asyncio.get_running_loop()
+        while True:
+            try:
+                async with asyncio.timeout(CONNECT_S):
+                    _, watch = await loop.create_connection(self._watch, *self.address)
+                await watch.done
+            except (OSError, TimeoutError) as error:
+                log.warning("discovery can't be reached: %r", error)
+            await asyncio.sleep(self.backoff_s)
+            self.backoff_s = min(BACKOFF_S[1], self.backoff_s * 2.0)
+
+    def _watch(self) -> Watch:
+        generation = self.roster.generation
+        return Watch(self, "/discovery/hosts?watch=1" + ("" if generation is None else f"&from={generation}"))
