Tests over loopback sockets; all in hand is answered before a planned end; advice on when to come back

Checked by reading PROTOCOL: after SIGTERM a request may wait 8 s (buy-highlight), SIGKILL comes at 3.7 s, so _leave in __main__.py would have lost it; a new event, Stopping, lets the module cap every deadline. A number of a server that had gone could be given again (Roster._entry); a test of the roster showed it.

--- a/brackenloft/__init__.py
+++ b/brackenloft/__init__.py
@@ -32,6 +32,7 @@
     SetTimer,
     Settings,
     Status,
+    Stopping,
     StreamStarted,
     Subscribe,
     TellPeer,
@@ -43,6 +44,6 @@
     "Action", "Cancel", "ClientGone", "CloseIdle", "Contract", "CounterAdd", "CounterReply", "DiscoveryMode",
     "Effect", "Event", "Fail", "FetchList", "Gateway", "KeyScope", "Limits", "ListKind", "Log", "Outcome",
     "PeerMessage", "Plan", "Probe", "ProbeResult", "Refuse", "Request", "RequestClass", "Send",
-    "ServerEntry", "ServerList", "ServerState", "SetTimer", "Settings", "Status", "StreamStarted",
-    "Subscribe", "TellPeer", "TimerFired",
+    "ServerEntry", "ServerList", "ServerState", "SetTimer", "Settings", "Status", "Stopping",
+    "StreamStarted", "Subscribe", "TellPeer", "TimerFired",
 ]
--- a/brackenloft/__main__.py
+++ b/brackenloft/__main__.py
@@ -28,7 +28,8 @@
 OTHER_DESCRIPTORS = 64  # beside clients and servers: the log, the loop, discovery, the listener, a margin
 FIRST_LIST_S = 1.0  # how long the known list, which may be old, waits for discovery's before it must do
 ACCEPT_S = 0.45  # after SIGTERM: new connections go on coming for 0.4 s
-STOP_S = 3.4  # after SIGTERM: SIGKILL comes 3.7 s after it, if the longest deadline is so long
+KILL_S = (3.0, 0.7)  # after SIGTERM comes SIGKILL: the longest deadline, this at most, and so much more
+SPARE_S = 0.3  # of that time, in which all is answered but not yet killed
 
 
 def _address(text: str) -> Address:
@@ -83,16 +84,19 @@
     loop.call_later(FIRST_LIST_S, lambda: setattr(clients, "ready", True))
     log.info("listening")
     await stop.wait()
-    await _leave(clients)
+    await _leave(config.settings, driver, clients)
     watching.cancel()
     servers.close()
 
 
-async def _leave(clients: Clients) -> None:
-    """Go on accepting for the stated span, then answer all that was taken and close."""
+async def _leave(settings: api.Settings, driver: Driver, clients: Clients) -> None:
+    """Go on accepting for the stated span, answer all that was taken, close; all before SIGKILL."""
     loop = asyncio.get_running_loop()
-    end = loop.time() + STOP_S
+    longest_s = max(item.deadline_ms for item in settings.classes) / 1000.0
+    span_s = min(KILL_S[0], longest_s) + KILL_S[1] - SPARE_S
+    end = loop.time() + span_s
     log.info("stopping")
+    driver.post(api.Stopping(span_s * 1000.0))
     await asyncio.sleep(ACCEPT_S)
     clients.stop_listening()
     while clients.connections and loop.time() < end:
--- a/brackenloft/interface.py
+++ b/brackenloft/interface.py
@@ -295,6 +295,13 @@
     load: tuple[float, ...] | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class Stopping:
+    """The gateway will be ended: every request in hand, and any that still comes, is answered within this."""
+
+    within_ms: float
+
+
 @dataclass(frozen=True, slots=True)
 class PeerMessage:
     """Bytes from another gateway."""
@@ -315,7 +322,7 @@
 
 Event = (
     ServerList | Request | Outcome | StreamStarted | ClientGone | TimerFired
-    | ProbeResult | PeerMessage | CounterReply
+    | ProbeResult | PeerMessage | CounterReply | Stopping
 )
 
 
--- a/brackenloft/logic.py
+++ b/brackenloft/logic.py
@@ -40,6 +40,7 @@
     SetTimer,
     Settings,
     Status,
+    Stopping,
     StreamStarted,
     Subscribe,
     TimerFired,
@@ -162,7 +163,7 @@
         self.flights: dict[str, Flight] = {}
         self.parked: dict[str, Flight] = {}
         self.timers: dict[int, tuple[Callable[[Any], None], Any]] = {}
-        self.tokens, self.now, self.started_at = 0, -inf, inf
+        self.tokens, self.now, self.started_at, self.ends_at = 0, -inf, inf, inf
         self.latency = {item.name: item.aim_ms * FIRST_LATENCY for item in settings.classes}
         self.retries = RETRY_STORE
         self.young: set[tuple[str, int]] = set()  # attempts out that are not slow yet: what the pool counts
@@ -177,7 +178,7 @@
         self.handlers: dict[type, Callable[[Any], None]] = {
             Request: self._on_request, Outcome: self._on_outcome, TimerFired: self._on_timer,
             ServerList: self._on_list, ClientGone: self._on_gone, StreamStarted: self._on_stream,
-            ProbeResult: self._on_probe,
+            ProbeResult: self._on_probe, Stopping: self._on_stopping,
         }
 
     def handle(self, now_ms: float, event: Event) -> list[Action]:
@@ -275,6 +276,16 @@
         """
         return kind.aim_ms - self.latency[kind.name]
 
+    def _advice(self, customer: Customer, plan: Plan, units: float) -> float:
+        """When a request refused for the quota may come again: when the bucket has drained for it."""
+        limits = self.settings.limits
+        if not limits.can_advise_retry:
+            return 0.0
+        rate = plan.rate * self._share(customer)
+        burst = max(plan.burst / customer.width, customer.largest) * THOUSANDTHS
+        excess = customer.excess - rate * (self.now - customer.touched) + THOUSANDTHS * units
+        return min(limits.max_retry_after_ms, max(0.0, excess - burst) / rate)
+
     def _settle(self, customer: Customer, guess: float, true: float) -> None:
         """Put a guess right once the answer tells the units."""
         customer.excess = max(0.0, customer.excess + THOUSANDTHS * (true - guess))
@@ -647,11 +658,10 @@
         hold = self._meter(customer, plan, event.units)
         if hold and hold >= min(event.patience_ms, self._useful(kind)):
             customer.excess, customer.touched = before
-            self.actions.append(Refuse(event.request_id))
+            self.actions.append(Refuse(event.request_id, self._advice(customer, plan, event.units)))
             return
         self.flights[event.request_id] = flight
-        last = event.patience_ms - ANSWER_TICKS * self.settings.tick_ms
-        self._arm(max(0.0, last), self._on_deadline, flight)
+        self._limit(flight)
         if hold > 0.0:
             flight.waiting = True
             self._arm(hold, self._end_hold, flight)
@@ -706,6 +716,19 @@
             if not flight.closed:
                 self._release(flight)
 
+    def _limit(self, flight: Flight) -> None:
+        """Arm the final answer: before the client's deadline, and before this gateway is ended."""
+        flight.deadline = min(flight.deadline, self.ends_at)
+        last = flight.deadline - self.now - ANSWER_TICKS * self.settings.tick_ms
+        self._arm(max(0.0, last), self._on_deadline, flight)
+
+    def _on_stopping(self, event: Stopping) -> None:
+        """Guards against losing requests whose clients would wait longer than this gateway will live."""
+        self.ends_at = self.now + event.within_ms
+        for flight in list(self.flights.values()):
+            if not flight.closed and flight.deadline > self.ends_at:
+                self._limit(flight)
+
     def _on_deadline(self, flight: Flight) -> None:
         if not flight.streaming:
             self._answer(flight)
--- a/brackenloft/net/discovery.py
+++ b/brackenloft/net/discovery.py
@@ -5,7 +5,8 @@
 import asyncio
 import json
 import logging
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
+from itertools import count
 from typing import Any, cast
 
 import httptools
@@ -30,6 +31,7 @@
 
     def __init__(self) -> None:
         self.numbers: dict[str, int] = {}
+        self.unused = count(1)  # never used again: an attempt on a server that is gone may still be out
         self.generation: int | None = None
 
     def read(self, document: Any, known: bool = False) -> tuple[api.ServerList, dict[int, Address]]:
@@ -41,7 +43,12 @@
             entries.append(entry)
             addresses[entry.server] = address
         generation = int(document["generation"])
-        self._forget(row["instanceId"] for row in document["instances"] if row["lifecycle"] == "Gone")
+        if full:
+            listed = {row["instanceId"] for row in document["instances"]}
+            self.numbers = {name: number for name, number in self.numbers.items() if name in listed}
+        for row in document["instances"]:
+            if row["lifecycle"] == "Gone":
+                self.numbers.pop(row["instanceId"], None)
         self.generation = generation
         kind = api.ListKind.CACHED if known else api.ListKind.FULL if full else api.ListKind.CHANGES
         return api.ServerList(kind, tuple(entries), generation), addresses
@@ -51,7 +58,7 @@
         name = row["instanceId"]
         number = self.numbers.get(name)
         if number is None:
-            number = self.numbers[name] = max(self.numbers.values(), default=0) + 1
+            number = self.numbers[name] = next(self.unused)
         entry = api.ServerEntry(
             server=number, zone=row["zone"], kind=row.get("machineType", ""), cell=row.get("cell", 0),
             state=STATES[row["lifecycle"]], size=row.get("weight", 1.0),
@@ -59,10 +66,6 @@
         )
         return entry, (host, int(port))
 
-    def _forget(self, names: Iterable[str]) -> None:
-        for name in names:
-            self.numbers.pop(name, None)
-
 
 class Watch(asyncio.Protocol):
     """One HTTP exchange: a chunked answer with a JSON object a line."""
--- /dev/null
+++ b/tests/test_net_discovery.py
@@ -0,0 +1,129 @@
+"""The watch: lists and changes, what is malformed, watches that end or fall silent."""
+
+import asyncio
+from contextlib import asynccontextmanager, suppress
+
+import pytest
+from fakes import FakeDiscovery, chunk, listing, row, run
+
+from brackenloft import ListKind, ServerState
+from brackenloft.net import discovery as module
+from brackenloft.net.discovery import Discovery
+
+
+@asynccontextmanager
+async def watched():
+    """A running watch, the fake it watches, and the news that came of it."""
+    fake, news = await FakeDiscovery().start(), asyncio.Queue()
+    discovery = Discovery(("127.0.0.1", fake.port), lambda *told: news.put_nowait(told))
+    task = asyncio.get_running_loop().create_task(discovery.run())
+    try:
+        yield discovery, fake, news
+    finally:
+        task.cancel()
+        with suppress(asyncio.CancelledError):
+            await task
+        fake.server.close()
+
+
+def test_known_list_then_changes_and_what_was_missed_after_a_break():
+    async def test():
+        async with watched() as (discovery, fake, news):
+            discovery.known({"generation": 41, "reset": True, "instances": [row("s-1", 1), row("s-2", 2)]})
+            told, addresses = await news.get()
+            assert told.kind is ListKind.CACHED and addresses == {1: ("127.0.0.1", 1), 2: ("127.0.0.1", 2)}
+            target, watch = await fake.watch()
+            assert target == "/discovery/hosts?watch=1&from=41"
+            line = listing(43, row("s-2", 2, "Terminating"), row("s-3", 3, started=9))
+            for part in (line[:20], line[20:], b"\n"):  # a line over two chunks, then an empty one
+                watch.write(chunk(part))
+            told, addresses = await news.get()
+            assert told.kind is ListKind.CHANGES and told.version == 43
+            assert [(e.server, e.state, e.started_ms) for e in told.entries] == [
+                (2, ServerState.DRAINING, 0.0), (3, ServerState.READY, 9.0)]
+            watch.close()
+            target, watch = await fake.watch()
+            assert target == "/discovery/hosts?watch=1&from=43"
+            watch.write(chunk(listing(50, row("s-1", 7), reset=True)))
+            told, addresses = await news.get()
+            assert told.kind is ListKind.FULL and addresses == {1: ("127.0.0.1", 7)}
+
+    run(test())
+
+
+@pytest.mark.parametrize("line", [
+    b"{not json\n", b"[]\n", b"7\n", b'{"generation":2,"reset":false}\n', b"\xff\xfe\n",
+    listing(2, {**row("s-2", 2), "hostPort": None}), listing(2, {**row("s-2", 2), "lifecycle": "Odd"}),
+    listing(2, {**row("s-2", 2), "hostPort": "nowhere"}),
+])
+def test_malformed_line_is_not_fatal_and_all_is_asked_for_again(line):
+    async def test():
+        async with watched() as (_, fake, news):
+            _, watch = await fake.watch()
+            watch.write(chunk(listing(1, row("s-1", 1), reset=True)))
+            await news.get()
+            watch.write(chunk(line))
+            target, watch = await fake.watch()
+            assert target == "/discovery/hosts?watch=1"
+            watch.write(chunk(listing(2, row("s-1", 1), reset=True)))
+            told, _ = await news.get()
+            assert told.version == 2 and [entry.server for entry in told.entries] == [1]
+
+    run(test())
+
+
+@pytest.mark.parametrize("known", [None, {}, [], {"generation": 1, "reset": True, "instances": [{}]}])
+def test_malformed_known_list_is_not_fatal(known):
+    async def test():
+        async with watched() as (discovery, fake, news):
+            discovery.known(known)
+            target, _ = await fake.watch()
+            assert target == "/discovery/hosts?watch=1" and news.empty()
+
+    run(test())
+
+
+def test_watch_without_a_line_is_dead_and_replaced(monkeypatch):
+    monkeypatch.setattr(module, "SILENT_S", 0.05)
+
+    async def test():
+        async with watched() as (_, fake, news):
+            _, watch = await fake.watch()
+            watch.write(chunk(listing(5, row("s-1", 1), reset=True)))
+            await news.get()
+            target, _ = await fake.watch()
+            assert target == "/discovery/hosts?watch=1&from=5"
+
+    run(test())
+
+
+@pytest.mark.parametrize("answer", [
+    b"HTTP/1.1 500 Odd\r\nContent-Length: 2\r\n\r\n{}", b"junk\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+])
+def test_answer_that_is_no_watch_is_asked_for_again(answer):
+    async def test():
+        asked = asyncio.Queue()
+
+        async def odd(reader, writer):
+            asked.put_nowait(await reader.readuntil(b"\r\n\r\n"))
+            writer.write(answer)
+
+        server = await asyncio.start_server(odd, "127.0.0.1", 0)
+        discovery = Discovery(server.sockets[0].getsockname(), lambda *told: None)
+        task = asyncio.get_running_loop().create_task(discovery.run())
+        for _ in range(3):
+            await asked.get()
+        task.cancel()
+        server.close()
+
+    run(test())
+
+
+def test_server_that_is_gone_is_forgotten_by_name():
+    roster = module.Roster()
+    roster.read({"generation": 1, "reset": True, "instances": [row("s-1", 1), row("s-2", 2)]})
+    told, _ = roster.read({"generation": 2, "reset": False, "instances": [row("s-1", 1, "Gone")]})
+    assert told.entries[0].state is ServerState.GONE and set(roster.numbers) == {"s-2"}
+    roster.read({"generation": 3, "reset": True, "instances": [row("s-3", 3)]})
+    assert set(roster.numbers) == {"s-3"}
--- /dev/null
+++ b/tests/test_net_servers.py
@@ -0,0 +1,322 @@
+"""Attempts on sockets: outcomes, connections kept and retired, drains, limits."""
+
+import asyncio
+import errno
+import socket
+
+import pytest
+from fakes import FakeServer, array, call, node, resp, run, until
+
+from brackenloft import Limits, ListKind, ServerEntry, ServerState, Status
+from brackenloft.net import servers as module
+from brackenloft.net.servers import Attempt, Readings, Reply
+
+COMMAND = resp("CALL.GET", "00000000b4d65521", "00000000000000aa", "c=read,t=free,d=10")
+
+
+class Ends:
+    """Collects what attempts came to."""
+
+    def __init__(self) -> None:
+        self.replies: asyncio.Queue[Reply] = asyncio.Queue()
+
+    def attempt(self, payload: bytes = COMMAND) -> Attempt:
+        return Attempt(payload, self.replies.put_nowait)
+
+    async def status(self) -> Status:
+        return (await self.replies.get()).status
+
+    def empty(self) -> bool:
+        return self.replies.empty()
+
+
+def test_one_attempt_at_a_time_on_a_connection_and_the_last_used_is_used_again():
+    async def test():
+        server = FakeServer(lambda words: None)
+        async with node(server) as gateway:
+            ends = Ends()
+            gateway.servers.start(1, ends.attempt())
+            gateway.servers.start(1, ends.attempt())
+            await server.until(lambda: len(server.commands) == 2)
+            assert sorted(server.by) == [0, 1]
+            for number in (1, 0):
+                server.writers[number].write(array(b"v"))
+                assert await ends.status() is Status.OK
+            gateway.servers.start(1, ends.attempt())
+            await server.until(lambda: len(server.commands) == 3)
+            assert server.by[2] == 0
+
+    run(test())
+
+
+@pytest.mark.parametrize("answer, status", [
+    (array(b"v"), Status.OK), (b"-BUSY\r\n", Status.FULL), (b"-ERR failed\r\n", Status.ERROR),
+    (b"", Status.RESET), (b"$1\r\nv\r\n", Status.ERROR), (b"*3\r\n$-1\r\n$-1\r\n$-1\r\n", Status.ERROR),
+    (b"*0\r\n", Status.ERROR), (b"*-1\r\n", Status.ERROR), (b"+OK\r\n", Status.ERROR),
+    (b"HTTP/1.1 200 OK\r\n\r\n", Status.ERROR), (b"*1\r\n:5\r\n", Status.ERROR),
+])
+def test_outcome_by_the_table_and_one_only(answer, status):
+    async def test():
+        server = FakeServer(lambda words: answer)
+        async with node(server) as gateway:
+            ends = Ends()
+            gateway.servers.start(1, ends.attempt())
+            assert await ends.status() is status
+            gateway.servers.close()
+            assert ends.empty()
+
+    run(test())
+
+
+def test_figures_on_use_and_load_in_answers_and_error_lines():
+    read = Readings(("utilisation", "queue")).reply
+    assert read([b"v", b"used=37,cost=4", b"inflight=7,queue=2,util=0.61"]) == Reply(
+        Status.OK, b"v", 37.0, 4.0, (0.61, 2.0))
+    assert read([b"v", None, None]) == Reply(Status.OK, b"v")
+    assert read(module.ServerError("ERR failed used=120 util=0.5,queue=3")) == Reply(
+        Status.ERROR, None, 120.0, None, (0.5, 3.0))
+    assert read(module.ServerError("BUSY used=9")) == Reply(Status.FULL, None, 9.0)
+    assert read([b"v", b"used=x,,=,nan", b"util=0.5"]) == Reply(Status.OK, b"v")
+
+
+def test_refused_connection_never_ran_and_an_unsafe_request_goes_elsewhere():
+    async def test():
+        server, gone = FakeServer(), await FakeServer().start()
+        gone.server.close()
+        await gone.server.wait_closed()
+        async with node(server) as gateway:
+            gateway.told(gone.entry(1), kind=ListKind.FULL)
+            peer = await gateway.peer()
+            gateway.told(server.entry(2), kind=ListKind.CHANGES)
+            for number in range(8):
+                assert await peer.ask(call(number, "buy")) == b"%016x" % number
+
+    run(test())
+
+
+def test_break_after_the_last_byte_may_have_run_and_an_unsafe_request_fails():
+    async def test():
+        server, other = FakeServer(lambda words: b""), FakeServer(lambda words: b"")
+        async with node(server, other) as gateway:
+            peer = await gateway.peer()
+            assert (await peer.ask(call(1, "buy"))).startswith("-ERR")
+            assert len(server.commands) + len(other.commands) == 1
+
+    run(test())
+
+
+def test_break_before_the_last_byte_never_ran():
+    async def test():
+        async with node() as gateway:
+            listener = socket.create_server(("127.0.0.1", 0))
+            listener.setblocking(False)
+            port = listener.getsockname()[1]
+            gateway.told((ServerEntry(1, "a"), ("127.0.0.1", port)))
+            ends = Ends()
+            gateway.servers.start(1, ends.attempt(b"x" * 32_000_000))
+            loop = asyncio.get_running_loop()
+            accepted, _ = await loop.sock_accept(listener)
+            await loop.sock_recv(accepted, 1)
+            accepted.close()  # with bytes unread: a reset
+            assert await ends.status() is Status.CONNECT_FAILED
+            listener.close()
+
+    run(test())
+
+
+def test_busy_never_ran_and_an_unsafe_request_goes_to_the_other_server():
+    async def test():
+        busy, good = FakeServer(lambda words: b"-BUSY\r\n"), FakeServer()
+        async with node(busy, good) as gateway:
+            peer = await gateway.peer()
+            for number in range(8):
+                assert await peer.ask(call(number, "buy")) == b"%016x" % number
+            assert busy.commands
+
+    run(test())
+
+
+def test_connection_that_ended_while_idle_is_not_written_to():
+    async def test():
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            listener.setblocking(False)
+            port = listener.getsockname()[1]
+            async with node() as gateway:
+                gateway.told((ServerEntry(1, "a"), ("127.0.0.1", port)))
+                ends, loop = Ends(), asyncio.get_running_loop()
+                gateway.servers.start(1, ends.attempt())
+                accepted, _ = await loop.sock_accept(listener)
+                await loop.sock_recv(accepted, 1000)
+                await loop.sock_sendall(accepted, array(b"v"))
+                assert await ends.status() is Status.OK
+                accepted.close()
+                gateway.servers.start(1, ends.attempt())  # before the loop could see the end
+                accepted, _ = await loop.sock_accept(listener)
+                await loop.sock_recv(accepted, 1000)
+                await loop.sock_sendall(accepted, array(b"v"))
+                assert await ends.status() is Status.OK
+                accepted.close()
+
+    run(test())
+
+
+def test_idle_connection_is_retired_before_the_server_would_close_it():
+    async def test():
+        server = FakeServer()
+        async with node(server, limits=Limits(connection_idle_ms=1.0)) as gateway:
+            ends = Ends()
+            gateway.servers.start(1, ends.attempt())
+            assert await ends.status() is Status.OK
+            await server.until(lambda: server.ended == 1)
+            assert not gateway.servers.connections
+
+    run(test())
+
+
+@pytest.mark.parametrize("state", [ServerState.DRAINING, ServerState.GONE])
+def test_no_first_byte_to_a_server_that_drains_or_goes_while_it_is_connected_to(state):
+    async def test():
+        server = FakeServer()
+        async with node(server) as gateway:
+            ends = Ends()
+            gateway.servers.start(1, ends.attempt())
+            (connection,) = gateway.servers.connections
+            gateway.told(server.entry(1, state=state), kind=ListKind.CHANGES)
+            assert await ends.status() is Status.CONNECT_FAILED
+            gateway.servers.start(1, ends.attempt())
+            assert await ends.status() is Status.CONNECT_FAILED
+            await until(connection.task.done)
+            gateway.told(server.entry(2), kind=ListKind.FULL)
+            gateway.servers.start(2, ends.attempt())
+            assert await ends.status() is Status.OK
+            assert len(server.commands) == 1
+
+    run(test())
+
+
+@pytest.mark.parametrize("change", [{"started_ms": 5.0}, {"state": ServerState.DRAINING}])
+def test_old_connections_are_closed_when_a_server_restarts_or_drains(change):
+    async def test():
+        server = FakeServer(lambda words: None)
+        async with node(server) as gateway:
+            ends = Ends()
+            for _ in range(2):
+                gateway.servers.start(1, ends.attempt())
+            await server.until(lambda: len(server.commands) == 2)
+            server.writers[0].write(array(b"v"))
+            assert await ends.status() is Status.OK
+            gateway.told(server.entry(1, **change), kind=ListKind.CHANGES)
+            await server.until(lambda: server.ended == 1)
+            server.writers[1].write(array(b"v"))  # what is out may finish, its connection is not kept
+            assert await ends.status() is Status.OK
+            await server.until(lambda: server.ended == 2)
+            assert not gateway.servers.connections
+
+    run(test())
+
+
+def test_replaced_address_gets_new_connections():
+    async def test():
+        server, other = FakeServer(), await FakeServer().start()
+        async with node(server) as gateway:
+            ends = Ends()
+            gateway.servers.start(1, ends.attempt())
+            assert await ends.status() is Status.OK
+            gateway.told(other.entry(1), kind=ListKind.CHANGES)
+            gateway.servers.start(1, ends.attempt())
+            assert await ends.status() is Status.OK
+            assert len(server.commands) == len(other.commands) == 1
+
+    run(test())
+
+
+def test_connections_are_bounded_and_idle_ones_make_room():
+    async def test():
+        server, other = FakeServer(), FakeServer(lambda words: None)
+        async with node(server, other, most_connections=1) as gateway:
+            ends = Ends()
+            gateway.servers.start(1, ends.attempt())
+            assert await ends.status() is Status.OK
+            gateway.servers.start(2, ends.attempt())
+            await server.until(lambda: server.ended == 1)
+            gateway.servers.start(1, ends.attempt())
+            assert await ends.status() is Status.CONNECT_FAILED
+            await other.until(lambda: len(other.commands) == 1)
+            other.writers[0].write(array(b"v"))
+            assert await ends.status() is Status.OK
+
+    run(test())
+
+
+def test_running_out_of_descriptors_is_an_outcome(monkeypatch):
+    async def test():
+        server = FakeServer()
+        async with node(server) as gateway:
+            def none_left(*_):
+                raise OSError(errno.EMFILE, "too many open files")
+            ends = Ends()
+            with monkeypatch.context() as patch:
+                patch.setattr(module.socket, "socket", none_left)
+                gateway.servers.start(1, ends.attempt())
+                assert await ends.status() is Status.CONNECT_FAILED
+            gateway.servers.start(1, ends.attempt())
+            assert await ends.status() is Status.OK
+
+    run(test())
+
+
+def test_connection_that_never_comes_up_ends_after_the_time_out_and_never_ran():
+    async def test():
+        with socket.create_server(("127.0.0.1", 0), backlog=0) as listener:
+            port = listener.getsockname()[1]
+            full = []
+            for _ in range(3):  # the backlog is full: what comes now gets no answer
+                full.append(socket.socket())
+                full[-1].setblocking(False)
+                full[-1].connect_ex(("127.0.0.1", port))
+            async with node(limits=Limits(connect_timeout_ms=50.0)) as gateway:
+                gateway.told((ServerEntry(1, "a"), ("127.0.0.1", port)))
+                ends = Ends()
+                gateway.servers.start(1, ends.attempt())
+                assert await ends.status() is Status.CONNECT_FAILED
+                assert not gateway.servers.connections
+            for one in full:
+                one.close()
+
+    run(test())
+
+
+def test_stopped_attempt_has_its_connection_closed_before_the_outcome_is_told():
+    async def test():
+        server = FakeServer(lambda words: None)
+        async with node(server) as gateway:
+            told = []
+            attempt = Attempt(COMMAND, told.append)
+            gateway.servers.start(1, attempt)
+            await server.until(lambda: len(server.commands) == 1)
+            sock = next(iter(gateway.servers.connections)).socket
+
+            def done(reply):
+                with pytest.raises(OSError):
+                    sock.send(b"x")
+                told.append(reply)
+
+            attempt.done = done
+            gateway.servers.stop(attempt, Status.CANCELLED)
+            assert [reply.status for reply in told] == [Status.CANCELLED]
+            await server.until(lambda: server.ended == 1)
+
+    run(test())
+
+
+def test_bytes_that_answer_nothing_end_the_connection():
+    async def test():
+        server = FakeServer(lambda words: array(b"v") + b"+EXTRA\r\n")
+        async with node(server) as gateway:
+            ends = Ends()
+            gateway.servers.start(1, ends.attempt())
+            assert await ends.status() is Status.OK
+            await server.until(lambda: server.ended == 1)
+            assert not gateway.servers.connections
+
+    run(test())
