Bounds on what a connection may send without an end; the program, driver and SIGTERM are tested

Seen: a probe of hiredis showed '*' raise MemoryError, which _read in clients.py and data_received in servers.py did not catch: the loop then ends the connection without an answer for what was taken on it. Arrays up to 2e9 take address space only (8 MB resident), so no further guard. A server's endless answer had no bound. Both tests fail without the mends.

--- a/brackenloft/__main__.py
+++ b/brackenloft/__main__.py
@@ -25,7 +25,7 @@
 
 log = logging.getLogger("brackenloft")
 
-OTHER_DESCRIPTORS = 64  # beside clients and servers: the log, the loop, discovery, the listener, a margin
+OTHER_DESCRIPTORS = 32  # beside clients and servers: the log, the loop, discovery, the listener, a margin
 FIRST_LIST_S = 1.0  # how long the known list, which may be old, waits for discovery's before it must do
 ACCEPT_S = 0.45  # after SIGTERM: new connections go on coming for 0.4 s
 KILL_S = (3.0, 0.7)  # after SIGTERM comes SIGKILL: the longest deadline, this at most, and so much more
--- a/brackenloft/net/clients.py
+++ b/brackenloft/net/clients.py
@@ -15,7 +15,7 @@
 
 log = logging.getLogger(__name__)
 
-MOST_PIPELINED = 32  # commands of one connection in hand; what comes behind waits in the kernel
+MOST_PIPELINED = 64  # commands of one connection in hand; what comes behind waits in the kernel
 LONGEST_COMMAND = 512 * 1024  # bytes read without a whole command: a body, and one read of the loop
 STALLED_S = 15.0  # a client that takes no byte of its answers for so long is gone
 LAST_CUSTOMER = 1 << 33
@@ -156,6 +156,7 @@
     def data_received(self, data: bytes) -> None:
         if self.ending:
             return
+        self.clients.connections.move_to_end(self)  # the last to be pushed out
         self.reader.feed(data)
         self.unparsed += len(data)
         self._read()
@@ -170,7 +171,7 @@
         while not self.ending and self.transport and len(self.slots) < MOST_PIPELINED and not self.stuck:
             try:
                 command = self.reader.gets()
-            except (hiredis.HiredisError, ValueError):
+            except (hiredis.HiredisError, ValueError, MemoryError):  # an array of billions is the last
                 self._broken()
                 break
             if command is False:
--- a/brackenloft/net/discovery.py
+++ b/brackenloft/net/discovery.py
@@ -16,7 +16,7 @@
 
 log = logging.getLogger(__name__)
 
-SILENT_S = 5.0  # an empty line comes every 2 s: after two and a half of them the watch is dead
+SILENT_S = 4.5  # an empty line comes every 2 s: two are missing. News counts as told after 6 s in any case
 BACKOFF_S = (0.05, 1.0)  # before another watch, first and at most
 CONNECT_S = 1.0
 LONGEST_LINE = 4 * 1024 * 1024
--- a/brackenloft/net/servers.py
+++ b/brackenloft/net/servers.py
@@ -22,6 +22,7 @@
 log = logging.getLogger(__name__)
 
 IDLE_SHARE = 0.4  # of the servers' idle limit after which a connection is retired: well before they do
+LONGEST_ANSWER = 1024 * 1024  # bytes without a whole answer: a value of 64 KiB and much to spare
 SWEEP_S = 1.0  # between two looks at idle connections
 Address = tuple[str, int]
 
@@ -128,7 +129,7 @@
         self.task: asyncio.Task[None] | None = None
         self.reader = hiredis.Reader(replyError=ServerError)
         self.handed = False  # the attempt's last byte to the kernel
-        self.idle_since = 0.0
+        self.idle_since, self.unread = 0.0, 0
         self.closed = False
         attempt.connection = self
 
@@ -183,17 +184,19 @@
 
     def data_received(self, data: bytes) -> None:
         self.reader.feed(data)
+        self.unread += len(data)
         try:
             answer = self.reader.gets()
             more = self.reader.has_data()
-        except (hiredis.HiredisError, ValueError):
+        except (hiredis.HiredisError, ValueError, MemoryError):
             log.warning("a server broke the protocol: %.100r", data)
             self.close(api.Status.ERROR)
             return
-        if answer is False and self.attempt:
+        if answer is False and self.attempt and self.unread <= LONGEST_ANSWER:
             return
+        self.unread = 0
         attempt, self.attempt = self.attempt, None
-        if attempt is None or more:
+        if attempt is None or more or answer is False:
             self.close(api.Status.RESET)  # bytes that answer nothing: what follows can't be told apart
         else:
             self.servers.give_back(self)
--- a/tests/test_net_clients.py
+++ b/tests/test_net_clients.py
@@ -5,7 +5,7 @@
 import pytest
 from fakes import FakeServer, array, call, node, resp, run, until
 
-from brackenloft.net.clients import MOST_PIPELINED
+from brackenloft.net.clients import LONGEST_COMMAND, MOST_PIPELINED
 
 GOOD = "c=read,t=free,d=4000,units=1,spread=2,first=0"
 WHO, ID = "00000000b4d65521", "00000000000000aa"
@@ -94,7 +94,7 @@
 
 @pytest.mark.parametrize("junk", [
     b"GET / HTTP/1.1\r\n\r\n", b"*1\r\n$x\r\n", b"*0\r\n", b"*1\r\n:5\r\n", b"+OK\r\n", b"-ERR\r\n",
-    b"*-1\r\n", b"\x00\xff\r\n", b"*1\r\n*1\r\n$4\r\nPING\r\n",
+    b"*-1\r\n", b"*4000000000\r\n", b"\x00\xff\r\n", b"*1\r\n*1\r\n$4\r\nPING\r\n",
 ])
 def test_broken_resp_gets_an_error_and_a_close_after_what_was_taken(junk):
     async def test():
@@ -200,3 +200,14 @@
             assert await peer.ask(resp("PING")) == b"PONG"
 
     run(test())
+
+
+def test_command_without_end_is_broken():
+    async def test():
+        async with node(FakeServer()) as gateway:
+            peer = await gateway.peer()
+            peer.send(b"*4\r\n$500000000\r\n", b"x" * 2 * LONGEST_COMMAND)
+            assert (await peer.reply()).startswith("-ERR ")
+            assert await (await gateway.peer()).ask(resp("PING")) == b"PONG"
+
+    run(test())
--- /dev/null
+++ b/tests/test_net_process.py
@@ -0,0 +1,123 @@
+"""The program as deploy/balancer.toml starts it: configuration, readiness, SIGTERM."""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+import tomllib
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+from fakes import SETTINGS as FAKE_SETTINGS
+from fakes import FakeDiscovery, FakeServer, Peer, array, call, chunk, listing, node, resp, row, run
+from test_adapter import ENV
+
+from brackenloft import __main__ as program_module
+
+ROOT = Path(__file__).parent.parent
+RUN = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
+SETTINGS = {
+    **ENV,
+    "services": [{**ENV["services"][0], "name": "read", "hard_limit_ms": 60_000.0, "slo_ms": 30_000.0}],
+    "tariffs": [{**ENV["tariffs"][0], "name": "free", "refill": 0.0, "most_at_once": 0.0}],
+}
+
+
+def command() -> str:
+    """The deploy file's command; where its environment is not built, this interpreter in its place."""
+    if (ROOT / ".venv" / "bin" / "python").exists():
+        return RUN
+    return RUN.replace(".venv/bin/python", sys.executable)
+
+
+def free_port() -> int:
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        return listener.getsockname()[1]
+
+
+async def connect(port: int) -> Peer:
+    """Connect as soon as the program listens."""
+    while True:
+        try:
+            return await Peer().open(port)
+        except ConnectionRefusedError:
+            await asyncio.sleep(0.01)
+
+
+@asynccontextmanager
+async def program(tmp_path, server: FakeServer):
+    """The running program, the port it listens on and the discovery it watches."""
+    discovery, port = await FakeDiscovery().start(), free_port()
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps({
+        "name": "n0", "listen": f"127.0.0.1:{port}", "discovery": f"127.0.0.1:{discovery.port}",
+        "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "known": {"generation": 1, "reset": True, "instances": [row("s-1", server.port)]},
+        "settings": SETTINGS,
+    }))
+    env = {**os.environ, "EDGE_CONFIG": str(path), "EDGE_NAME": "n0", "EDGE_LISTEN": f"127.0.0.1:{port}",
+           "EDGE_DISCOVERY": f"127.0.0.1:{discovery.port}"}
+    process = await asyncio.create_subprocess_shell(command(), cwd=ROOT, env=env)
+    try:
+        yield process, port, discovery
+    finally:
+        if process.returncode is None:
+            process.kill()
+        await process.wait()
+
+
+def test_starts_is_ready_once_it_has_a_list_and_serves(tmp_path):
+    async def test():
+        server = await FakeServer(lambda words: array(b"v")).start()
+        async with program(tmp_path, server) as (process, port, discovery):
+            peer = await connect(port)
+            _, watch = await discovery.watch()
+            watch.write(chunk(listing(2, row("s-1", server.port), reset=True)))
+            while await peer.ask(resp("PING")) != b"PONG":
+                await asyncio.sleep(0.01)
+            assert await peer.ask(call(1)) == b"v"
+            process.send_signal(signal.SIGTERM)
+            assert await process.wait() == 0
+
+    run(test())
+
+
+def test_sigterm_answers_what_was_taken_and_closes_between_requests(tmp_path):
+    async def test():
+        server = await FakeServer(lambda words: None if words[2].endswith(b"1") else array(b"v")).start()
+        async with program(tmp_path, server) as (process, port, _):
+            idle, busy, silent = await connect(port), await connect(port), await connect(port)
+            assert await idle.ask(call(2)) == b"v"
+            silent.send(call(17, wait=60_000))
+            busy.send(call(1, wait=60_000))
+            await server.until(lambda: len(server.commands) == 3)
+            process.send_signal(signal.SIGTERM)
+            assert await idle.reply() is None
+            number = next(n for n, words in zip(server.by, server.commands, strict=True)
+                          if words[2] == b"0000000000000001")
+            server.writers[number].write(array(b"late"))
+            assert await busy.reply() == b"late" and await busy.reply() is None
+            # The server stays silent on this one, whose client would wait for a minute: refused in time.
+            assert await silent.reply() == "-BUSY" and await silent.reply() is None
+            assert await process.wait() == 0
+
+    run(test())
+
+
+def test_while_stopping_it_accepts_for_a_while_and_then_closes_between_requests(monkeypatch):
+    monkeypatch.setattr(program_module, "ACCEPT_S", 2.0)
+
+    async def test():
+        async with node(FakeServer()) as gateway:
+            leaving = asyncio.ensure_future(
+                program_module._leave(FAKE_SETTINGS, gateway.driver, gateway.clients))
+            await asyncio.sleep(0)
+            late = await gateway.peer()
+            assert await late.ask(call(3)) == b"0000000000000003"
+            assert await late.reply() is None
+            await leaving
+            assert not gateway.clients.connections
+
+    run(test())
--- a/tests/test_net_servers.py
+++ b/tests/test_net_servers.py
@@ -53,7 +53,8 @@
     (array(b"v"), Status.OK), (b"-BUSY\r\n", Status.FULL), (b"-ERR failed\r\n", Status.ERROR),
     (b"", Status.RESET), (b"$1\r\nv\r\n", Status.ERROR), (b"*3\r\n$-1\r\n$-1\r\n$-1\r\n", Status.ERROR),
     (b"*0\r\n", Status.ERROR), (b"*-1\r\n", Status.ERROR), (b"+OK\r\n", Status.ERROR),
-    (b"HTTP/1.1 200 OK\r\n\r\n", Status.ERROR), (b"*1\r\n:5\r\n", Status.ERROR),
+    (b"HTTP/1.1 200 OK\r\n\r\n", Status.ERROR), (b"$500000000\r\n" + b"x" * 3_000_000, Status.ERROR),
+    (b"*4000000000\r\n", Status.ERROR), (b"*1\r\n:5\r\n", Status.ERROR),
 ])
 def test_outcome_by_the_table_and_one_only(answer, status):
     async def test():
