A gateway that leaves takes what it has read; two new clients do not count on one idle connection

Found by reading clients.py against PROTOCOL, then shown by tests: flush closed a connection once nothing was in hand though commands lay in its reader (more than 64 pipelined), which loses them; opened picked the same closing connection twice, so the bound on descriptors could be passed. Both tests fail without the mends; a first form of them did not and was made sharper. Conclusion: both are closed.

--- a/brackenloft/net/clients.py
+++ b/brackenloft/net/clients.py
@@ -182,6 +182,7 @@
             self._take(command)
         self.reading = False
         self._throttle()
+        self._leave_if_done()
 
     def _throttle(self) -> None:
         if self.transport is None or self.transport.is_closing():
@@ -237,10 +238,20 @@
                 break
             self.slots.popleft()
             self.transport.write(answer)
-        if not self.slots and (self.ending or self.clients.leaving):
-            self.transport.close()
-        elif self.paused and not self.reading:
+        if self.reading:
+            return
+        if self.paused:
             self._read()
+        self._leave_if_done()
+
+    def _leave_if_done(self) -> None:
+        """Close between requests, when it is time to.
+
+        Commands that were read but not taken yet, as too many were in hand, are taken first: closing
+        then would lose them.
+        """
+        if self.transport and not self.slots and (self.ending or self.clients.leaving):
+            self.transport.close()
 
     def pause_writing(self) -> None:
         """The client does not take its answers: it is read no further, and given up after a while.
@@ -256,8 +267,6 @@
         if self.stall:
             self.stall.cancel()
         self.flush()
-        if not self.reading:
-            self._read()
 
     def _stalled(self) -> None:
         if self.transport:
@@ -293,8 +302,9 @@
             return
         idle = next((one for one in self.connections if one is not client and not one.slots), client)
         assert idle.transport
+        self.closed(idle)  # at once: the next one must not count on the same place again
+        idle.ending = True
         if idle is client:
-            idle.ending = True
             idle.transport.write(b"-ERR max number of clients reached\r\n")
         idle.transport.close()
 
--- a/tests/test_net_clients.py
+++ b/tests/test_net_clients.py
@@ -211,3 +211,43 @@
             assert await (await gateway.peer()).ask(resp("PING")) == b"PONG"
 
     run(test())
+
+
+def test_commands_read_but_not_taken_yet_are_served_when_the_gateway_leaves():
+    async def test():
+        held = []
+        server = FakeServer(lambda words: held.append(words) if len(held) < MOST_PIPELINED else array(b"v"))
+        async with node(server) as gateway:
+            peer, more = await gateway.peer(), 6
+            peer.send(*(call(number) for number in range(MOST_PIPELINED + more)))
+            await server.until(lambda: len(held) == MOST_PIPELINED)
+            gateway.clients.stop_listening()
+            first = next(n for n, words in zip(server.by, server.commands, strict=True)
+                         if int(words[2], 16) == 0)
+            for number, writer in enumerate(server.writers):
+                if number != first:
+                    writer.write(array(b"v"))
+            await until(lambda: len(gateway.driver.calls) == 1)
+            server.writers[first].write(array(b"v"))  # all that are in hand are written at once
+            for _ in range(MOST_PIPELINED + more):
+                assert await peer.reply() == b"v"
+            assert await peer.reply() is None
+
+    run(test())
+
+
+def test_several_new_connections_at_once_do_not_count_on_the_same_idle_one():
+    async def test():
+        async with node(FakeServer()) as gateway:
+            peers = []
+            for _ in range(3):
+                peers.append(await gateway.peer())
+                assert await peers[-1].ask(resp("PING")) == b"PONG"
+            gateway.clients.most_connections = 1
+            newest = list(gateway.clients.connections)[-1]
+            gateway.clients.opened(newest)
+            gateway.clients.opened(newest)  # before the loop could see the first one's end
+            assert await peers[0].reply() is None and await peers[1].reply() is None
+            assert await peers[2].ask(resp("PING")) == b"PONG"
+
+    run(test())
