--- a/brackenloft/__main__.py
+++ b/brackenloft/__main__.py
@@ -29,6 +29,7 @@
 FIRST_LIST_S = 1.0  # how long the known list, which may be old, waits for discovery's before it must do
 ACCEPT_S = 0.45  # after SIGTERM: new connections go on coming for 0.4 s
 KILL_S = (3.0, 0.7)  # after SIGTERM comes SIGKILL: the longest deadline, this at most, and so much more
+SIGNALS = {signal.SIGTERM, signal.SIGINT, signal.SIGHUP}
 SPARE_S = 0.3  # of that time, in which all is answered but not yet killed
 
 
@@ -41,6 +42,7 @@
 class Config:
     """What the gateway is told at its start."""
 
+    path: Path
     listen: Address
     discovery: Address
     seed: int
@@ -51,21 +53,38 @@
     @staticmethod
     def load(environment: dict[str, str]) -> Config:
         """From EDGE_CONFIG; EDGE_LISTEN and EDGE_DISCOVERY, where set, say the same or come first."""
-        document = json.loads(Path(environment["EDGE_CONFIG"]).read_text())
+        path = Path(environment["EDGE_CONFIG"])
+        document = json.loads(path.read_text())
         return Config(
-            listen=_address(environment.get("EDGE_LISTEN") or document["listen"]),
+            path=path, listen=_address(environment.get("EDGE_LISTEN") or document["listen"]),
             discovery=_address(environment.get("EDGE_DISCOVERY") or document["discovery"]),
             seed=int(document["seed"], 16), descriptors=int(document["limits"]["sockets"]),
             known=document["known"], settings=settings_from(document["settings"]),
         )
 
 
+def _reload(path: Path, discovery: Discovery) -> None:
+    """SIGHUP: watch discovery where the configuration's file names it now, which outranks the environment.
+
+    Guards against a file that is missing, half-written or malformed: it is logged, and what is stays.
+    """
+    try:
+        address = _address(json.loads(path.read_text())["discovery"])
+    except (OSError, ValueError, KeyError, TypeError, AttributeError) as error:
+        log.error("the configuration was not read again: %r", error)
+        return
+    log.info("discovery is at %s:%d now", *address)
+    discovery.watch(address)
+
+
 async def serve(config: Config) -> None:
     """Serve until SIGTERM, then see to what was taken and return."""
     loop = asyncio.get_running_loop()
-    stop = asyncio.Event()
+    stop, again = asyncio.Event(), asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     loop.add_signal_handler(signal.SIGINT, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, again.set)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
     budget = max(2, config.descriptors - OTHER_DESCRIPTORS)
     servers = Servers(config.settings, budget // 2)
     driver = Driver(Gateway(config.settings, config.seed), servers, Clock())
@@ -77,15 +96,24 @@
         if listing.kind is not api.ListKind.CACHED:
             clients.ready = True
 
-    discovery = Discovery(config.discovery, news)
+    discovery = Discovery(news)
     discovery.known(config.known)
-    watching = loop.create_task(discovery.run())
+    discovery.watch(config.discovery)
+
+    async def reload() -> None:
+        while True:
+            await again.wait()
+            again.clear()
+            _reload(config.path, discovery)
+
+    reloading = loop.create_task(reload())
     await clients.listen(*config.listen)
     loop.call_later(FIRST_LIST_S, lambda: setattr(clients, "ready", True))
     log.info("listening")
     await stop.wait()
     await _leave(config.settings, driver, clients)
-    watching.cancel()
+    reloading.cancel()
+    discovery.end()
     servers.close()
 
 
@@ -105,7 +133,12 @@
 
 
 def main() -> int:
-    """Run the gateway; 0 after SIGTERM."""
+    """Run the gateway; 0 after SIGTERM.
+
+    Signals wait until there are handlers. Guards against one that comes while the gateway starts, whose
+    default would end it.
+    """
+    signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
     logging.basicConfig(
         stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(name)s %(message)s")
     config = Config.load(dict(os.environ))
--- a/brackenloft/net/discovery.py
+++ b/brackenloft/net/discovery.py
@@ -1,4 +1,4 @@
-"""The watch on discovery: keeps one open, turns its lines into lists for the decisions."""
+"""The watch on discovery: kept open, moved on request; its lines become lists for the decisions."""
 
 from __future__ import annotations
 
@@ -32,7 +32,6 @@
     def __init__(self) -> None:
         self.numbers: dict[str, int] = {}
         self.unused = count(1)  # never used again: an attempt on a server that is gone may still be out
-        self.generation: int | None = None
 
     def read(self, document: Any, known: bool = False) -> tuple[api.ServerList, dict[int, Address]]:
         """A list and the addresses in it; raises ValueError, KeyError or TypeError if it is malformed."""
@@ -49,7 +48,6 @@
         for row in document["instances"]:
             if row["lifecycle"] == "Gone":
                 self.numbers.pop(row["instanceId"], None)
-        self.generation = generation
         kind = api.ListKind.CACHED if known else api.ListKind.FULL if full else api.ListKind.CHANGES
         return api.ServerList(kind, tuple(entries), generation), addresses
 
@@ -70,8 +68,8 @@
 class Watch(asyncio.Protocol):
     """One HTTP exchange: a chunked answer with a JSON object a line."""
 
-    def __init__(self, discovery: Discovery, target: str) -> None:
-        self.discovery, self.target = discovery, target
+    def __init__(self, feed: Feed, target: str) -> None:
+        self.feed, self.target = feed, target
         self.parser = httptools.HttpResponseParser(self)
         self.line = bytearray()
         self.transport: asyncio.Transport | None = None
@@ -81,7 +79,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         # uvloop's transports are not asyncio.Transport by class: no isinstance here
         self.transport = cast(asyncio.Transport, transport)
-        host, port = self.discovery.address
+        host, port = self.feed.address
         self.transport.write(
             f"GET {self.target} HTTP/1.1\r\nHost: {host}:{port}\r\nAccept: application/json\r\n\r\n".encode())
         self._heard()
@@ -91,10 +89,11 @@
         if self.silent:
             self.silent.cancel()
         loop = asyncio.get_running_loop()
-        self.silent = loop.call_later(SILENT_S, self._close, "silent")
+        self.silent = loop.call_later(SILENT_S, self.close, "silent")
 
-    def _close(self, why: str) -> None:
-        log.warning("the watch on discovery ended: %s", why)
+    def close(self, why: str) -> None:
+        """End the exchange; what still comes on it counts no more."""
+        log.warning("the watch on discovery at %s:%d ended: %s", *self.feed.address, why)
         if self.transport:
             self.transport.abort()
 
@@ -103,28 +102,24 @@
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError as error:
-            self._close(f"not HTTP: {error}")
+            self.close(f"not HTTP: {error}")
 
     def on_headers_complete(self) -> None:
         status = self.parser.get_status_code()
         if status != 200:
-            self._close(f"status {status}")
+            self.close(f"status {status}")
 
     def on_body(self, body: bytes) -> None:
         *lines, rest = (bytes(self.line) + body).split(b"\n")
         self.line = bytearray(rest)
         for line in lines:
             if line.strip() and self.parser.get_status_code() == 200:
-                self.discovery.take(line, self)
+                self.feed.take(line, self)
         if len(self.line) > LONGEST_LINE:
-            self._close("a line without end")
+            self.close("a line without end")
 
     def on_message_complete(self) -> None:
-        self._close("the answer is complete")
-
-    def malformed(self) -> None:
-        """A line that could not be read: what it told is missing, so all of it is asked for again."""
-        self._close("malformed line")
+        self.close("the answer is complete")
 
     def connection_lost(self, exc: Exception | None) -> None:
         if self.silent:
@@ -133,46 +128,91 @@
             self.done.set_result(None)
 
 
-class Discovery:
-    """Keeps a watch open for as long as the gateway runs."""
+class Feed:
+    """Keeps a watch open at one address, each from where the last one there ended."""
 
-    def __init__(self, address: Address, news: News) -> None:
-        self.address, self.news = address, news
-        self.roster = Roster()
+    def __init__(self, discovery: Discovery, address: Address) -> None:
+        self.discovery, self.address = discovery, address
         self.backoff_s = BACKOFF_S[0]
-
-    def known(self, document: Any) -> None:
-        """The list as the configuration has it; it may be old."""
-        try:
-            self.news(*self.roster.read(document, known=True))
-        except (ValueError, KeyError, TypeError, AttributeError) as error:
-            log.error("malformed known list: %r", error)
+        self.generation: int | None = None  # nothing: the whole list is asked for
+        self.ended = False
+        self.watch: Watch | None = None
+        self.task = asyncio.get_running_loop().create_task(self._run())
 
     def take(self, line: bytes, watch: Watch) -> None:
         """One line of the watch; a malformed one is logged and the whole list asked for."""
+        if self.ended:
+            return
         try:
-            news = self.roster.read(json.loads(line))
+            listing, addresses = self.discovery.roster.read(json.loads(line))
         except (ValueError, KeyError, TypeError, AttributeError) as error:
             log.error("malformed line from discovery: %r", error)
-            self.roster.generation = None
-            watch.malformed()
+            self.generation = None
+            watch.close("malformed line")
             return
         self.backoff_s = BACKOFF_S[0]
-        self.news(*news)
+        self.generation = listing.version
+        self.discovery.spoke(self, listing, addresses)
+
+    def end(self) -> None:
+        """Watch no more."""
+        self.ended = True
+        self.task.cancel()
+        if self.watch:
+            self.watch.close("it is asked no more")
 
-    async def run(self) -> None:
-        """Watch, and watch anew, from where the last one ended."""
+    async def _run(self) -> None:
         loop = asyncio.get_running_loop()
         while True:
             try:
                 async with asyncio.timeout(CONNECT_S):
-                    _, watch = await loop.create_connection(self._watch, *self.address)
-                await watch.done
+                    _, self.watch = await loop.create_connection(self._new_watch, *self.address)
+                await self.watch.done
             except (OSError, TimeoutError) as error:
                 log.warning("discovery can't be reached: %r", error)
             await asyncio.sleep(self.backoff_s)
             self.backoff_s = min(BACKOFF_S[1], self.backoff_s * 2.0)
 
-    def _watch(self) -> Watch:
-        generation = self.roster.generation
+    def _new_watch(self) -> Watch:
+        generation = self.generation
         return Watch(self, "/discovery/hosts?watch=1" + ("" if generation is None else f"&from={generation}"))
+
+
+class Discovery:
+    """What discovery says, from the address that was named last and has spoken."""
+
+    def __init__(self, news: News) -> None:
+        self.news, self.roster = news, Roster()
+        self.feed: Feed | None = None
+        self.next: Feed | None = None  # named last, has not spoken yet
+
+    def known(self, document: Any) -> None:
+        """The list as the configuration has it; it may be old."""
+        try:
+            self.news(*self.roster.read(document, known=True))
+        except (ValueError, KeyError, TypeError, AttributeError) as error:
+            log.error("malformed known list: %r", error)
+
+    def watch(self, address: Address) -> None:
+        """Watch at this address from now on.
+
+        Guards against a gap while discovery moves: the feed before serves until this one has spoken, and
+        this one asks for the whole list, as versions of another agent may tell nothing here.
+        """
+        if self.next:
+            self.next.end()
+        self.next = Feed(self, address)
+
+    def spoke(self, feed: Feed, listing: api.ServerList, addresses: dict[int, Address]) -> None:
+        """News from a feed; the first of a new one ends the one before."""
+        if feed is self.next:
+            if self.feed:
+                self.feed.end()
+            self.feed, self.next = feed, None
+        self.news(listing, addresses)
+
+    def end(self) -> None:
+        """Watch no more."""
+        for feed in (self.feed, self.next):
+            if feed:
+                feed.end()
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -5,7 +5,7 @@
 import asyncio
 import json
 from collections.abc import AsyncIterator, Callable, Coroutine
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from dataclasses import replace
 from typing import Any
 
@@ -195,6 +195,7 @@
     def __init__(self) -> None:
         self.targets: asyncio.Queue[str] = asyncio.Queue()
         self.watches: asyncio.Queue[asyncio.StreamWriter] = asyncio.Queue()
+        self.ended: asyncio.Queue[str] = asyncio.Queue()
 
     async def start(self) -> FakeDiscovery:
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
@@ -206,6 +207,10 @@
         writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: x/json\r\nTransfer-Encoding: chunked\r\n\r\n")
         self.targets.put_nowait(head.split()[1].decode())
         self.watches.put_nowait(writer)
+        with suppress(OSError):
+            while await reader.read(1000):
+                pass
+        self.ended.put_nowait("by the gateway")
 
     async def watch(self) -> tuple[str, asyncio.StreamWriter]:
         """The next watch: what it asked for and where to write lines."""
--- a/tests/test_net_process.py
+++ b/tests/test_net_process.py
@@ -121,3 +121,58 @@
             assert not gateway.clients.connections
 
     run(test())
+
+
+def test_sighup_moves_the_watch_to_where_the_file_names_discovery_now(tmp_path):
+    async def test():
+        first = await FakeServer(lambda words: array(b"1")).start()
+        second = await FakeServer(lambda words: array(b"2")).start()
+        async with program(tmp_path, first) as (process, port, discovery):
+            _, watch = await discovery.watch()
+            watch.write(chunk(listing(2, row("s-1", first.port), reset=True)))
+            peer = await connect(port)
+            while await peer.ask(resp("PING")) != b"PONG":
+                await asyncio.sleep(0.01)
+            path = tmp_path / "config.json"
+            document = json.loads(path.read_text())
+            for text in ("{half", json.dumps({**document, "discovery": 7}), None):
+                path.unlink()
+                if text:
+                    path.write_text(text)
+                process.send_signal(signal.SIGHUP)  # can't be read: what is stays
+            assert await peer.ask(call(1)) == b"1"
+            for number, generation in ((2, 9), (3, 4)):
+                moved = await FakeDiscovery().start()
+                path.write_text(json.dumps({**document, "discovery": f"127.0.0.1:{moved.port}"}))
+                process.send_signal(signal.SIGHUP)
+                target, watch = await moved.watch()
+                assert target == "/discovery/hosts?watch=1"
+                watch.write(chunk(listing(generation, row("s-2", second.port), reset=True)))
+                await discovery.ended.get()
+                assert await peer.ask(call(number)) == b"2"
+                discovery = moved
+            process.send_signal(signal.SIGTERM)
+            assert await process.wait() == 0
+
+    run(test())
+
+
+def test_signal_that_comes_while_the_program_starts_waits_for_its_handler(tmp_path, monkeypatch):
+    """SIGHUP at the first moment that code of ours runs in ``main``: its default would end the process."""
+    async def test():
+        code = (
+            "import os, signal; from brackenloft import __main__ as program\n"
+            "load = program.Config.load\n"
+            "def slow(env):\n    os.kill(os.getpid(), signal.SIGHUP)\n    return load(env)\n"
+            "program.Config.load = slow\n"
+            "raise SystemExit(program.main())")
+        monkeypatch.setattr(sys.modules[__name__], "command", lambda: f'exec {sys.executable} -c "$CODE"')
+        monkeypatch.setenv("CODE", code)
+        server = await FakeServer(lambda words: array(b"v")).start()
+        async with program(tmp_path, server) as (process, port, discovery):
+            peer = await connect(port)
+            assert await peer.ask(call(1)) == b"v"
+            process.send_signal(signal.SIGTERM)
+            assert await process.wait() == 0
+
+    run(test())
