--- a/brackenloft/logic.py
+++ b/brackenloft/logic.py
@@ -48,7 +48,9 @@
 
 # Meter and slices
 THOUSANDTHS = 1000.0  # of a unit, the unit of the excess
-GROWTH = 0.2  # share of the room that is given out: the meter is late, and all gateways rise on one figure
+GROWTH = 0.1  # share of the room given out: the meter is late, and all gateways rise on one figure
+WORTH_BURST = 0.25  # by which the burst grows for a class of endless worth, to have what others leave
+CHEAP_HOLD = 0.1  # of the shortest aim, for which the least worthy class is held: the worthier wait longer
 THIN_BURST = 2.0  # requests by which an unused thin slice's burst grows: two by chance are no abuse
 NEWS_PERIODS = 4.0  # meter periods a reading stays news: the period, its lateness, a gap in traffic
 
@@ -164,6 +166,9 @@
         self.parked: dict[str, Flight] = {}
         self.timers: dict[int, tuple[Callable[[Any], None], Any]] = {}
         self.tokens, self.now, self.started_at, self.ends_at = 0, -inf, inf, inf
+        worths = [item.worth for item in settings.classes]
+        self.cheap = min(worths) if min(worths) < max(worths) else 0.0  # the least worth, where worths differ
+        self.shortest = min(item.aim_ms for item in settings.classes)
         self.latency = {item.name: item.aim_ms * FIRST_LATENCY for item in settings.classes}
         self.retries = RETRY_STORE
         self.young: set[tuple[str, int]] = set()  # attempts out that are not slow yet: what the pool counts
@@ -250,7 +255,15 @@
         room = self._room(customer, NEWS_PERIODS * self.settings.meter_period_ms)
         return min(1.0, (1.0 + GROWTH * room) / customer.width)
 
-    def _meter(self, customer: Customer, plan: Plan, units: float) -> float:
+    def _worthier(self, kind: RequestClass) -> float:
+        """By how much the burst is larger for a class: nothing for the least worthy.
+
+        Guards against a customer beyond its quota who fills it with what is worth least: an excess near the
+        burst is open to the worthier classes alone. Harm: it passes the quota by that much at first.
+        """
+        return 1.0 + WORTH_BURST * (1.0 - self.cheap / kind.worth) if self.cheap else 1.0
+
+    def _meter(self, customer: Customer, plan: Plan, kind: RequestClass, units: float) -> float:
         """Milliseconds to hold the request, inf to refuse it; the excess is stored unless it is refused."""
         if not plan.rate:
             return 0.0
@@ -261,6 +274,7 @@
         customer.asked, customer.asked_at = max(0.0, customer.asked - drained) + units, self.now
         if self._thin(customer, plan) and customer.asked <= THIN_BURST * customer.largest:
             burst *= 1.0 + THIN_BURST * self._room(customer, self._drain_ms(customer, plan))
+        burst *= self._worthier(kind)
         elapsed = self.now - customer.touched
         excess = max(0.0, customer.excess - rate * elapsed + THOUSANDTHS * units)
         if excess > 2.0 * burst:
@@ -269,12 +283,16 @@
         return max(0.0, excess - burst) / rate
 
     def _useful(self, kind: RequestClass) -> float:
-        """How long a hold may last for the answer to come within the aim.
+        """How long a hold may last: for an answer within the shortest aim, and less for the least worthy.
 
-        Guards against sending on what earns nothing: a band of one burst may last seconds longer than
-        the aim. Harm: a class that earns much after its aim is refused what it could have had.
+        Guards against sending on what earns nothing, as a band of one burst may last seconds longer than
+        the aim, and against a class that wins the quota by waiting longest: reads with twice the aim of
+        posts were served whole and posts four fifths. Harm: a class with a long aim, or that earns much
+        after it, is refused what it could have had.
         """
-        return kind.aim_ms - self.latency[kind.name]
+        if kind.worth == self.cheap:
+            return CHEAP_HOLD * self.shortest
+        return self.shortest - self.latency[kind.name]
 
     def _advice(self, customer: Customer, plan: Plan, units: float) -> float:
         """When a request refused for the quota may come again: when the bucket has drained for it."""
@@ -655,7 +673,7 @@
             return
         flight = Flight(event, kind, plan, customer, self.now, self.random.random())
         before = customer.excess, customer.touched
-        hold = self._meter(customer, plan, event.units)
+        hold = self._meter(customer, plan, kind, event.units)
         if hold and hold >= min(event.patience_ms, self._useful(kind)):
             customer.excess, customer.touched = before
             self.actions.append(Refuse(event.request_id, self._advice(customer, plan, event.units)))
--- a/brackenloft/net/servers.py
+++ b/brackenloft/net/servers.py
@@ -23,7 +23,7 @@
 log = logging.getLogger(__name__)
 
 IDLE_SHARE = 0.4  # of the servers' idle limit after which a connection is retired: well before they do
-REST_S = 0.03  # after an answer, before its connection is used again: what comes right behind shows by then
+REST_S = 0.012  # after an answer, before its connection is used again: what comes right behind shows by then
 MOST_PERCENT = 100_000.0  # of a quota used: a thousand times
 MOST_LOAD = 1_000_000.0  # of any figure in a load report
 COST_LARGEST = 10.0  # how many times the largest guess the units that a request took may be
