--- a/brackenloft/__main__.py
+++ b/brackenloft/__main__.py
@@ -10,6 +10,7 @@
 import signal
 import sys
 from dataclasses import dataclass
+from math import inf
 from pathlib import Path
 from typing import Any
 
@@ -31,6 +32,7 @@
 PROGRAM = 20 * MEGABYTE  # the program itself, 14 seen, and what a list of servers and its customers take
 HELD_SHARE = 0.4  # of the rest of the memory, for what clients have sent; as much for servers' answers
 LEAST_HELD = 2 * MEGABYTE
+LOG_SPAN_S, LOG_LINES = 10.0, 50  # so many lines in so long
 FIRST_LIST_S = 1.0  # how long the known list, which may be old, waits for discovery's before it must do
 ACCEPT_S = 0.45  # after SIGTERM: new connections go on coming for 0.4 s
 KILL_S = (3.0, 0.7)  # after SIGTERM comes SIGKILL: the longest deadline, this at most, and so much more
@@ -38,6 +40,29 @@
 SPARE_S = 0.3  # of that time, in which all is answered but not yet killed
 
 
+class Ration(logging.Filter):
+    """Lets so many lines of the log through in a span, and says how many it left out.
+
+    Guards against a peer that fills the log, which counts as memory where it is a file: a line for each
+    thing that can't be read, at full speed.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.until, self.passed, self.left_out = -inf, 0, 0
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        """Whether the line is written."""
+        if record.created >= self.until:
+            if self.left_out:
+                record.msg, record.args = f"{record.getMessage()} ({self.left_out} lines left out before)", ()
+            self.until, self.passed, self.left_out = record.created + LOG_SPAN_S, 0, 0
+        self.passed += 1
+        if self.passed > LOG_LINES:
+            self.left_out += 1
+        return self.passed <= LOG_LINES
+
+
 def _address(text: str) -> Address:
     host, _, port = text.rpartition(":")
     return host, int(port)
@@ -150,6 +175,8 @@
     signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
     logging.basicConfig(
         stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(name)s %(message)s")
+    for handler in logging.getLogger().handlers:
+        handler.addFilter(Ration())
     config = Config.load(dict(os.environ))
     gc.freeze()
     uvloop.run(serve(config))
--- a/brackenloft/logic.py
+++ b/brackenloft/logic.py
@@ -136,7 +136,7 @@
     """A request in hand: held, parked or out, or answered with attempts still out."""
 
     __slots__ = ("request", "kind", "plan", "customer", "arrived", "deadline", "sends", "out", "tried",
-                 "closed", "maybe_ran", "streaming", "waiting", "turn", "keys")
+                 "closed", "maybe_ran", "streaming", "waiting", "turn", "keys", "timers")
 
     def __init__(
         self, request: Request, kind: RequestClass, plan: Plan, customer: Customer, now: float,
@@ -149,6 +149,7 @@
         self.out: dict[int, tuple[Server, float]] = {}
         self.tried: set[int] = set()
         self.closed = self.streaming = False
+        self.timers: list[int] = []  # tokens of those that are for this request alone
         self.waiting = False  # for the end of a hold; the bucket's timer releases it
         self.maybe_ran: tuple[Server, float] | None = None  # the first attempt that may have run
 
@@ -208,21 +209,29 @@
         customer.width = min(request.width, self.settings.gateways)
         customer.largest = max(customer.largest, request.units)
         self.customers[key] = customer
-        self._forget_one()
+        self._forget(customer)
         return customer
 
-    def _forget_one(self) -> None:
-        """Keeps the state bounded: each request brings one customer at most and may take one away."""
+    def _forget(self, current: Customer) -> None:
+        """Keeps the state bounded: each request brings one customer at most and may take two away.
+
+        One that can't be forgotten yet is looked at again in its turn. Guards against one that is slow to
+        drain, or has an attempt out for long, and keeps all behind it.
+        """
         for _ in range(2):
             key = next(iter(self.customers))
             old, plan = self.customers[key], self.plans[key[0]]
+            if old is current:
+                return
             idle = self.now - max(old.touched, old.used_at)
             drained = old.excess <= plan.rate / old.width * idle
             full = self._ceiling_level(old, plan) >= self._fresh_ceiling(plan, old.width)
-            if old.out or not drained or not full or idle < NEWS_PERIODS * self.settings.meter_period_ms:
-                return
-            if len(self.customers) > 1:
-                del self.customers[key]
+            recent = idle < NEWS_PERIODS * self.settings.meter_period_ms
+            if recent and drained and full and not old.out:
+                return  # those behind it have been seen later, or are looked at again before long
+            del self.customers[key]
+            if old.out or recent or not drained or not full:
+                self.customers[key] = old
 
     def _drain_ms(self, customer: Customer, plan: Plan) -> float:
         """How long the even slice takes to drain the customer's largest request."""
@@ -524,7 +533,7 @@
         self.sends += 1
         self.young.add((request.request_id, number))
         self.actions.append(Send(request.request_id, server.id))
-        self._arm(SLOW * flight.kind.aim_ms, self._on_slow, (flight, number))
+        self._arm(SLOW * flight.kind.aim_ms, self._on_slow, (flight, number), flight)
 
     def _may_resend(self, flight: Flight) -> bool:
         return flight.sends < self.settings.limits.max_attempts and self.retries >= 1.0
@@ -596,6 +605,9 @@
             self.parked.pop(flight.request.request_id, None)
             if not flight.out:
                 self.flights.pop(flight.request.request_id, None)
+                for token in flight.timers:  # guards against keeping it until the last of them is due
+                    self.timers.pop(token, None)
+                flight.timers.clear()
 
     def _on_gone(self, event: ClientGone) -> None:
         flight = self.flights.get(event.request_id)
@@ -682,7 +694,7 @@
         self._limit(flight)
         if hold > 0.0:
             flight.waiting = True
-            self._arm(hold, self._end_hold, flight)
+            self._arm(hold, self._end_hold, flight, flight)
         else:
             self._release(flight)
 
@@ -714,12 +726,12 @@
         """
         if flight.request.request_id not in self.parked:
             last = flight.arrived + self._useful(flight.kind) - self.now
-            self._arm(max(0.0, last), self._end_park, flight)
+            self._arm(max(0.0, last), self._end_park, flight, flight)
         self.parked[flight.request.request_id] = flight
         if self.servers and len(self.parked) > max(1.0, self.pool):
             self._answer(min(self.parked.values(), key=self._value))
         if wait and not flight.closed:
-            self._arm(wait + self.settings.tick_ms, self._end_hold, flight)
+            self._arm(wait + self.settings.tick_ms, self._end_hold, flight, flight)
 
     def _value(self, flight: Flight) -> float:
         """Worth for the work: what is refused last and released first."""
@@ -738,7 +750,7 @@
         """Arm the final answer: before the client's deadline, and before this gateway is ended."""
         flight.deadline = min(flight.deadline, self.ends_at)
         last = flight.deadline - self.now - ANSWER_TICKS * self.settings.tick_ms
-        self._arm(max(0.0, last), self._on_deadline, flight)
+        self._arm(max(0.0, last), self._on_deadline, flight, flight)
 
     def _on_stopping(self, event: Stopping) -> None:
         """Guards against losing requests whose clients would wait longer than this gateway will live."""
@@ -756,9 +768,13 @@
         if call:
             call[0](call[1])
 
-    def _arm(self, delay: float, call: Callable[[Any], None], argument: Any) -> None:
+    def _arm(
+        self, delay: float, call: Callable[[Any], None], argument: Any, flight: Flight | None = None,
+    ) -> None:
         self.tokens += 1
         self.timers[self.tokens] = (call, argument)
+        if flight:
+            flight.timers.append(self.tokens)
         self.actions.append(SetTimer(self.tokens, delay))
 
     def _log(self, text: str) -> None:
--- a/brackenloft/net/servers.py
+++ b/brackenloft/net/servers.py
@@ -54,8 +54,12 @@
         self.connection: Connection | None = None
 
     def finish(self, reply: Reply) -> None:
-        """Tell the outcome, the first only."""
-        done, self.done, self.connection = self.done, None, None
+        """Tell the outcome, the first only.
+
+        The command is let go. Guards against bodies that are kept until the attempt's time is up, as the
+        timer that would end it knows the attempt.
+        """
+        done, self.done, self.connection, self.payload = self.done, None, None, b""
         if done:
             done(reply)
 
--- a/tests/test_meter.py
+++ b/tests/test_meter.py
@@ -128,6 +128,22 @@
     assert len(rig.gateway.flights) == 0
 
 
+def test_customer_that_can_not_be_forgotten_keeps_none_behind_it(rig):
+    rig.ask("metered", customer="still out")
+    for number in range(3000):
+        name = rig.ask("metered", customer=f"c{number}")
+        rig.finish(name, Status.OK)
+        rig.run(10.0)
+    assert len(rig.gateway.customers) < 600 and ("metered", "still out") in rig.gateway.customers
+
+
+def test_request_that_is_done_leaves_no_timer_behind(rig):
+    for _ in range(20):
+        name = rig.ask("free")
+        rig.finish(name)
+    assert not rig.gateway.timers and not rig.gateway.flights
+
+
 def test_hold_past_the_shortest_aim_is_a_refusal():
     # aim 500 ms, first mean latency 100 ms: a hold may last 400 ms, two units at 5 a second
     rig = rig_with(classes=(*CLASSES, RequestClass("brief", 500.0, 4000.0, Effect.SAFE)))
--- a/tests/test_net_driver.py
+++ b/tests/test_net_driver.py
@@ -21,6 +21,7 @@
     TimerFired,
 )
 from brackenloft.net.driver import Call, Clock, Driver
+from brackenloft.net.servers import Attempt
 
 
 class Script:
@@ -201,3 +202,14 @@
             await asyncio.sleep(0)
 
     run(test())
+
+
+def test_attempt_that_is_done_lets_its_command_go_though_its_timer_is_not_due():
+    async def test():
+        async with node(FakeServer()) as gateway:
+            peer = await gateway.peer()
+            assert await peer.ask(call(1, "buy", body=b"x" * 60_000)) == b"0000000000000001"
+            kept = [argument for *_, argument in gateway.driver.timers if isinstance(argument, Attempt)]
+            assert len(kept) == 1 and kept[0].payload == b"" and not gateway.driver.calls
+
+    run(test())
--- a/tests/test_net_process.py
+++ b/tests/test_net_process.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import logging
 import os
 import signal
 import socket
@@ -176,3 +177,14 @@
             assert await process.wait() == 0
 
     run(test())
+
+
+def test_lines_of_the_log_are_rationed_and_what_was_left_out_is_told():
+    ration, lines = program_module.Ration(), []
+    for number in range(3 * program_module.LOG_LINES):
+        record = logging.makeLogRecord({"msg": "bad %d", "args": (number,), "created": 1000.0})
+        lines += [record.getMessage()] if ration.filter(record) else []
+    assert len(lines) == program_module.LOG_LINES
+    record = logging.makeLogRecord({"msg": "later", "created": 1000.0 + program_module.LOG_SPAN_S})
+    assert ration.filter(record)
+    assert record.getMessage() == f"later ({2 * program_module.LOG_LINES} lines left out before)"
