--- a/brackenloft/__main__.py
+++ b/brackenloft/__main__.py
@@ -119,9 +119,9 @@
     signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
     budget = max(2, config.descriptors - OTHER_DESCRIPTORS)
     for_servers = int(budget * SERVERS_SHARE)
-    servers = Servers(config.settings, for_servers)
-    driver = Driver(Gateway(config.settings, config.seed), servers, Clock())
     held = max(LEAST_HELD, int((config.memory - PROGRAM) * HELD_SHARE))
+    servers = Servers(config.settings, for_servers, held)
+    driver = Driver(Gateway(config.settings, config.seed), servers, Clock())
     clients = Clients(driver, config.settings, budget - for_servers, held)
 
     def news(listing: api.ServerList, addresses: dict[int, Address]) -> None:
--- a/brackenloft/logic.py
+++ b/brackenloft/logic.py
@@ -78,6 +78,7 @@
 # Health: the share of failures that a server shows, apart for its class and for its plan
 DOUBT_COST = 6.0  # mean latencies that a failure costs beside a wait: most of a request's worth is lost
 DOUBT_PRIOR = 1.0  # answers that the share seen at all servers weighs against a server's own
+LOST = 8.0  # mean latencies after which an answer hardly comes: three in ten thousand, if exponential
 DOUBTED = 0.5  # share of failures from which a slow attempt is taken elsewhere, and a line is logged
 SAMPLE = 10  # servers compared for a request, drawn at random, beside as many that answered it quickly last
 
@@ -468,7 +469,8 @@
         if flight.streaming:
             return
         self._mark(server, flight.keys[1], failed=True, why="silent")
-        doubted = self._share_failed(server, flight.keys[1]) >= DOUBTED
+        self._arm((1.0 - SLOW) * flight.kind.aim_ms, self._on_late, which, flight)
+        doubted = self._lost(flight, sent) or self._share_failed(server, flight.keys[1]) >= DOUBTED
         if flight.kind.effect is Effect.UNSAFE or flight.closed or len(flight.out) > 1 or not doubted:
             return
         if flight.maybe_ran is None:
@@ -481,6 +483,20 @@
         elif other and self.settings.limits.can_cancel:
             self.actions.append(Cancel(flight.request.request_id, number))
 
+    def _lost(self, flight: Flight, sent: float) -> bool:
+        """Whether an attempt has been out for so long that its answer will hardly come any more."""
+        return self.now - sent >= LOST * self.latency[flight.kind.name]
+
+    def _on_late(self, which: tuple[Flight, int]) -> None:
+        """An attempt still out after the aim, and lost: the request is given up.
+
+        Guards against connections that fell silent: each would hold a place of its customer's in-flight cap
+        until the client's time is up. Harm: an answer that would have come late is not waited for.
+        """
+        flight, number = which
+        if number in flight.out and not flight.streaming and self._lost(flight, flight.out[number][1]):
+            self._answer(flight)
+
     def _learn(self, server: Server, kind: RequestClass, latency: float) -> None:
         """Mean latency of the class and relative latency of the server, from one good answer."""
         mean = self.latency[kind.name]
@@ -725,8 +741,8 @@
         refused though it would have been served in time.
         """
         if flight.request.request_id not in self.parked:
-            last = flight.arrived + self._useful(flight.kind) - self.now
-            self._arm(max(0.0, last), self._end_park, flight, flight)
+            last = flight.arrived + flight.kind.aim_ms - self.latency[flight.kind.name]
+            self._arm(max(0.0, last - self.now), self._end_park, flight, flight)
         self.parked[flight.request.request_id] = flight
         if self.servers and len(self.parked) > max(1.0, self.pool):
             self._answer(min(self.parked.values(), key=self._value))
--- a/brackenloft/net/clients.py
+++ b/brackenloft/net/clients.py
@@ -248,6 +248,7 @@
 
     def _break(self, why: str) -> None:
         """What can't be read is answered and the connection closed, after the replies before it."""
+        log.info("a client is turned away: %s", why)
         self.ending = self.unread = True
         self.hold(-len(self.reader.buffer), in_hand=False)
         self.reader = Commands()
--- a/brackenloft/net/resp.py
+++ b/brackenloft/net/resp.py
@@ -11,7 +11,7 @@
 from collections.abc import Sequence
 from typing import cast
 
-LONGEST_VALUE = 64 * 1024  # bytes, by the protocol: a body, a value
+LONGEST_VALUE = 1024 * 1024  # bytes of a body or a value: 64 KiB by the protocol, but 395 KB have been seen
 LONGEST_HEADER = 16  # bytes of a header with its end: a type, up to seven digits, CR LF, some to spare
 LONGEST_LINE = 512  # bytes of an error line: some words, the figures on use, a load report
 LONGEST_FIGURES = 256  # bytes of the figures on use, and of a load report
--- a/brackenloft/net/servers.py
+++ b/brackenloft/net/servers.py
@@ -136,6 +136,7 @@
         self.socket: socket.socket | None = None
         self.task: asyncio.Task[None] | None = None
         self.reader = Answers()
+        self.held = 0  # bytes of an answer that is not whole yet
         self.handed = False  # the attempt's last byte to the kernel
         self.idle_since = 0.0
         self.closed = False
@@ -204,7 +205,9 @@
         try:
             answer = self.reader.answer()
             if answer is None:
+                self.servers.hold(len(self.reader.buffer) - self.held, self)
                 return
+            self.servers.hold(-self.held, self)
             reply = self.servers.readings.reply(answer)
         except ProtocolError as error:
             log.warning("an answer that can't be read: %s: %.60r", error, data[:60])
@@ -248,6 +251,7 @@
         attempt, self.attempt = self.attempt, None
         if not self.closed:
             self.closed = True
+            self.servers.hold(-self.held, self)
             self.servers.forget(self)
             if self.socket is None and self.task:
                 self.task.cancel()
@@ -263,12 +267,13 @@
 class Servers:
     """The servers of discovery's list and all connections to them, bounded over all."""
 
-    def __init__(self, settings: api.Settings, most_connections: int) -> None:
+    def __init__(self, settings: api.Settings, most_connections: int, most_held: int) -> None:
         self.loop = asyncio.get_running_loop()
         self.connect_timeout_s = settings.limits.connect_timeout_ms / 1000.0
         self.idle_limit_s = settings.limits.connection_idle_ms / 1000.0 * IDLE_SHARE
         self.readings = Readings(settings.load_fields, settings.largest_units)
-        self.most_connections = most_connections
+        self.most_connections, self.most_held = most_connections, most_held
+        self.held = 0  # bytes of answers that are not whole yet
         self.hosts: dict[int, Host] = {}
         self.connections: set[Connection] = set()
         self.sweeper = self.loop.call_later(SWEEP_S, self._sweep)
@@ -367,6 +372,13 @@
         connection.idle_since = self.loop.time()
         connection.host.idle.append(connection)
 
+    def hold(self, size: int, connection: Connection) -> None:
+        """Count bytes held for an answer. Guards against answers that together outgrow the memory."""
+        connection.held += size
+        self.held += size
+        if size > 0 and self.held > self.most_held:
+            raise ProtocolError("more answers than there is memory for")
+
     def forget(self, connection: Connection) -> None:
         """A connection that is closing counts no more."""
         self.connections.discard(connection)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -386,3 +386,44 @@
     for _ in range(50):
         rig.finish(rig.ask())
     assert 50 * 10 <= len(compared) <= 50 * 20
+
+
+# Beyond the rules: connections that fall silent
+
+def hung(class_name: str, mean: float) -> tuple[Rig, str]:
+    """A request out without an answer, at servers that answer its class in this time on the mean."""
+    rig = fleet(2)
+    rig.gateway.latency[class_name] = mean
+    return rig, rig.ask(class_name=class_name)
+
+
+@pytest.mark.parametrize("class_name", ["safe", "keyed"])
+def test_attempt_that_is_lost_is_taken_elsewhere_while_there_is_time(class_name):
+    rig, name = hung(class_name, 20.0)
+    rig.run(1000.0)  # half of the aim
+    rig.finish(name, Status.CANCELLED)
+    assert len(set(rig.sent[name])) == 2
+
+
+def test_attempt_that_may_not_be_repeated_and_is_lost_is_given_up_at_the_aim():
+    rig, name = hung("unsafe", 20.0)
+    rig.run(1990.0)
+    assert name not in rig.answers
+    rig.run(20.0)
+    assert rig.answers[name] == "Fail" and len(rig.sent[name]) == 1
+
+
+def test_attempt_that_is_slow_as_others_are_is_waited_for():
+    rig, name = hung("unsafe", 400.0)
+    rig.run(3000.0)  # 7.5 mean latencies
+    assert name not in rig.answers
+
+
+def test_what_waits_for_a_place_under_a_cap_waits_until_its_own_aim():
+    rig = rig_with(classes=(*CLASSES, DEAR))
+    rig.servers(entry(1), entry(2))
+    first, second = rig.ask("only-cap"), rig.ask("only-cap")
+    rig.run(1500.0)  # less than the aim by more than a mean latency
+    assert second not in rig.answers and second not in rig.sent
+    rig.finish(first)
+    assert second in rig.sent
