--- a/brackenloft/__main__.py
+++ b/brackenloft/__main__.py
@@ -17,11 +17,8 @@
 import uvloop
 
 from brackenloft import interface as api
-from brackenloft.logic import Gateway
-from brackenloft.net.clients import Clients
-from brackenloft.net.discovery import Discovery
-from brackenloft.net.driver import Clock, Driver
-from brackenloft.net.servers import Address, Servers
+from brackenloft.edge.edge import Edge, Room
+from brackenloft.net.servers import Address
 from brackenloft.settings import settings_from
 
 log = logging.getLogger("brackenloft")
@@ -34,7 +31,6 @@
 HELD_SHARE = 0.4  # of the rest of the memory, for what clients have sent; as much for servers' answers
 LEAST_HELD = 2 * MEGABYTE
 LOG_SPAN_S, LOG_LINES = 10.0, 50  # so many lines in so long
-FIRST_LIST_S = 1.0  # how long the known list, which may be old, waits for discovery's before it must do
 ACCEPT_S = 0.45  # after SIGTERM: new connections go on coming for 0.4 s
 KILL_S = (3.0, 0.7)  # after SIGTERM comes SIGKILL: the longest deadline, this at most, and so much more
 SIGNALS = {signal.SIGTERM, signal.SIGINT, signal.SIGHUP}
@@ -96,7 +92,7 @@
         )
 
 
-def _reload(path: Path, discovery: Discovery) -> None:
+def _reload(path: Path, edge: Edge) -> None:
     """SIGHUP: watch discovery where the configuration's file names it now, which outranks the environment.
 
     Guards against a file that is missing, half-written or malformed: it is logged, and what is stays.
@@ -107,7 +103,21 @@
         log.error("the configuration was not read again: %r", error)
         return
     log.info("discovery is at %s:%d now", *address)
-    discovery.watch(address)
+    edge.watch(address)
+
+
+def _room(config: Config) -> Room:
+    """What the platform's limits leave for clients and servers."""
+    budget = max(2, config.descriptors - OTHER_DESCRIPTORS)
+    for_servers = max(1, int(budget * SERVERS_SHARE))
+    held = max(LEAST_HELD, int((config.memory - PROGRAM) * HELD_SHARE))
+    return Room(for_servers, budget - for_servers, held)
+
+
+def _span_s(settings: api.Settings) -> float:
+    """How long leaving may take: SIGKILL comes after that."""
+    longest_s = max(item.deadline_ms for item in settings.classes) / 1000.0
+    return min(KILL_S[0], longest_s) + KILL_S[1] - SPARE_S
 
 
 async def serve(config: Config) -> None:
@@ -118,53 +128,23 @@
     loop.add_signal_handler(signal.SIGINT, stop.set)
     loop.add_signal_handler(signal.SIGHUP, again.set)
     signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
-    budget = max(2, config.descriptors - OTHER_DESCRIPTORS)
-    for_servers = int(budget * SERVERS_SHARE)
-    held = max(LEAST_HELD, int((config.memory - PROGRAM) * HELD_SHARE))
-    servers = Servers(config.settings, for_servers, held)
-    driver = Driver(Gateway(config.settings, config.seed), servers, Clock())
-    clients = Clients(driver, config.settings, budget - for_servers, held)
-
-    def news(listing: api.ServerList, addresses: dict[int, Address]) -> None:
-        servers.update(listing, addresses)
-        driver.post(listing)
-        if listing.kind is not api.ListKind.CACHED:
-            clients.ready = True
-
-    discovery = Discovery(news)
-    discovery.known(config.known)
-    discovery.watch(config.discovery)
+    edge = Edge(config.settings, _room(config), config.seed).open()
+    edge.known(config.known)
+    edge.watch(config.discovery)
 
     async def reload() -> None:
         while True:
             await again.wait()
             again.clear()
-            _reload(config.path, discovery)
+            _reload(config.path, edge)
 
     reloading = loop.create_task(reload())
-    clients.listen(*config.listen)
-    loop.call_later(FIRST_LIST_S, lambda: setattr(clients, "ready", True))
+    edge.listen(*config.listen)
     log.info("listening")
     await stop.wait()
-    await _leave(config.settings, driver, clients)
-    reloading.cancel()
-    discovery.end()
-    servers.close()
-
-
-async def _leave(settings: api.Settings, driver: Driver, clients: Clients) -> None:
-    """Go on accepting for the stated span, answer all that was taken, close; all before SIGKILL."""
-    loop = asyncio.get_running_loop()
-    longest_s = max(item.deadline_ms for item in settings.classes) / 1000.0
-    span_s = min(KILL_S[0], longest_s) + KILL_S[1] - SPARE_S
-    end = loop.time() + span_s
     log.info("stopping")
-    driver.post(api.Stopping(span_s * 1000.0))
-    await asyncio.sleep(ACCEPT_S)
-    clients.stop_listening()
-    while clients.connections and loop.time() < end:
-        await asyncio.sleep(0.01)
-    clients.abort()
+    await edge.close(_span_s(config.settings), ACCEPT_S)
+    reloading.cancel()
 
 
 def main() -> int:
--- /dev/null
+++ b/brackenloft/edge/edge.py
@@ -0,0 +1,329 @@
+"""``Edge``: one gateway inside a running loop. The daemon is a program round one of these.
+
+Nothing here is global: no signal handler, no set-up of logging, no change to the collector. What a host
+does to its own tasks and loop reaches the decisions as events (a client that left, a late timer), so that the
+library behaves as the daemon does.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import secrets
+from collections.abc import AsyncIterator, Iterable
+from contextlib import asynccontextmanager
+from dataclasses import asdict, dataclass
+from types import TracebackType
+from typing import Any
+
+from brackenloft import interface as api
+from brackenloft.answers import Answer, Granted, Refused
+from brackenloft.checks import CLIENT_MARGIN_MS, Checks, FieldError
+from brackenloft.edge.sources import Node, listing
+from brackenloft.logic import Gateway
+from brackenloft.net import driver as driving
+from brackenloft.net import wire
+from brackenloft.net.clients import Clients
+from brackenloft.net.discovery import Discovery
+from brackenloft.net.driver import Clock, Driver
+from brackenloft.net.resp import LONGEST_VALUE
+from brackenloft.net.servers import Address, Servers
+
+log = logging.getLogger(__name__)
+
+MEGABYTE = 1 << 20
+FIRST_LIST_S = 1.0  # how long the known list, which may be old, waits for discovery's before it must do
+CLOSE_S = 3.7  # for closing by default: the longest deadline of the platform and some to spare
+LOOK_S = 0.01  # between two looks at what is still in hand while closing
+ID_SPACE = 1 << 64
+
+
+class EdgeClosed(RuntimeError):  # noqa: N818
+    """The edge is not open (yet, or any more); nothing was done."""
+
+
+@dataclass(frozen=True, slots=True)
+class Room:
+    """What an edge may take of the host's process.
+
+    ``server_connections`` and ``client_connections`` are descriptors; ``held`` bytes are kept at most for
+    each of the two sides (what clients have sent, what servers have answered); ``in_hand`` requests of the
+    host itself are open at once, beyond which they are refused.
+    """
+
+    server_connections: int = 256
+    client_connections: int = 768
+    held: int = 32 * MEGABYTE
+    in_hand: int = 10_000
+
+    def __post_init__(self) -> None:
+        for name, value in asdict(self).items():
+            if not value > 0:
+                raise FieldError(name, f"not above 0: {value!r}")
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """What a host asks for. Names of class and plan are those of the settings.
+
+    ``patience_ms``: how long the caller waits, None for the class's deadline. ``width`` gateways in a row
+    from ``first_gateway`` share the customer. ``key``: for a keyed class, and only there. ``request_id``:
+    unique among all gateways, None for a new one.
+    """
+
+    class_name: str
+    plan: str
+    customer: str
+    body: bytes = b""
+    key: str | None = None
+    units: float = 1.0
+    patience_ms: float | None = None
+    width: int = 1
+    first_gateway: int = 0
+    is_retry: bool = False
+    request_id: str | None = None
+
+
+class Admission:
+    """Leave to do the work oneself, or not; ``granted`` says which and ``answer`` why not."""
+
+    __slots__ = ("answer", "request_id", "units", "failed")
+
+    def __init__(self, answer: Answer, request_id: str) -> None:
+        self.answer, self.request_id = answer, request_id
+        self.units: float | None = None  # what the work has taken, where the request's units were a guess
+        self.failed = False  # set it where the work failed without an exception
+
+    @property
+    def granted(self) -> bool:
+        """Whether the host may go on."""
+        return isinstance(self.answer, Granted)
+
+    def settle(self, units: float) -> None:
+        """The units that the work has really taken."""
+        if not 0.0 <= units < float("inf"):
+            raise FieldError("units", f"not a number of at least 0: {units!r}")
+        self.units = units
+
+
+class Edge:
+    """One gateway; an async context manager. Several may share a loop.
+
+    Open it within the loop that is to run it (uvloop or asyncio's own). Raises FieldError for what the
+    settings do not allow, before anything is charged, and EdgeClosed when it is not open.
+    """
+
+    def __init__(self, settings: api.Settings, room: Room = Room(), seed: int | None = None) -> None:  # noqa: B008
+        self.settings, self.room = settings, room
+        self.seed = secrets.randbits(64) if seed is None else seed
+        self.checks = Checks(settings)
+        self.is_open = False
+        self._next_id = secrets.randbits(64)  # ids are new among all gateways, which can't ask each other
+        self._lists = 0
+
+    # ---- Opening and closing
+
+    def open(self) -> Edge:
+        """Take up work in the running loop. ``async with`` does it too."""
+        if self.is_open:
+            raise EdgeClosed("this edge is open already")
+        self.loop = asyncio.get_running_loop()
+        self.servers = Servers(self.settings, self.room.server_connections, self.room.held)
+        self.driver = Driver(Gateway(self.settings, self.seed), self.servers, Clock())
+        self.clients = Clients(self.driver, self.settings, self.room.client_connections, self.room.held)
+        self.discovery = Discovery(self.told)
+        self._ready = asyncio.Event()
+        self._first_list: asyncio.TimerHandle | None = None
+        self._own: dict[str, asyncio.Future[Answer]] = {}
+        self._granted = 0
+        self.is_open = True
+        return self
+
+    async def __aenter__(self) -> Edge:
+        return self.open()
+
+    async def __aexit__(
+        self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None,
+    ) -> None:
+        await self.close()
+
+    async def close(self, within_s: float = CLOSE_S, accept_s: float = 0.0) -> None:
+        """Go on accepting for ``accept_s``, answer all that was taken, end; all of it ``within_s`` seconds.
+
+        What is asked meanwhile is still taken. What is unanswered at the end has failed.
+        """
+        if not self.is_open:
+            return
+        end = self.loop.time() + within_s
+        try:
+            self.driver.post(api.Stopping(within_s * 1000.0))
+            await asyncio.sleep(accept_s)
+            self.clients.stop_listening()
+            while (self.clients.connections or self._own or self._granted) and self.loop.time() < end:
+                await asyncio.sleep(LOOK_S)
+        finally:  # also when the host cancels this
+            self._end()
+
+    def _end(self) -> None:
+        self.is_open = False
+        if self._first_list:
+            self._first_list.cancel()
+        self.driver.abandon()
+        self.clients.abort()
+        self.discovery.end()
+        self.servers.close()
+        self.driver.close()
+
+    # ---- Servers
+
+    def told(self, news: api.ServerList, addresses: dict[int, Address]) -> None:
+        """A list of servers, from any source."""
+        self.servers.update(news, addresses)
+        self.driver.post(news)
+        if news.kind is not api.ListKind.CACHED:
+            self._is_ready()
+
+    def known(self, document: Any) -> None:
+        """A list in discovery's form that may be old; it must do if nothing newer comes soon."""
+        self.discovery.known(document)
+        self._first_list = self.loop.call_later(FIRST_LIST_S, self._is_ready)
+
+    def watch(self, address: Address) -> None:
+        """Follow discovery at this address from now on."""
+        self.discovery.watch(address)
+
+    def use(self, nodes: Iterable[Node]) -> None:
+        """These servers from now on, and no others."""
+        self._lists += 1
+        document = listing(nodes, self.settings.zone, self._lists)
+        self.told(*self.discovery.roster.read(document))
+
+    def _is_ready(self) -> None:
+        self.clients.ready = True
+        self._ready.set()
+
+    @property
+    def ready(self) -> bool:
+        """Whether it is known whom to send to."""
+        return self.is_open and self._ready.is_set()
+
+    async def wait_ready(self) -> None:
+        """Wait for the first list of servers."""
+        await self._ready.wait()
+
+    # ---- Requests
+
+    def listen(self, host: str, port: int) -> Address:
+        """Take RESP2 clients at this address too; the address."""
+        self._check_open()
+        return self.clients.listen(host, port)
+
+    async def call(self, call: Call) -> Answer:
+        """Have a server do it; Served, Refused or Failed.
+
+        Cancelled, it is a client that has left: a request that was not sent on yet is forgotten and charges
+        nothing; an attempt that is out is withdrawn where the settings allow it, else its outcome awaited
+        behind the caller's back. It is never sent again.
+        """
+        request = self._request(call, local=False)
+        key = self.checks.key(call.key, self.checks.classes[request.class_name])
+        if not isinstance(call.body, bytes) or len(call.body) > LONGEST_VALUE:
+            raise FieldError("body", f"not bytes, or more than {LONGEST_VALUE} of them")
+        if call.body and not request.is_write:
+            raise FieldError("body", f"class {request.class_name} has none")
+        return await self._ask(request, wire.call(request, key, call.body))
+
+    @asynccontextmanager
+    async def admit(self, call: Call) -> AsyncIterator[Admission]:
+        """Leave to do the work oneself: metered, held and capped as if a server did it.
+
+        Enters when that is decided; ``granted`` says how. The place is given up when the block ends, however
+        it ends. ``body`` and ``key`` are not looked at.
+        """
+        request = self._request(call, local=True)
+        admission = Admission(await self._ask(request, _nothing), request.request_id)
+        if not admission.granted:
+            yield admission
+            return
+        self._granted += 1
+        status = api.Status.ERROR
+        try:
+            yield admission
+            status = api.Status.ERROR if admission.failed else api.Status.OK
+        finally:
+            self._granted -= 1
+            self.driver.release(request.request_id, status, admission.units)
+
+    def allowance(self, call: Call) -> api.Allowance:
+        """What is left of the customer's quota, as this gateway sees it; changes nothing."""
+        self._check_open()
+        width = self.checks.place("width", call.width, 1)
+        gateway = self.driver.gateway
+        return gateway.allowance(self.checks.plan(call.plan), call.customer, width)
+
+    def counters(self) -> dict[str, float]:
+        """What became of the requests so far, and what is in hand now."""
+        now = {
+            "in_hand": len(self.driver.calls), "granted_now": self._granted,
+            "client_connections": len(self.clients.connections),
+            "server_connections": len(self.servers.connections),
+        }
+        return asdict(self.driver.counters) | now
+
+    def _check_open(self) -> None:
+        if not self.is_open:
+            raise EdgeClosed("this edge is not open")
+
+    def _request(self, call: Call, local: bool) -> api.Request:
+        self._check_open()
+        checks = self.checks
+        kind = checks.kind(call.class_name)
+        wait = kind.deadline_ms + CLIENT_MARGIN_MS if call.patience_ms is None else call.patience_ms
+        request_id = self._new_id() if call.request_id is None else checks.identifier(
+            "request_id", call.request_id)
+        if request_id in self.driver.calls:
+            raise FieldError("request_id", "a request of this id is in hand")
+        return api.Request(
+            request_id=request_id, class_name=kind.name, plan=checks.plan(call.plan),
+            customer=checks.local_customer(call.customer) if local else checks.customer(call.customer),
+            patience_ms=checks.patience(wait, kind), units=checks.units(call.units),
+            width=checks.place("width", call.width, 1),
+            first_gateway=checks.place("first_gateway", call.first_gateway, 0),
+            is_retry=call.is_retry, is_write=kind.effect is not api.Effect.SAFE, served_here=local,
+        )
+
+    def _new_id(self) -> str:
+        self._next_id = (self._next_id + 1) % ID_SPACE
+        return f"{self._next_id:016x}"
+
+    async def _ask(self, request: api.Request, encode: wire.Encoder) -> Answer:
+        if len(self._own) >= self.room.in_hand:
+            self.driver.counters.requests += 1
+            self.driver.counters.refused_busy += 1
+            return Refused()
+        answer: asyncio.Future[Answer] = self.loop.create_future()
+
+        def on_answer(final: Answer) -> None:
+            if not answer.done():
+                answer.set_result(final)
+
+        self._own[request.request_id] = answer
+        call = driving.Call(request.request_id, encode, on_answer)
+        try:
+            self.driver.request(call, request, request.patience_ms)
+            return await answer
+        except asyncio.CancelledError:
+            # A grant that crossed the cancellation is given back; everything else has its end already.
+            self.driver.client_gone(request.request_id)
+            self.driver.release(request.request_id, api.Status.CANCELLED)
+            raise
+        finally:
+            del self._own[request.request_id]
+
+
+def _nothing(wait_ms: float) -> bytes:
+    """What the host does itself is not written to any server."""
+    return b""
+
+
+__all__ = ["Admission", "Call", "Edge", "EdgeClosed", "Room"]
--- a/brackenloft/interface.py
+++ b/brackenloft/interface.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
+HERE = -1  # stands for the host itself, in a Send and its Outcome: no server has a number below 0
 DEFAULT_IDLE_MS = 30_000.0  # of a connection, where the settings do not tell
 
 
@@ -224,7 +225,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Request:
-    """A client's try. It may come through ``width`` gateways in a row from number ``first_gateway``."""
+    """A client's try. It may come through ``width`` gateways in a row from number ``first_gateway``.
+
+    ``served_here``: the host does the work itself; it is metered, held and capped like any other, and sent
+    to ``HERE`` once at most.
+    """
 
     request_id: str
     class_name: str
@@ -236,6 +241,7 @@
     first_gateway: int = 0
     is_retry: bool = False
     is_write: bool = False
+    served_here: bool = False
 
     def __post_init__(self) -> None:
         _check(self, 0.0, "units", "patience_ms")
@@ -337,10 +343,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Refuse:
-    """Final answer: nothing was done, a retry is harmless; not before ``retry_after_ms`` if above 0."""
+    """Final answer: nothing was done, a retry is harmless; not before ``retry_after_ms`` if above 0.
+
+    ``over_quota``: the customer's own quota is the reason, not a want of servers or room.
+    """
 
     request_id: str
     retry_after_ms: float = 0.0
+    over_quota: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -366,6 +376,19 @@
     delay_ms: float
 
 
+@dataclass(frozen=True, slots=True)
+class Allowance:
+    """What is left of a customer's quota as one gateway sees it: units at once, of so many, full again in ms.
+
+    A ``burst`` of 0: the plan has no quota.
+    """
+
+    left: float
+    burst: float
+    rate: float
+    full_in_ms: float
+
+
 @dataclass(frozen=True, slots=True)
 class Log:
     """A line for the people on call."""
--- a/brackenloft/logic.py
+++ b/brackenloft/logic.py
@@ -17,7 +17,9 @@
 from typing import Any
 
 from brackenloft.interface import (
+    HERE,
     Action,
+    Allowance,
     Cancel,
     ClientGone,
     DiscoveryMode,
@@ -71,6 +73,7 @@
 FIRST_LIMIT = 6.0  # attempts out at a server, over all gateways, before anything is known of it
 POOL_GROWTH = 0.035  # attempts by which a quick answer lifts a pool that is used up: thirty lift it by one
 POOL_CUT = 0.3  # attempts that a slow answer takes off: one slow answer in ten holds the pool level
+MOST_PARKED = 1000  # while there is no server to tell how many may wait: some seconds of work at hand
 LEAST_POOL = 0.3  # attempts out, a share of requests below one: the pool must see answers to recover
 QUICK = 0.3  # of the aim: answers faster than this lift the pool
 SLOW = 0.5  # of the aim: answers slower than this cut the pool, and attempts out so long are doubtful
@@ -164,6 +167,7 @@
         self.plans = {item.name: item for item in settings.plans}
         self.customers: dict[tuple[str, str], Customer] = {}
         self.servers: dict[int, Server] = {}
+        self.here = Server(ServerEntry(HERE, settings.zone), 0.0)  # the host that serves the work itself
         self.flights: dict[str, Flight] = {}
         self.parked: dict[str, Flight] = {}
         self.timers: dict[int, tuple[Callable[[Any], None], Any]] = {}
@@ -314,6 +318,19 @@
         excess = customer.excess - rate * (self.now - customer.touched) + THOUSANDTHS * units
         return min(limits.max_retry_after_ms, max(0.0, excess - burst) / rate)
 
+    def allowance(self, plan_name: str, customer_name: str, width: int = 1) -> Allowance:
+        """What a customer could have now; changes nothing. KeyError: there is no such plan."""
+        plan = self.plans[plan_name]
+        if not plan.rate:
+            return Allowance(0.0, 0.0, 0.0, 0.0)
+        customer = self.customers.get((plan_name, customer_name))
+        if customer is None:
+            return Allowance(plan.burst / width, plan.burst, plan.rate, 0.0)
+        rate = plan.rate * self._share(customer)
+        burst = max(plan.burst / customer.width, customer.largest) * THOUSANDTHS
+        excess = max(0.0, customer.excess - rate * (self.now - customer.touched))
+        return Allowance(max(0.0, burst - excess) / THOUSANDTHS, plan.burst, plan.rate, excess / rate)
+
     def _settle(self, customer: Customer, guess: float, true: float) -> None:
         """Put a guess right once the answer tells the units."""
         customer.excess = max(0.0, customer.excess + THOUSANDTHS * (true - guess))
@@ -395,6 +412,8 @@
 
     def _choose(self, flight: Flight) -> Server | None:
         """The best of some servers: ready, in the request's group, cold only in its turn, not yet tried."""
+        if flight.request.served_here:
+            return None if flight.sends else self.here
         if not flight.sends and len(self.young) >= self.pool - flight.turn:
             return None  # a pool of 1.4: one out for each request, a second for four in ten
         few = self.ready
@@ -538,6 +557,13 @@
         request, number = flight.request, flight.sends
         if number == 0:
             self._draw_ceiling(flight)
+        if server is self.here:
+            flight.sends, flight.out[0] = 1, (server, self.now)
+            flight.streaming = True  # the host's now, and without a deadline
+            flight.customer.out += 1
+            self.actions.append(Send(request.request_id, HERE))
+            return  # nothing of it tells of servers: no pool, no marks, no budget of further attempts
+        if number == 0:
             self.retries = min(RETRY_STORE, self.retries + RETRY_SHARE)
         else:
             self.retries -= 1.0
@@ -562,13 +588,15 @@
         server.out.discard((event.request_id, event.attempt))
         self.young.discard((event.request_id, event.attempt))
         flight.customer.out -= 1
-        self._judge(flight, server, event.status)
-        self._press(server, flight.kind, event)
-        self._report(server, event.load)
+        if server is not self.here:
+            self._judge(flight, server, event.status)
+            self._press(server, flight.kind, event)
+            self._report(server, event.load)
         if event.used_percent is not None:
             flight.customer.used, flight.customer.used_at = event.used_percent / 100.0, self.now
         if event.status is Status.OK:
-            self._learn(server, flight.kind, event.latency_ms)
+            if server is not self.here:
+                self._learn(server, flight.kind, event.latency_ms)
             if event.final_units is not None and not flight.closed:
                 self._settle(flight.customer, flight.request.units, event.final_units)
         if event.closed or event.status is Status.OK:
@@ -697,14 +725,14 @@
             return
         customer = self._customer(event, plan)
         if event.is_retry and self._thin(customer, plan):
-            self.actions.append(Refuse(event.request_id))
+            self.actions.append(Refuse(event.request_id, over_quota=True))
             return
         flight = Flight(event, kind, plan, customer, self.now, self.random.random())
         before = customer.excess, customer.touched
         hold = self._meter(customer, plan, kind, event.units)
         if hold and hold >= min(event.patience_ms, self._useful(kind)):
             customer.excess, customer.touched = before
-            self.actions.append(Refuse(event.request_id, self._advice(customer, plan, event.units)))
+            self.actions.append(Refuse(event.request_id, self._advice(customer, plan, event.units), True))
             return
         self.flights[event.request_id] = flight
         self._limit(flight)
@@ -744,7 +772,7 @@
             last = flight.arrived + flight.kind.aim_ms - self.latency[flight.kind.name]
             self._arm(max(0.0, last - self.now), self._end_park, flight, flight)
         self.parked[flight.request.request_id] = flight
-        if self.servers and len(self.parked) > max(1.0, self.pool):
+        if len(self.parked) > (max(1.0, self.pool) if self.servers else MOST_PARKED):
             self._answer(min(self.parked.values(), key=self._value))
         if wait and not flight.closed:
             self._arm(wait + self.settings.tick_ms, self._end_hold, flight, flight)
@@ -754,7 +782,8 @@
         return flight.kind.worth * flight.plan.price * flight.request.units / self.latency[flight.kind.name]
 
     def _end_park(self, flight: Flight) -> None:
-        if flight.sends == 0 and any(server.ready for server in self.servers.values()):
+        here = flight.request.served_here
+        if flight.sends == 0 and (here or any(server.ready for server in self.servers.values())):
             self._answer(flight)
 
     def _retry_parked(self) -> None:
--- a/brackenloft/net/clients.py
+++ b/brackenloft/net/clients.py
@@ -7,13 +7,15 @@
 import re
 import socket
 from collections import OrderedDict, deque
-from collections.abc import Callable
 from contextlib import suppress
 from itertools import islice
 from typing import cast
 
 from brackenloft import interface as api
-from brackenloft.net.driver import CLIENT_MARGIN_MS, Call, Driver
+from brackenloft.answers import FAILED, Answer
+from brackenloft.checks import Checks
+from brackenloft.net import wire
+from brackenloft.net.driver import Call, Driver
 from brackenloft.net.resp import Commands, ProtocolError
 
 log = logging.getLogger(__name__)
@@ -31,8 +33,6 @@
 BACKLOG = 1024  # connections that wait in the kernel: all that come while there is no room
 ACCEPTS = 32  # connections accepted before the others have their turn
 ROOM = 8  # connections closed at once when there is no room for another
-LAST_CUSTOMER = 1 << 33
-CUSTOMER = re.compile(rb"[0-9a-fA-F]{16}")
 ID = re.compile(rb"[0-9A-Za-z]{1,64}")  # of a request, and an idempotency key
 WHOLE = re.compile(rb"[0-9]{1,6}")
 DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
@@ -58,11 +58,11 @@
     """
 
     def __init__(self, settings: api.Settings) -> None:
-        self.gateways, self.largest = settings.gateways, settings.largest_units
+        self.checks = Checks(settings)
         self.classes = {item.name.encode(): item for item in settings.classes}
         self.plans = {item.name.encode(): item.name for item in settings.plans}
 
-    def read(self, command: list[bytes]) -> tuple[api.Request, Callable[[float], bytes]]:
+    def read(self, command: list[bytes]) -> tuple[api.Request, wire.Encoder]:
         """The request, and what encodes it for a server that has so many milliseconds."""
         name, posts = command[0].upper(), command[0].upper() == b"CALL.POST"
         if len(command) != (5 if posts else 4):
@@ -82,12 +82,13 @@
             raise CommandError("bad request id")
         request = api.Request(
             request_id=request_id.decode("ascii"), class_name=kind.name, plan=plan,
-            customer=self._customer(customer), patience_ms=self._patience(fields, kind),
-            units=self._units(fields), width=self._place(fields, b"spread", 1),
+            customer=self.checks.customer(customer.decode("latin-1")),
+            patience_ms=self.checks.patience(self._decimal(fields, b"d"), kind),
+            units=self.checks.units(self._decimal(fields, b"units")), width=self._place(fields, b"spread", 1),
             first_gateway=self._place(fields, b"first", 0),
             is_retry=fields.get(b"r") == b"1", is_write=posts,
         )
-        return request, _encoder(name, command, listed)
+        return request, wire.forwarded(name, command, listed)
 
     def _fields(self, listed: bytes) -> dict[bytes, bytes]:
         fields = {}
@@ -98,43 +99,11 @@
             fields[name] = value
         return fields
 
-    def _patience(self, fields: dict[bytes, bytes], kind: api.RequestClass) -> float:
-        """How long the answer may take, at most the class's deadline: timers are kept for that long."""
-        wait = float(_field(fields, b"d", DECIMAL))
-        if wait <= 0.0:
-            raise CommandError("bad value of d")
-        return max(0.0, min(wait, kind.deadline_ms) - CLIENT_MARGIN_MS)
-
-    def _units(self, fields: dict[bytes, bytes]) -> float:
-        units = float(_field(fields, b"units", DECIMAL))
-        if not 0.0 < units <= self.largest:
-            raise CommandError("bad value of units")
-        return units
+    def _decimal(self, fields: dict[bytes, bytes], name: bytes) -> float:
+        return float(_field(fields, name, DECIMAL))
 
     def _place(self, fields: dict[bytes, bytes], name: bytes, low: int) -> int:
-        """The number of gateways of a customer's set, from 1, or of its first one, from 0."""
-        number = int(_field(fields, name, WHOLE))
-        if not low <= number < self.gateways + low:
-            raise CommandError(f"bad value of {name.decode()}")
-        return number
-
-    def _customer(self, text: bytes) -> str:
-        if not CUSTOMER.fullmatch(text) or int(text, 16) >= LAST_CUSTOMER:
-            raise CommandError("bad customer")
-        return text.decode("ascii").lower()
-
-
-def _encoder(name: bytes, command: list[bytes], listed: bytes) -> Callable[[float], bytes]:
-    """Everything goes on unchanged but ``d``, which tells how long the gateway waits."""
-    parts = listed.split(b",")
-    place = next(number for number, part in enumerate(parts) if part.startswith(b"d="))
-
-    def encode(wait_ms: float) -> bytes:
-        parts[place] = b"d=%d" % max(1, int(wait_ms))
-        words = [name, command[1], command[2], b",".join(parts), *command[4:]]
-        return b"*%d\r\n" % len(words) + b"".join(b"$%d\r\n%b\r\n" % (len(word), word) for word in words)
-
-    return encode
+        return self.checks.place(name.decode(), int(_field(fields, name, WHOLE)), low)
 
 
 class Slot:
@@ -148,11 +117,11 @@
         self.connection, self.answer, self.request_id = connection, answer, request_id
         self.size = size  # bytes that it holds: the command, later the answer
 
-    def fill(self, answer: bytes) -> None:
+    def fill(self, answer: Answer) -> None:
         """The command's one answer."""
-        self.answer = answer
-        self.connection.hold(len(answer) - self.size)
-        self.size = len(answer)
+        self.answer = wire.answer_line(answer)
+        self.connection.hold(len(self.answer) - self.size)
+        self.size = len(self.answer)
         self.connection.flush()
 
 
@@ -312,7 +281,7 @@
         for slot in list(self.slots):
             if slot.answer is None:
                 self.clients.driver.client_gone(slot.request_id)
-                slot.fill(b"-ERR failed\r\n")
+                slot.fill(FAILED)
 
     # ---- Replies out
 
--- a/brackenloft/net/driver.py
+++ b/brackenloft/net/driver.py
@@ -8,17 +8,21 @@
 import time
 from collections import deque
 from collections.abc import Callable
+from dataclasses import dataclass
 from itertools import count
 from math import ceil
 from typing import Any
 
 from brackenloft import interface as api
+from brackenloft.answers import FAILED, Answer, Granted, Refused, Served
 from brackenloft.logic import Gateway
+from brackenloft.net.lag import Lag
 from brackenloft.net.servers import Attempt, Reply, Servers
 
 log = logging.getLogger(__name__)
 
-CLIENT_MARGIN_MS = 10.0  # kept of a client's wait: the way here and back, and a loop that is late
+LATE_MS = 25.0  # a loop so late was held up: what has come meanwhile is read before any time is called up
+READ_FIRST_S = 0.001  # for that: timers of no delay may run before the loop has looked at its sockets
 
 
 class Clock:
@@ -40,11 +44,28 @@
     __slots__ = ("request_id", "encode", "on_answer", "deadline", "sends", "out", "answered")
 
     def __init__(
-        self, request_id: str, encode: Callable[[float], bytes], on_answer: Callable[[bytes], None],
+        self, request_id: str, encode: Callable[[float], bytes], on_answer: Callable[[Answer], None],
     ) -> None:
         self.request_id, self.encode, self.on_answer = request_id, encode, on_answer
         self.deadline, self.sends, self.answered = 0.0, 0, False
-        self.out: dict[int, Attempt] = {}
+        self.out: dict[int, Attempt | None] = {}  # None: at the host itself
+
+
+@dataclass(slots=True)
+class Counters:
+    """What became of the requests so far. Each ends in one of served, granted, refused, failed, gone."""
+
+    requests: int = 0
+    held: int = 0  # not sent on or answered at once
+    attempts: int = 0  # sent on to servers
+    served: int = 0
+    granted: int = 0  # to the host itself
+    refused_quota: int = 0
+    refused_busy: int = 0  # for want of servers, room or time
+    failed: int = 0
+    gone: int = 0  # the client left, or the host cancelled, before the answer
+    stalls: int = 0  # times that the loop was held up by more than LATE_MS
+    stalled_ms: float = 0.0
 
 
 class Driver:
@@ -53,12 +74,15 @@
     def __init__(self, gateway: Gateway, servers: Servers, clock: Callable[[], float]) -> None:
         self.gateway, self.servers, self.clock = gateway, servers, clock
         self.calls: dict[str, Call] = {}
+        self.counters = Counters()
         self.events: deque[api.Event] = deque()
         self.handling = False
         self.timers: list[tuple[float, int, Callable[[Any], None], Any]] = []
         self.order = count()
         self.alarm: tuple[float, asyncio.TimerHandle] | None = None
         self.loop = asyncio.get_running_loop()
+        self.lag = Lag(self.loop, LATE_MS, self._stalled, lambda: bool(self.calls))
+        self.reading_first = False
         self.actions: dict[type, Callable[[Any], None]] = {
             api.Send: self._send, api.Refuse: self._refuse, api.Fail: self._fail, api.Cancel: self._cancel,
             api.SetTimer: self._set_timer, api.Log: lambda action: log.info("%s", action.text),
@@ -104,16 +128,45 @@
         """Take a client's request; it is answered through ``call.on_answer``, once."""
         call.deadline = self.clock() + waits_ms
         self.calls[call.request_id] = call
+        self.counters.requests += 1
+        self.lag.watch()
         self.post(request)
+        if not call.answered and not call.out:
+            self.counters.held += 1
 
     def client_gone(self, request_id: str) -> None:
         """The client closed its connection: nothing more is owed."""
         call = self.calls.get(request_id)
         if call and not call.answered:
             call.answered = True
+            self.counters.gone += 1
             self.post(api.ClientGone(request_id))
             self._drop_if_done(call)
 
+    def release(self, request_id: str, status: api.Status, units: float | None = None) -> None:
+        """The host has done the work that it was granted, once; ``units`` puts a guess right."""
+        call = self.calls.get(request_id)
+        if call and call.out.pop(0, self) is None:
+            self.post(api.Outcome(request_id, 0, api.HERE, status, 0.0, True, final_units=units))
+            self._drop_if_done(call)
+
+    def abandon(self) -> None:
+        """At the very end: whatever is not answered has failed. Attempts still out are closed elsewhere."""
+        for call in list(self.calls.values()):
+            if not call.answered:
+                self._answer(call, FAILED)
+                self.post(api.ClientGone(call.request_id))
+            call.out = {number: attempt for number, attempt in call.out.items() if attempt is not None}
+            self._drop_if_done(call)
+
+    def close(self) -> None:
+        """No timer fires any more."""
+        self.lag.stop()
+        self.timers.clear()
+        if self.alarm:
+            self.alarm[1].cancel()
+            self.alarm = None
+
     # ---- Actions out
 
     def _send(self, action: api.Send) -> None:
@@ -127,14 +180,22 @@
         if action.timeout_ms:
             wait = min(wait, action.timeout_ms)
         if call.answered or wait <= 0.0:
-            self._outcome(call, number, action.server, now, Reply(api.Status.NOT_SENT))
+            self._outcome(call, number, action.server, Reply(api.Status.NOT_SENT), 0.0)
+            return
+        if action.server == api.HERE:
+            call.out[number] = None
+            self._answer(call, Granted())
             return
+        began = time.monotonic()
 
         def done(reply: Reply) -> None:
             call.out.pop(number, None)
-            self._outcome(call, number, action.server, now, reply)
+            ended = time.monotonic()
+            ours = self.lag.excuse(began, attempt.written, ended)
+            self._outcome(call, number, action.server, reply, (ended - began - ours) * 1000.0)
 
-        attempt = Attempt(call.encode(wait), done)
+        attempt = Attempt(call.encode(wait), done, began + wait / 1000.0)
+        self.counters.attempts += 1
         call.out[number] = attempt
         self.servers.start(action.server, attempt)
         if number in call.out:
@@ -143,32 +204,45 @@
     def _time_out(self, attempt: Attempt) -> None:
         self.servers.stop(attempt, api.Status.TIMEOUT)
 
-    def _outcome(self, call: Call, number: int, server: int, sent: float, reply: Reply) -> None:
+    def _outcome(self, call: Call, number: int, server: int, reply: Reply, latency_ms: float) -> None:
         """The outcome of an attempt; a good answer goes to the client first, if it still waits."""
         if reply.value is not None and not call.answered:
-            self._answer(call, b"$%d\r\n%b\r\n" % (len(reply.value), reply.value))
+            self._answer(call, Served(reply.value))
         self.post(api.Outcome(
-            call.request_id, number, server, reply.status, self.clock() - sent, call.answered,
+            call.request_id, number, server, reply.status, latency_ms, call.answered,
             reply.used, reply.cost, reply.load))
         self._drop_if_done(call)
 
     def _refuse(self, action: api.Refuse) -> None:
-        advice = round(action.retry_after_ms)
-        self._final(action.request_id, b"-BUSY %d\r\n" % advice if advice > 0 else b"-BUSY\r\n")
+        self._final(action.request_id, Refused(round(action.retry_after_ms), action.over_quota))
 
     def _fail(self, action: api.Fail) -> None:
-        self._final(action.request_id, b"-ERR failed\r\n")
+        self._final(action.request_id, FAILED)
 
-    def _final(self, request_id: str, answer: bytes) -> None:
+    def _final(self, request_id: str, answer: Answer) -> None:
         call = self.calls.get(request_id)
         if call and not call.answered:
             self._answer(call, answer)
             self._drop_if_done(call)
 
-    def _answer(self, call: Call, answer: bytes) -> None:
+    def _answer(self, call: Call, answer: Answer) -> None:
         call.answered = True
+        self._count(answer)
         call.on_answer(answer)
 
+    def _count(self, answer: Answer) -> None:
+        counters = self.counters
+        if isinstance(answer, Served):
+            counters.served += 1
+        elif isinstance(answer, Granted):
+            counters.granted += 1
+        elif not isinstance(answer, Refused):
+            counters.failed += 1
+        elif answer.over_quota:
+            counters.refused_quota += 1
+        else:
+            counters.refused_busy += 1
+
     def _drop_if_done(self, call: Call) -> None:
         if call.answered and not call.out:
             self.calls.pop(call.request_id, None)
@@ -179,6 +253,10 @@
         if attempt:
             self.servers.stop(attempt, api.Status.CANCELLED)
 
+    def _stalled(self, seconds: float) -> None:
+        self.counters.stalls += 1
+        self.counters.stalled_ms += seconds * 1000.0
+
     # ---- Timers
 
     def _set_timer(self, action: api.SetTimer) -> None:
@@ -203,8 +281,18 @@
         self.alarm = (due, self.loop.call_later(delay_ms / 1000.0, self._fire))
 
     def _fire(self) -> None:
+        """Call up what is due.
+
+        Guards against a loop that was held up, by a slow handler of the host say: answers that have come
+        meanwhile are read first, or attempts would be taken for silent, and timed out, that are not.
+        """
         self.alarm = None
         now = self.clock()
+        if self.timers and now - self.timers[0][0] > LATE_MS and not self.reading_first:
+            self.reading_first = True
+            self.alarm = (self.timers[0][0], self.loop.call_later(READ_FIRST_S, self._fire))
+            return
+        self.reading_first = False
         while self.timers and self.timers[0][0] <= now:
             _, _, call, argument = heapq.heappop(self.timers)
             call(argument)
--- a/brackenloft/net/servers.py
+++ b/brackenloft/net/servers.py
@@ -10,6 +10,7 @@
 import logging
 import re
 import socket
+import time
 from collections.abc import Callable, Mapping
 from contextlib import suppress
 from dataclasses import dataclass
@@ -43,13 +44,23 @@
     load: tuple[float, ...] | None = None
 
 
+def _is_up(sock: socket.socket) -> bool:
+    """Whether it is connected. Guards against blaming a server for a loop that was held up meanwhile."""
+    try:
+        sock.getpeername()
+    except OSError:
+        return False
+    return True
+
+
 class Attempt:
     """A command on its way to a server; ``done`` is called once with what came of it."""
 
-    __slots__ = ("payload", "done", "connection")
+    __slots__ = ("payload", "done", "connection", "due", "written")
 
-    def __init__(self, payload: bytes, done: Callable[[Reply], None]) -> None:
+    def __init__(self, payload: bytes, done: Callable[[Reply], None], due: float = inf) -> None:
         self.payload = payload
+        self.due, self.written = due, inf  # by time.monotonic(): not written from then on, and when it was
         self.done: Callable[[Reply], None] | None = done
         self.connection: Connection | None = None
 
@@ -151,8 +162,12 @@
             sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            async with asyncio.timeout(self.servers.connect_timeout_s):
-                await loop.sock_connect(sock, self.host.address)
+            try:
+                async with asyncio.timeout(self.servers.connect_timeout_s):
+                    await loop.sock_connect(sock, self.host.address)
+            except TimeoutError:
+                if not _is_up(sock):
+                    raise
             self.socket = sock
             await loop.create_connection(lambda: self, sock=sock)
         except (OSError, TimeoutError):  # out of descriptors is an OSError too: an outcome, not a crash
@@ -171,20 +186,23 @@
         elif self.epoch != self.host.epoch or not self.host.ready:
             # Guards against a first byte to a server that began to drain, left or moved meanwhile.
             self.close(api.Status.CONNECT_FAILED)
+        elif time.monotonic() >= self.attempt.due:
+            # Guards against a send after its time, by a loop that was held up while this one came up.
+            self.close(api.Status.NOT_SENT)
         else:
-            self._write(self.attempt.payload)
+            self._write(self.attempt)
 
     # ---- An attempt
 
     def send(self, attempt: Attempt) -> None:
         """Send on an idle connection."""
         self.attempt, attempt.connection = attempt, self
-        self._write(attempt.payload)
+        self._write(attempt)
 
-    def _write(self, payload: bytes) -> None:
+    def _write(self, attempt: Attempt) -> None:
         assert self.transport is not None
-        self.handed = False
-        self.transport.write(payload)
+        self.handed, attempt.written = False, time.monotonic()
+        self.transport.write(attempt.payload)
         self.handed = self.transport.get_write_buffer_size() == 0
 
     def resume_writing(self) -> None:
--- /dev/null
+++ b/brackenloft/net/wire.py
@@ -0,0 +1,58 @@
+"""RESP2 as it is written: commands to servers, answers to clients. What is read stands in resp.py."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+
+from brackenloft import interface as api
+from brackenloft.answers import Answer, Refused, Served
+
+Encoder = Callable[[float], bytes]  # from the milliseconds that the gateway waits
+
+
+def command(words: Sequence[bytes]) -> bytes:
+    """An array of bulk strings."""
+    return b"*%d\r\n" % len(words) + b"".join(b"$%d\r\n%b\r\n" % (len(word), word) for word in words)
+
+
+def answer_line(answer: Answer) -> bytes:
+    """The one answer of a request, for a client."""
+    if isinstance(answer, Served):
+        return b"$%d\r\n%b\r\n" % (len(answer.value), answer.value)
+    if isinstance(answer, Refused):
+        return b"-BUSY %d\r\n" % answer.retry_after_ms if answer.retry_after_ms > 0 else b"-BUSY\r\n"
+    return b"-ERR failed\r\n"
+
+
+def forwarded(name: bytes, words: list[bytes], listed: bytes) -> Encoder:
+    """A client's command: everything goes on unchanged but ``d``, which tells how long the gateway waits."""
+    parts = listed.split(b",")
+    place = next(number for number, part in enumerate(parts) if part.startswith(b"d="))
+
+    def encode(wait_ms: float) -> bytes:
+        parts[place] = b"d=%d" % max(1, int(wait_ms))
+        return command([name, words[1], words[2], b",".join(parts), *words[4:]])
+
+    return encode
+
+
+def decimal(number: float) -> str:
+    """A number as the protocol has it: digits, and at most nine behind a point."""
+    return f"{number:.9f}".rstrip("0").rstrip(".")
+
+
+def call(request: api.Request, key: str | None, body: bytes) -> Encoder:
+    """A request of the host itself, as a client would have written it."""
+    posts = request.is_write
+    words = [b"CALL.POST" if posts else b"CALL.GET", request.customer.encode(), request.request_id.encode()]
+    fields = [
+        *([f"k={key}"] if key else []), f"units={decimal(request.units)}", f"spread={request.width}",
+        f"first={request.first_gateway}", *(["r=1"] if request.is_retry else []),
+    ]
+    head, tail = f"c={request.class_name},t={request.plan},d=", "," + ",".join(fields)
+
+    def encode(wait_ms: float) -> bytes:
+        listed = f"{head}{max(1, int(wait_ms))}{tail}".encode()
+        return command([*words, listed, body] if posts else [*words, listed])
+
+    return encode
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 
 import pytest
+from fakes import HOUSINGS, housing
 
 from brackenloft import (
     Contract,
@@ -118,3 +119,16 @@
 
 def rig_with(**changes) -> Rig:
     return Rig(replace(SETTINGS, **changes))
+
+
+def pytest_generate_tests(metafunc):
+    """The socket tests run on every housing of the gateway."""
+    if metafunc.module.__name__.startswith("test_net_") and "in_a_housing" in metafunc.fixturenames:
+        metafunc.parametrize("in_a_housing", HOUSINGS, indirect=True)
+
+
+@pytest.fixture(autouse=True)
+def in_a_housing(request):
+    housing["now"] = getattr(request, "param", HOUSINGS[0])
+    yield
+    housing["now"] = HOUSINGS[0]
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -1,21 +1,19 @@
-"""Small stand-ins on loopback for what surrounds a gateway: servers, a client, discovery."""
+"""What the socket tests share: settings, a gateway in each of its housings, stand-ins under short names."""
 
 from __future__ import annotations
 
 import asyncio
-import json
 from collections.abc import AsyncIterator, Callable, Coroutine
-from contextlib import asynccontextmanager, suppress
+from contextlib import asynccontextmanager
 from dataclasses import replace
 from typing import Any
 
-import hiredis
 import uvloop
+from host import hosted
 
 from brackenloft import (
     Contract,
     Effect,
-    Gateway,
     KeyScope,
     Limits,
     ListKind,
@@ -25,10 +23,17 @@
     ServerList,
     Settings,
 )
-from brackenloft.net.clients import Clients
-from brackenloft.net.driver import Clock, Driver
-from brackenloft.net.servers import Servers
-
+from brackenloft.edge import Edge, Room
+from brackenloft.standins import Line, Peer, array, chunk, listing, resp, row
+from brackenloft.standins import ScriptedDiscovery as FakeDiscovery
+from brackenloft.standins import ScriptedNode as FakeServer
+
+__all__ = [
+    "HOUSINGS", "SETTINGS", "FakeDiscovery", "FakeServer", "Line", "Node", "Peer", "array", "call", "chunk",
+    "housing", "listing", "node", "resp", "row", "run", "until",
+]
+HOUSINGS = ("daemon", "library-uvloop", "library-asyncio")  # a gateway of its own, or within a host's program
+housing = {"now": "daemon"}  # set for each test by conftest.py
 MOST_HELD = 32 * 1024 * 1024
 LIMIT_S = 60.0  # generous: a test that takes so long hangs
 SETTINGS = Settings(
@@ -46,8 +51,9 @@
 
 
 def run(test: Coroutine[Any, Any, None]) -> None:
-    """Run a test on the loop that the gateway uses."""
-    uvloop.run(asyncio.wait_for(test, LIMIT_S))
+    """Run a test on the loop that its housing uses."""
+    plain = housing["now"] == "library-asyncio"
+    (asyncio.run if plain else uvloop.run)(asyncio.wait_for(test, LIMIT_S))
 
 
 async def until(true: Callable[[], bool]) -> None:
@@ -56,98 +62,6 @@
         await asyncio.sleep(0)
 
 
-def resp(*words: bytes | str) -> bytes:
-    """A command."""
-    parts = [word if isinstance(word, bytes) else word.encode() for word in words]
-    return b"*%d\r\n" % len(parts) + b"".join(b"$%d\r\n%b\r\n" % (len(part), part) for part in parts)
-
-
-def array(value: bytes, used: bytes | None = None, load: bytes | None = None) -> bytes:
-    """A good answer of a server."""
-    parts = [b"$-1\r\n" if part is None else b"$%d\r\n%b\r\n" % (len(part), part)
-             for part in (value, used, load)]
-    return b"*3\r\n" + b"".join(parts)
-
-
-class Line(Exception):  # noqa: N818
-    """An error line as a client reads it."""
-
-
-class FakeServer:
-    """Answers each command as ``answer`` says: bytes, or None to stay silent, or b"" to hang up."""
-
-    def __init__(self, answer: Callable[[list[bytes]], bytes | None] = lambda words: array(words[2])) -> None:
-        self.answer = answer
-        self.commands: list[list[bytes]] = []
-        self.by: list[int] = []  # the number of the connection of each command
-        self.writers: list[asyncio.StreamWriter] = []
-        self.ended = 0
-        self.news = asyncio.Event()
-
-    async def start(self) -> FakeServer:
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.port: int = self.server.sockets[0].getsockname()[1]
-        return self
-
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        number, parser = len(self.writers), hiredis.Reader()
-        self.writers.append(writer)
-        while data := await self._read(reader):
-            parser.feed(data)
-            while (words := parser.gets()) is not False:
-                self.commands.append(words)
-                self.by.append(number)
-                reply = self.answer(words)
-                if reply == b"":
-                    writer.close()
-                elif reply:
-                    writer.write(reply)
-                self.news.set()
-        self.ended += 1
-        self.news.set()
-        writer.close()
-
-    async def _read(self, reader: asyncio.StreamReader) -> bytes:
-        try:
-            return await reader.read(65536)
-        except OSError:
-            return b""
-
-    async def until(self, true: Callable[[], bool]) -> None:
-        """Wait for something to have come about here."""
-        while not true():
-            self.news.clear()
-            await self.news.wait()
-
-    def entry(self, number: int, **more: Any) -> tuple[ServerEntry, tuple[str, int]]:
-        return ServerEntry(number, more.pop("zone", "a"), **more), ("127.0.0.1", self.port)
-
-
-class Peer:
-    """A client of the gateway, or of anything that speaks RESP."""
-
-    async def open(self, port: int) -> Peer:
-        self.reader, self.writer = await asyncio.open_connection("127.0.0.1", port)
-        self.parser = hiredis.Reader(replyError=Line)
-        return self
-
-    def send(self, *commands: bytes) -> None:
-        self.writer.write(b"".join(commands))
-
-    async def reply(self) -> Any:
-        """The next reply: bytes, an error line as text with its dash, or None when the connection ended."""
-        while (answer := self.parser.gets()) is False:
-            data = await self.reader.read(65536)
-            if not data:
-                return None
-            self.parser.feed(data)
-        return f"-{answer}" if isinstance(answer, Line) else answer
-
-    async def ask(self, *commands: bytes) -> Any:
-        self.send(*commands)
-        return await self.reply()
-
-
 def call(number: int, kind: str = "read", plan: str = "free", body: bytes = b"b", wait: int = 4000) -> bytes:
     """A request; its number is its id."""
     fields = f"c={kind},t={plan},d={wait},{'k=5c0f,' if kind == 'post' else ''}units=1,spread=2,first=0"
@@ -156,18 +70,15 @@
 
 
 class Node:
-    """The gateway's parts, wired up as the program does, but without discovery."""
+    """An open gateway, without discovery."""
 
-    def __init__(self, settings: Settings, most_connections: int) -> None:
-        self.servers = Servers(settings, most_connections, MOST_HELD)
-        self.driver = Driver(Gateway(settings, 1), self.servers, Clock())
-        self.clients = Clients(self.driver, settings, most_connections, MOST_HELD)
+    def __init__(self, edge: Edge) -> None:
+        self.edge, self.servers, self.driver, self.clients = edge, edge.servers, edge.driver, edge.clients
         self.clients.ready = True
 
     def told(self, *rows: tuple[ServerEntry, tuple[str, int]], kind: ListKind = ListKind.FULL) -> None:
         listing = ServerList(kind, tuple(entry for entry, _ in rows))
-        self.servers.update(listing, {entry.server: address for entry, address in rows})
-        self.driver.post(listing)
+        self.edge.told(listing, {entry.server: address for entry, address in rows})
 
     async def peer(self) -> Peer:
         assert self.clients.listener
@@ -175,59 +86,27 @@
 
 
 @asynccontextmanager
-async def node(*fakes: FakeServer, most_connections: int = 100, **changes: Any) -> AsyncIterator[Node]:
-    """A gateway before these servers, numbered from 1."""
-    made = Node(replace(SETTINGS, **changes), most_connections)
-    for fake in fakes:
-        await fake.start()
-    made.told(*(fake.entry(number) for number, fake in enumerate(fakes, 1)))
-    made.clients.listen("127.0.0.1", 0)
+async def housed(edge: Edge) -> AsyncIterator[Edge]:
+    """Open it alone, as the daemon does, or within a host's program on the same loop."""
+    if housing["now"] != "daemon":
+        async with hosted(edge):
+            yield edge
+        return
+    edge.open()
     try:
-        yield made
+        yield edge
     finally:
-        made.clients.stop_listening()
-        made.clients.abort()
-        made.servers.close()
-
-
-class FakeDiscovery:
-    """Keeps what was asked; each watch is a queue of lines to send."""
-
-    def __init__(self) -> None:
-        self.targets: asyncio.Queue[str] = asyncio.Queue()
-        self.watches: asyncio.Queue[asyncio.StreamWriter] = asyncio.Queue()
-        self.ended: asyncio.Queue[str] = asyncio.Queue()
-
-    async def start(self) -> FakeDiscovery:
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.port: int = self.server.sockets[0].getsockname()[1]
-        return self
+        await edge.close(0.0)
 
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        head = await reader.readuntil(b"\r\n\r\n")
-        writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: x/json\r\nTransfer-Encoding: chunked\r\n\r\n")
-        self.targets.put_nowait(head.split()[1].decode())
-        self.watches.put_nowait(writer)
-        with suppress(OSError):
-            while await reader.read(1000):
-                pass
-        self.ended.put_nowait("by the gateway")
 
-    async def watch(self) -> tuple[str, asyncio.StreamWriter]:
-        """The next watch: what it asked for and where to write lines."""
-        return await self.targets.get(), await self.watches.get()
-
-
-def chunk(data: bytes) -> bytes:
-    return b"%x\r\n%b\r\n" % (len(data), data)
-
-
-def listing(generation: int, *rows: dict[str, Any], reset: bool = False) -> bytes:
-    """A line of a watch."""
-    document = {"generation": generation, "reset": reset, "instances": rows}
-    return json.dumps(document).encode() + b"\n"
-
-
-def row(name: str, port: int, state: str = "Ready", started: int = 0) -> dict[str, Any]:
-    return {"instanceId": name, "hostPort": f"127.0.0.1:{port}", "zone": "a", "machineType": "m", "cell": 0,
-            "lifecycle": state, "weight": 1.0, "startedAtMs": started}
+@asynccontextmanager
+async def node(*fakes: FakeServer, most_connections: int = 100, **changes: Any) -> AsyncIterator[Node]:
+    """A gateway before these servers, numbered from 1."""
+    room = Room(most_connections, most_connections, MOST_HELD)
+    async with housed(Edge(replace(SETTINGS, **changes), room, seed=1)) as edge:
+        made = Node(edge)
+        for fake in fakes:
+            await fake.start()
+        made.told(*(fake.entry(number) for number, fake in enumerate(fakes, 1)))
+        edge.listen("127.0.0.1", 0)
+        yield made
--- a/tests/test_net_driver.py
+++ b/tests/test_net_driver.py
@@ -22,6 +22,7 @@
 )
 from brackenloft.net.driver import Call, Clock, Driver
 from brackenloft.net.servers import Attempt
+from brackenloft.net.wire import answer_line
 
 
 class Script:
@@ -46,7 +47,7 @@
 def scripted(gateway, script, wait_ms=60_000.0):
     """Put a request before a script; the answers its client gets."""
     gateway.driver.gateway, answers = script, []
-    made = Call("r", lambda wait: b"*1\r\n$4\r\nWAIT\r\n", answers.append)
+    made = Call("r", lambda wait: b"*1\r\n$4\r\nWAIT\r\n", lambda answer: answers.append(answer_line(answer)))
     gateway.driver.request(made, Request("r", "read", "free", "c", wait_ms), wait_ms)
     return answers
 
--- a/tests/test_net_process.py
+++ b/tests/test_net_process.py
@@ -11,8 +11,22 @@
 from contextlib import asynccontextmanager
 from pathlib import Path
 
-from fakes import SETTINGS as FAKE_SETTINGS
-from fakes import FakeDiscovery, FakeServer, Peer, array, call, chunk, listing, node, resp, row, run
+import pytest
+from fakes import (
+    HOUSINGS,
+    FakeDiscovery,
+    FakeServer,
+    Peer,
+    array,
+    call,
+    chunk,
+    housing,
+    listing,
+    node,
+    resp,
+    row,
+    run,
+)
 from test_adapter import ENV
 
 from brackenloft import __main__ as program_module
@@ -27,7 +41,12 @@
 
 
 def command() -> str:
-    """The deploy file's command; where its environment is not built, this interpreter in its place."""
+    """The deploy file's command; where its environment is not built, this interpreter in its place.
+
+    In another housing the host's program takes its place.
+    """
+    if housing["now"] != HOUSINGS[0]:
+        return f"exec {sys.executable} tests/host.py {housing['now'].removeprefix('library-')}"
     if (ROOT / ".venv" / "bin" / "python").exists():
         return RUN
     return RUN.replace(".venv/bin/python", sys.executable)
@@ -107,13 +126,10 @@
     run(test())
 
 
-def test_while_stopping_it_accepts_for_a_while_and_then_closes_between_requests(monkeypatch):
-    monkeypatch.setattr(program_module, "ACCEPT_S", 2.0)
-
+def test_while_stopping_it_accepts_for_a_while_and_then_closes_between_requests():
     async def test():
         async with node(FakeServer()) as gateway:
-            leaving = asyncio.ensure_future(
-                program_module._leave(FAKE_SETTINGS, gateway.driver, gateway.clients))
+            leaving = asyncio.ensure_future(gateway.edge.close(60.0, accept_s=2.0))
             await asyncio.sleep(0)
             late = await gateway.peer()
             assert await late.ask(call(3)) == b"0000000000000003"
@@ -160,6 +176,9 @@
 
 def test_signal_that_comes_while_the_program_starts_waits_for_its_handler(tmp_path, monkeypatch):
     """SIGHUP at the first moment that code of ours runs in ``main``: its default would end the process."""
+    if housing["now"] != HOUSINGS[0]:
+        pytest.skip("a host minds its own signals")
+
     async def test():
         code = (
             "import os, signal; from brackenloft import __main__ as program\n"
