--- /dev/null
+++ b/brackenloft/cli.py
@@ -0,0 +1,182 @@
+"""``brackenloft SUBCOMMAND``: serve, check-config, demo, call."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import logging
+import re
+import signal
+import sys
+from collections.abc import Coroutine
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:  # the subcommands import what they need: a client needs no gateway
+    from brackenloft.config import Config
+
+log = logging.getLogger("brackenloft")
+
+REFUSED, FAILED = 1, 2  # what `call` exits with
+MOST_DEMO_S = 600.0
+
+
+def _parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(prog="brackenloft", description=__doc__)
+    commands = parser.add_subparsers(dest="command", required=True, metavar="SUBCOMMAND")
+    serve = commands.add_parser("serve", help="run a gateway until SIGTERM")
+    check = commands.add_parser("check-config", help="read a configuration and say whether it can be used")
+    for part in (serve, check):
+        part.add_argument("--config", required=True, type=Path, metavar="FILE", help="TOML, or *.json")
+    demo = commands.add_parser("demo", help="a gateway, discovery, board nodes and clients on loopback")
+    demo.add_argument("--seconds", type=float, default=10.0)
+    demo.add_argument("--seed", type=int, default=1)
+    call = commands.add_parser("call", help="ask a gateway one thing: exits 0 served, 1 refused, 2 failed")
+    call.add_argument("--at", default="127.0.0.1:6379", metavar="HOST:PORT")
+    call.add_argument("--customer", required=True, help="a number, or 16 hex digits")
+    call.add_argument("--plan", required=True)
+    call.add_argument("--class", required=True, dest="kind")
+    call.add_argument("--key", help="idempotency key")
+    call.add_argument("--body", help="sends CALL.POST; without it CALL.GET")
+    call.add_argument("--units", type=float, default=1.0)
+    call.add_argument("--patience-ms", type=int, default=2000)
+    call.add_argument("--spread", type=int, default=1)
+    call.add_argument("--first", type=int, default=0)
+    return parser
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Run a subcommand; its exit code. A wrong configuration is one line and 2."""
+    options = _parser().parse_args(arguments)
+    run = {"serve": _serve, "check-config": _check, "demo": _demo, "call": _call}[options.command]
+    return run(options)
+
+
+def _run(main: Coroutine[Any, Any, int]) -> int:
+    import uvloop
+    return uvloop.run(main)
+
+
+# ---- serve, check-config
+
+
+def _load(path: Path) -> Config | None:
+    from brackenloft import config
+    try:
+        return config.load(path)
+    except config.ConfigError as error:
+        print(f"brackenloft: {error}", file=sys.stderr)
+        return None
+
+
+def _check(options: argparse.Namespace) -> int:
+    loaded = _load(options.config)
+    if loaded is None:
+        return 2
+    source = "discovery" if loaded.discovery else f"{len(loaded.nodes)} nodes"
+    settings = loaded.settings
+    print(f"{options.config}: good; {len(settings.plans)} plans, {len(settings.classes)} classes, "
+          f"servers from {source}")
+    return 0
+
+
+def _serve(options: argparse.Namespace) -> int:
+    from brackenloft.__main__ import Ration
+    loaded = _load(options.config)
+    if loaded is None:
+        return 2
+    logging.basicConfig(
+        stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(name)s %(message)s")
+    for handler in logging.getLogger().handlers:
+        handler.addFilter(Ration())
+    try:
+        return _run(_serve_until_told(loaded, options.config))
+    except OSError as error:
+        print(f"brackenloft: listen: {error}", file=sys.stderr)
+        return 2
+
+
+async def _serve_until_told(config: Config, path: Path) -> int:
+    """Until SIGTERM or SIGINT. SIGHUP reads the file's servers again; what else changed is not taken over."""
+    from brackenloft.edge import Edge
+    loop, stop = asyncio.get_running_loop(), asyncio.Event()
+
+    def servers(now: Config) -> None:
+        if now.discovery:
+            edge.watch(now.discovery)
+        else:
+            edge.use(now.nodes)
+
+    def reload() -> None:
+        if now := _load(path):
+            log.info("the servers were read again")
+            servers(now)
+
+    async with Edge(config.settings, config.room, config.seed) as edge:
+        host, port = edge.listen(*config.listen)
+        servers(config)
+        loop.add_signal_handler(signal.SIGTERM, stop.set)
+        loop.add_signal_handler(signal.SIGINT, stop.set)
+        loop.add_signal_handler(signal.SIGHUP, reload)
+        log.info("listening on %s:%d", host, port)
+        await stop.wait()
+        log.info("stopping")
+        longest_s = max(item.deadline_ms for item in config.settings.classes) / 1000.0
+        await edge.close(longest_s)
+    return 0
+
+
+# ---- demo, call
+
+
+def _demo(options: argparse.Namespace) -> int:
+    from brackenloft.standins import demo
+    logging.basicConfig(level=logging.ERROR)
+    if not 0.0 < options.seconds <= MOST_DEMO_S:
+        print(f"brackenloft: --seconds: not above 0 and at most {MOST_DEMO_S:g}", file=sys.stderr)
+        return 2
+
+    async def run() -> int:
+        tally = await demo.run(options.seconds, lambda line: print(line, flush=True), options.seed)
+        whole = tally.asked == sum(tally.answers.values()) and not tally.answers["missing"]
+        return 0 if whole and tally.answers["served"] else 1
+
+    return _run(run())
+
+
+def _call(options: argparse.Namespace) -> int:
+    """A client: one command, one answer."""
+    try:
+        text = options.customer
+        customer = text.lower() if re.fullmatch("[0-9a-fA-F]{16}", text) else f"{int(text):016x}"
+        host, _, port = options.at.rpartition(":")
+        return asyncio.run(_ask(options, customer, host, int(port)))
+    except ValueError as error:
+        print(f"brackenloft: {error}", file=sys.stderr)
+    except (OSError, TimeoutError) as error:
+        print(f"brackenloft: no answer from {options.at}: {error!r}", file=sys.stderr)
+    return FAILED
+
+
+async def _ask(options: argparse.Namespace, customer: str, host: str, port: int) -> int:
+    import secrets
+
+    from brackenloft.net.wire import decimal
+    from brackenloft.standins.peer import Peer, resp
+    key = f"k={options.key}," if options.key else ""
+    listed = (f"c={options.kind},t={options.plan},d={options.patience_ms},{key}"
+              f"units={decimal(options.units)},spread={options.spread},first={options.first}")
+    words = ["CALL.GET" if options.body is None else "CALL.POST", customer, secrets.token_hex(8), listed]
+    async with asyncio.timeout(options.patience_ms / 1000.0 + 1.0):
+        peer = await Peer().open(port, host)
+        answer = await peer.ask(resp(*words, *([] if options.body is None else [options.body])))
+    peer.writer.close()
+    if isinstance(answer, bytes):
+        sys.stdout.buffer.write(answer + b"\n")
+        return 0
+    print(answer or "the connection ended without an answer")
+    return REFUSED if answer and answer.startswith("-BUSY") else FAILED
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/brackenloft/edge/__init__.py
+++ b/brackenloft/edge/__init__.py
@@ -7,10 +7,10 @@
 
 from brackenloft.answers import Answer, Failed, Granted, Refused, Served
 from brackenloft.checks import FieldError
-from brackenloft.edge.edge import Admission, Call, Edge, EdgeClosed, Room
+from brackenloft.edge.edge import Admission, Call, Edge, EdgeClosed, Pending, Room
 from brackenloft.edge.sources import Node
 
 __all__ = [
-    "Admission", "Answer", "Call", "Edge", "EdgeClosed", "Failed", "FieldError", "Granted", "Node", "Refused",
-    "Room", "Served",
+    "Admission", "Answer", "Call", "Edge", "EdgeClosed", "Failed", "FieldError", "Granted", "Node", "Pending",
+    "Refused", "Room", "Served",
 ]
--- a/brackenloft/edge/edge.py
+++ b/brackenloft/edge/edge.py
@@ -10,8 +10,7 @@
 import asyncio
 import logging
 import secrets
-from collections.abc import AsyncIterator, Iterable
-from contextlib import asynccontextmanager
+from collections.abc import Iterable
 from dataclasses import asdict, dataclass
 from types import TracebackType
 from typing import Any
@@ -84,15 +83,56 @@
     request_id: str | None = None
 
 
+class Pending:
+    """A request whose one answer is owed. ``value`` is None until it is there."""
+
+    __slots__ = ("edge", "request_id", "value", "_waiter")
+
+    def __init__(self, edge: Edge, request_id: str) -> None:
+        self.edge, self.request_id = edge, request_id
+        self.value: Answer | None = None
+        self._waiter: asyncio.Future[None] | None = None
+
+    def tell(self, answer: Answer) -> None:
+        """The driver has the answer."""
+        self.value = answer
+        if self._waiter and not self._waiter.done():
+            self._waiter.set_result(None)
+
+    async def wait(self) -> Answer:
+        """The answer. Cancelled, the request is withdrawn."""
+        if self.value is None:
+            self._waiter = self.edge.loop.create_future()
+            try:
+                await self._waiter
+            except asyncio.CancelledError:
+                self.withdraw()
+                raise
+        assert self.value is not None
+        self.edge.done(self)
+        return self.value
+
+    def withdraw(self) -> None:
+        """Nobody waits any more. A grant that crossed this is given back, other answers had their end."""
+        self.edge.done(self)
+        self.edge.driver.client_gone(self.request_id)
+        self.edge.driver.release(self.request_id, api.Status.CANCELLED)
+
+
 class Admission:
-    """Leave to do the work oneself, or not; ``granted`` says which and ``answer`` why not."""
+    """Leave to do the work oneself, or not; ``granted`` says which and ``answer`` why not.
+
+    ``release`` gives the place back, once; ``Edge.admit`` does it when its block ends.
+    """
 
-    __slots__ = ("answer", "request_id", "units", "failed")
+    __slots__ = ("edge", "answer", "request_id", "units", "failed", "open")
 
-    def __init__(self, answer: Answer, request_id: str) -> None:
-        self.answer, self.request_id = answer, request_id
+    def __init__(self, edge: Edge, answer: Answer, request_id: str) -> None:
+        self.edge, self.answer, self.request_id = edge, answer, request_id
         self.units: float | None = None  # what the work has taken, where the request's units were a guess
         self.failed = False  # set it where the work failed without an exception
+        self.open = isinstance(answer, Granted)
+        edge.granted_now += self.open
 
     @property
     def granted(self) -> bool:
@@ -105,6 +145,34 @@
             raise FieldError("units", f"not a number of at least 0: {units!r}")
         self.units = units
 
+    def release(self) -> None:
+        """The work has ended."""
+        if self.open:
+            self.open = False
+            self.edge.granted_now -= 1
+            status = api.Status.ERROR if self.failed else api.Status.OK
+            self.edge.driver.release(self.request_id, status, self.units)
+
+
+class Admitting:
+    """The context of ``Edge.admit``."""
+
+    __slots__ = ("edge", "call", "admission")
+
+    def __init__(self, edge: Edge, call: Call) -> None:
+        self.edge, self.call = edge, call
+
+    async def __aenter__(self) -> Admission:
+        pending = self.edge.begin(self.call, local=True)
+        self.admission = Admission(self.edge, await pending.wait(), pending.request_id)
+        return self.admission
+
+    async def __aexit__(
+        self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None,
+    ) -> None:
+        self.admission.failed = self.admission.failed or error is not None
+        self.admission.release()
+
 
 class Edge:
     """One gateway; an async context manager. Several may share a loop.
@@ -134,8 +202,8 @@
         self.discovery = Discovery(self.told)
         self._ready = asyncio.Event()
         self._first_list: asyncio.TimerHandle | None = None
-        self._own: dict[str, asyncio.Future[Answer]] = {}
-        self._granted = 0
+        self._own: dict[str, Pending] = {}
+        self.granted_now = 0
         self.is_open = True
         return self
 
@@ -159,7 +227,7 @@
             self.driver.post(api.Stopping(within_s * 1000.0))
             await asyncio.sleep(accept_s)
             self.clients.stop_listening()
-            while (self.clients.connections or self._own or self._granted) and self.loop.time() < end:
+            while (self.clients.connections or self._own or self.granted_now) and self.loop.time() < end:
                 await asyncio.sleep(LOOK_S)
         finally:  # also when the host cancels this
             self._end()
@@ -225,34 +293,38 @@
         nothing; an attempt that is out is withdrawn where the settings allow it, else its outcome awaited
         behind the caller's back. It is never sent again.
         """
-        request = self._request(call, local=False)
-        key = self.checks.key(call.key, self.checks.classes[request.class_name])
-        if not isinstance(call.body, bytes) or len(call.body) > LONGEST_VALUE:
-            raise FieldError("body", f"not bytes, or more than {LONGEST_VALUE} of them")
-        if call.body and not request.is_write:
-            raise FieldError("body", f"class {request.class_name} has none")
-        return await self._ask(request, wire.call(request, key, call.body))
+        return await self.begin(call).wait()
 
-    @asynccontextmanager
-    async def admit(self, call: Call) -> AsyncIterator[Admission]:
+    def admit(self, call: Call) -> Admitting:
         """Leave to do the work oneself: metered, held and capped as if a server did it.
 
-        Enters when that is decided; ``granted`` says how. The place is given up when the block ends, however
-        it ends. ``body`` and ``key`` are not looked at.
+        An async context manager that enters with an ``Admission`` when that is decided; the place is given up
+        when the block ends, however it ends. ``body`` and ``key`` are not looked at.
         """
-        request = self._request(call, local=True)
-        admission = Admission(await self._ask(request, _nothing), request.request_id)
-        if not admission.granted:
-            yield admission
-            return
-        self._granted += 1
-        status = api.Status.ERROR
-        try:
-            yield admission
-            status = api.Status.ERROR if admission.failed else api.Status.OK
-        finally:
-            self._granted -= 1
-            self.driver.release(request.request_id, status, admission.units)
+        return Admitting(self, call)
+
+    def begin(self, call: Call, local: bool = False) -> Pending:
+        """Ask without waiting, for fronts that wait for other things too. ``local``: for an admission.
+
+        Who begins one waits for it or withdraws it.
+        """
+        request = self._request(call, local)
+        encode = _nothing if local else self._encoder(call, request)
+        pending = Pending(self, request.request_id)
+        if len(self._own) >= self.room.in_hand:
+            self.driver.counters.requests += 1
+            self.driver.counters.refused_busy += 1
+            pending.value = Refused()
+            return pending
+        self._own[request.request_id] = pending
+        driven = driving.Call(request.request_id, encode, pending.tell)
+        self.driver.request(driven, request, request.patience_ms)
+        return pending
+
+    def done(self, pending: Pending) -> None:
+        """Its answer has been taken."""
+        if self._own.get(pending.request_id) is pending:
+            del self._own[pending.request_id]
 
     def allowance(self, call: Call) -> api.Allowance:
         """What is left of the customer's quota, as this gateway sees it; changes nothing."""
@@ -264,7 +336,7 @@
     def counters(self) -> dict[str, float]:
         """What became of the requests so far, and what is in hand now."""
         now = {
-            "in_hand": len(self.driver.calls), "granted_now": self._granted,
+            "in_hand": len(self.driver.calls), "granted_now": self.granted_now,
             "client_connections": len(self.clients.connections),
             "server_connections": len(self.servers.connections),
         }
@@ -296,34 +368,15 @@
         self._next_id = (self._next_id + 1) % ID_SPACE
         return f"{self._next_id:016x}"
 
-    async def _ask(self, request: api.Request, encode: wire.Encoder) -> Answer:
-        if len(self._own) >= self.room.in_hand:
-            self.driver.counters.requests += 1
-            self.driver.counters.refused_busy += 1
-            return Refused()
-        answer: asyncio.Future[Answer] = self.loop.create_future()
-
-        def on_answer(final: Answer) -> None:
-            if not answer.done():
-                answer.set_result(final)
-
-        self._own[request.request_id] = answer
-        call = driving.Call(request.request_id, encode, on_answer)
-        try:
-            self.driver.request(call, request, request.patience_ms)
-            return await answer
-        except asyncio.CancelledError:
-            # A grant that crossed the cancellation is given back; everything else has its end already.
-            self.driver.client_gone(request.request_id)
-            self.driver.release(request.request_id, api.Status.CANCELLED)
-            raise
-        finally:
-            del self._own[request.request_id]
+    def _encoder(self, call: Call, request: api.Request) -> wire.Encoder:
+        key = self.checks.key(call.key, self.checks.classes[request.class_name])
+        if not isinstance(call.body, bytes) or len(call.body) > LONGEST_VALUE:
+            raise FieldError("body", f"not bytes, or more than {LONGEST_VALUE} of them")
+        if call.body and not request.is_write:
+            raise FieldError("body", f"class {request.class_name} has none")
+        return wire.call(request, key, call.body)
 
 
 def _nothing(wait_ms: float) -> bytes:
     """What the host does itself is not written to any server."""
     return b""
-
-
-__all__ = ["Admission", "Call", "Edge", "EdgeClosed", "Room"]
--- a/brackenloft/net/driver.py
+++ b/brackenloft/net/driver.py
@@ -22,6 +22,7 @@
 log = logging.getLogger(__name__)
 
 LATE_MS = 25.0  # a loop so late was held up: what has come meanwhile is read before any time is called up
+OWN_SHARE = 0.3  # of an attempt's time lost by the loop, from which a connect that failed is its doing
 READ_FIRST_S = 0.001  # for that: timers of no delay may run before the loop has looked at its sockets
 
 
@@ -186,15 +187,14 @@
             call.out[number] = None
             self._answer(call, Granted())
             return
-        began = time.monotonic()
 
         def done(reply: Reply) -> None:
             call.out.pop(number, None)
             ended = time.monotonic()
-            ours = self.lag.excuse(began, attempt.written, ended)
-            self._outcome(call, number, action.server, reply, (ended - began - ours) * 1000.0)
+            ours = self.lag.excuse(attempt.began, attempt.written, ended)
+            self._outcome(call, number, action.server, reply, (ended - attempt.began - ours) * 1000.0)
 
-        attempt = Attempt(call.encode(wait), done, began + wait / 1000.0)
+        attempt = Attempt(call.encode(wait), done, time.monotonic() + wait / 1000.0)
         self.counters.attempts += 1
         call.out[number] = attempt
         self.servers.start(action.server, attempt)
@@ -202,7 +202,14 @@
             self._at(now + wait, self._time_out, attempt)
 
     def _time_out(self, attempt: Attempt) -> None:
-        self.servers.stop(attempt, api.Status.TIMEOUT)
+        self._stop(attempt, api.Status.TIMEOUT)
+
+    def _stop(self, attempt: Attempt, status: api.Status) -> None:
+        """Wait no more. What a held up loop kept from being sent is no failure of the server."""
+        now = time.monotonic()
+        ours = self.lag.excuse(attempt.began, attempt.written, now) > OWN_SHARE * (now - attempt.began)
+        not_up = api.Status.NOT_SENT if ours else api.Status.CONNECT_FAILED
+        self.servers.stop(attempt, status, not_up)
 
     def _outcome(self, call: Call, number: int, server: int, reply: Reply, latency_ms: float) -> None:
         """The outcome of an attempt; a good answer goes to the client first, if it still waits."""
@@ -251,7 +258,7 @@
         call = self.calls.get(action.request_id)
         attempt = call.out.get(action.attempt) if call else None
         if attempt:
-            self.servers.stop(attempt, api.Status.CANCELLED)
+            self._stop(attempt, api.Status.CANCELLED)
 
     def _stalled(self, seconds: float) -> None:
         self.counters.stalls += 1
--- a/brackenloft/net/servers.py
+++ b/brackenloft/net/servers.py
@@ -56,11 +56,12 @@
 class Attempt:
     """A command on its way to a server; ``done`` is called once with what came of it."""
 
-    __slots__ = ("payload", "done", "connection", "due", "written")
+    __slots__ = ("payload", "done", "connection", "due", "written", "began")
 
     def __init__(self, payload: bytes, done: Callable[[Reply], None], due: float = inf) -> None:
         self.payload = payload
-        self.due, self.written = due, inf  # by time.monotonic(): not written from then on, and when it was
+        # All by time.monotonic(): not written from ``due`` on, when it was written, when it was asked for.
+        self.due, self.written, self.began = due, inf, time.monotonic()
         self.done: Callable[[Reply], None] | None = done
         self.connection: Connection | None = None
 
@@ -370,11 +371,13 @@
             oldest.close(api.Status.RESET)
         return oldest is not None
 
-    def stop(self, attempt: Attempt, status: api.Status) -> None:
+    def stop(
+        self, attempt: Attempt, status: api.Status, not_up: api.Status = api.Status.CONNECT_FAILED,
+    ) -> None:
         """Stop waiting: the connection is closed, then the outcome told. One not up yet never ran."""
         connection = attempt.connection
         if attempt.done and connection:
-            connection.close(status if connection.transport else api.Status.CONNECT_FAILED)
+            connection.close(status if connection.transport else not_up)
 
     def close_idle(self, server: int) -> None:
         """Close the idle connections to a server."""
