--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements, each bounded and beside its baseline in the same run: ``python -m benchmarks.NAME``."""
--- a/brackenloft/asgi/middleware.py
+++ b/brackenloft/asgi/middleware.py
@@ -10,7 +10,7 @@
 from dataclasses import replace
 from typing import Any
 
-from brackenloft.answers import Answer, Served
+from brackenloft.answers import Answer, Granted, Served
 from brackenloft.asgi import problem as problems
 from brackenloft.asgi.mapping import Forward, Mapped, Mapper, Scope
 from brackenloft.asgi.problem import Headers, Send
@@ -73,6 +73,11 @@
             if not message.get("more_body"):
                 return b"".join(parts)
 
+    @property
+    def watching(self) -> bool:
+        """Whether a message is being waited for."""
+        return self._task is not None
+
     async def close(self) -> None:
         """No task is left behind."""
         if self._task:
@@ -117,7 +122,9 @@
             await self.app(scope, receive, send)
             return
         try:
-            mapped = await self._map(scope)
+            mapped = self._map(scope)
+            if inspect.isawaitable(mapped):
+                mapped = await self._mapped_later(mapped)
             if mapped is None:
                 await self.app(scope, receive, send)
                 return
@@ -138,18 +145,27 @@
         if admission:
             await self._serve(scope, incoming, send, mapped.call, admission)
 
-    async def _map(self, scope: Scope) -> Mapped:
+    def _map(self, scope: Scope) -> Mapped | Awaitable[Mapped]:
         try:
-            mapped = self.mapper(scope)
-            return await mapped if inspect.isawaitable(mapped) else mapped
+            return self.mapper(scope)
         except FieldError:
             raise
         except Exception as error:  # the host's own code: it must not take other requests along
             log.exception("the mapper failed")
             raise _NotMapped from error
 
+    async def _mapped_later(self, mapped: Awaitable[Mapped]) -> Mapped:
+        try:
+            return await mapped
+        except FieldError:
+            raise
+        except Exception as error:
+            log.exception("the mapper failed")
+            raise _NotMapped from error
+
     def _headers(self, call: Call) -> Headers:
-        return problems.quota_headers(call.plan, self.edge.allowance(call))
+        left = self.edge.driver.gateway.allowance(call.plan, call.customer, call.width)
+        return problems.quota_headers(call.plan, left)
 
     async def _refuse(self, answer: Answer, call: Call, send: Send) -> None:
         await problems.for_answer(answer, self._headers(call), self.may_advise).send(send)
@@ -158,6 +174,9 @@
 
     async def _admit(self, call: Call, incoming: Incoming, send: Send) -> Admission | None:
         pending = self.edge.begin(call, local=True)
+        if isinstance(pending.value, Granted):  # at once: the ordinary path
+            self.edge.done(pending)
+            return Admission(self.edge, pending.value, pending.request_id)
         try:
             answer = await answered(pending, incoming)
         except asyncio.CancelledError:
@@ -191,7 +210,8 @@
             raise
         finally:
             admission.release()
-            await incoming.close()
+            if incoming.watching:
+                await incoming.close()
 
     # ---- Sent on to board nodes
 
--- a/brackenloft/asgi/problem.py
+++ b/brackenloft/asgi/problem.py
@@ -5,6 +5,7 @@
 import json
 from collections.abc import Awaitable, Callable, MutableMapping
 from dataclasses import dataclass
+from functools import lru_cache
 from math import ceil
 from typing import Any
 
@@ -16,6 +17,7 @@
 Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
 BUSY_S = 1  # when to come back after a refusal that is no matter of quota: pressure is felt for some seconds
 MEDIA_TYPE = b"application/problem+json"  # RFC 9457
+MOST_PLANS = 256  # whose policies are kept as text
 PREFIX = "urn:brackenloft:"
 TITLES = {
     400: "The request can't be taken", 413: "The body is too large", 429: "Over the customer's quota",
@@ -57,12 +59,17 @@
     """
     if not allowance.rate:
         return []
-    name = plan.replace("\\", "\\\\").replace('"', '\\"')
-    window = ceil(allowance.burst / allowance.rate)
-    policy = f'"{name}";q={int(allowance.burst)};w={max(1, window)}'
-    limit = f'"{name}";r={int(allowance.left)};t={ceil(allowance.full_in_ms / 1000.0)}'
-    return [(b"ratelimit-policy", policy.encode("ascii", "replace")),
-            (b"ratelimit", limit.encode("ascii", "replace"))]
+    name, policy = _policy(plan, allowance.burst, allowance.rate)
+    left, full = int(allowance.left), ceil(allowance.full_in_ms / 1000.0)
+    return [(b"ratelimit-policy", policy), (b"ratelimit", b"%b;r=%d;t=%d" % (name, left, full))]
+
+
+@lru_cache(MOST_PLANS)
+def _policy(plan: str, burst: float, rate: float) -> tuple[bytes, bytes]:
+    """A plan's name and policy as structured fields have them (RFC 9651, 3.3.3): one for all customers."""
+    escaped = plan.replace("\\", "\\\\").replace('"', '\\"')
+    name = f'"{escaped}"'.encode("ascii", "replace")
+    return name, b"%b;q=%d;w=%d" % (name, int(burst), max(1, ceil(burst / rate)))
 
 
 def for_answer(answer: Answer, headers: Headers, may_advise: bool) -> Problem:
--- a/brackenloft/checks.py
+++ b/brackenloft/checks.py
@@ -57,7 +57,7 @@
 
     def place(self, field: str, number: int, low: int) -> int:
         """The number of gateways of a customer's set, from 1, or of its first one, from 0."""
-        if isinstance(number, bool) or not isinstance(number, int) or not low <= number < self.gateways + low:
+        if type(number) is not int or not low <= number < self.gateways + low:
             raise FieldError(field, f"not from {low} to {self.gateways + low - 1}: {number!r:.60}")
         return number
 
@@ -89,4 +89,4 @@
 
     @staticmethod
     def _number(value: object) -> bool:
-        return isinstance(value, (int, float)) and not isinstance(value, bool) and isfinite(value)
+        return type(value) in api.NUMBERS and isfinite(value)  # type: ignore[arg-type]
--- a/brackenloft/edge/edge.py
+++ b/brackenloft/edge/edge.py
@@ -11,7 +11,7 @@
 import logging
 import secrets
 from collections.abc import Iterable
-from dataclasses import asdict, dataclass
+from dataclasses import asdict, dataclass, replace
 from types import TracebackType
 from typing import Any
 
@@ -199,7 +199,8 @@
         self.servers = Servers(self.settings, self.room.server_connections, self.room.held)
         self.driver = Driver(Gateway(self.settings, self.seed), self.servers, Clock())
         self.clients = Clients(self.driver, self.settings, self.room.client_connections, self.room.held)
-        self.discovery = Discovery(self.told)
+        self.discovery = Discovery(self._news)
+        self._listed = False
         self._ready = asyncio.Event()
         self._first_list: asyncio.TimerHandle | None = None
         self._own: dict[str, Pending] = {}
@@ -264,7 +265,19 @@
         """These servers from now on, and no others."""
         self._lists += 1
         document = listing(nodes, self.settings.zone, self._lists)
-        self.told(*self.discovery.roster.read(document))
+        self._news(*self.discovery.roster.read(document))
+
+    def _news(self, news: api.ServerList, addresses: dict[int, Address]) -> None:
+        """From a source. The first list of servers also says how much may be out at all of them at first.
+
+        Guards against a start without a known list, where nothing would bound what is sent at once.
+        """
+        if news.entries and not self._listed:
+            self._listed = True
+            self.servers.update(news, addresses)
+            self.driver.post(replace(news, kind=api.ListKind.CACHED))
+        if news.kind is not api.ListKind.CACHED or not news.entries:
+            self.told(news, addresses)
 
     def _is_ready(self) -> None:
         self.clients.ready = True
--- a/brackenloft/interface.py
+++ b/brackenloft/interface.py
@@ -9,8 +9,10 @@
 
 from dataclasses import dataclass
 from enum import Enum
+from math import inf
 
 HERE = -1  # stands for the host itself, in a Send and its Outcome: no server has a number below 0
+NUMBERS = (float, int)  # and no bool, which is an int by inheritance
 DEFAULT_IDLE_MS = 30_000.0  # of a connection, where the settings do not tell
 
 
@@ -71,7 +73,7 @@
     """Raise ValueError for the first named field that is not a number of at least ``low``."""
     for name in names:
         value = getattr(owner, name)
-        if isinstance(value, bool) or not isinstance(value, (int, float)) or not low <= value < float("inf"):
+        if type(value) not in NUMBERS or not low <= value < inf:
             raise ValueError(f"{type(owner).__name__}.{name}: {value!r} is not a number of at least {low}")
 
 
--- a/brackenloft/logic.py
+++ b/brackenloft/logic.py
@@ -735,7 +735,13 @@
             self.actions.append(Refuse(event.request_id, self._advice(customer, plan, event.units), True))
             return
         self.flights[event.request_id] = flight
+        if event.served_here and not hold:
+            self._release(flight)
+            if flight.sends:
+                return  # the host's now: no deadline
         self._limit(flight)
+        if event.served_here and not hold:
+            return
         if hold > 0.0:
             flight.waiting = True
             self._arm(hold, self._end_hold, flight, flight)
