--- a/benchmarks/library.py
+++ b/benchmarks/library.py
@@ -134,7 +134,7 @@
 class LimitsMiddleware:
     """The same guard made of another package, with the same header fields.
 
-    A moving window for each customer's quota; ``whole``: one for its ceiling too, and a count of what is open.
+    A moving window for each customer's quota; ``whole``: one for its ceiling too, and a count of open ones.
     """
 
     def __init__(self, app: Any, whole: bool) -> None:
--- a/brackenloft/asgi/middleware.py
+++ b/brackenloft/asgi/middleware.py
@@ -100,8 +100,6 @@
             if not task.done():
                 task.cancel()
         await asyncio.gather(waiting, leaving, return_exceptions=True)
-        if waiting.cancelled():
-            pending.withdraw()  # in case it was cancelled before it began to wait
 
 
 class QuotaMiddleware:
--- a/tests/test_asgi.py
+++ b/tests/test_asgi.py
@@ -16,6 +16,7 @@
 from brackenloft import Limits, ListKind, Plan, ServerList
 from brackenloft.asgi import Admit, Forward, HeaderMapper, QuotaMiddleware
 from brackenloft.asgi.fastapi import admitted, install
+from brackenloft.asgi.middleware import Incoming
 from brackenloft.asgi.problem import quota_headers
 from brackenloft.checks import FieldError
 from brackenloft.edge import Call, Edge
@@ -244,6 +245,27 @@
     run(test())
 
 
+def test_watch_for_a_client_that_leaves_reads_one_message_of_a_stream_at_most():
+    async def test():
+        read = []
+
+        async def receive():
+            read.append(1)
+            return {"type": "http.request", "body": b"x", "more_body": len(read) < 100}
+
+        incoming = Incoming(receive)
+        watch = asyncio.ensure_future(incoming.left())
+        for _ in range(20):
+            await asyncio.sleep(0)
+        watch.cancel()
+        assert len(read) == 1 and await incoming.body(100) == b"x" * 100
+        with pytest.raises(ValueError, match="more than 9"):
+            read.clear()
+            await incoming.body(9)
+
+    run(test())
+
+
 def test_sent_on_to_board_nodes_and_withdrawn_when_the_client_leaves():
     async def test():
         silent = []
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -3,7 +3,9 @@
 import asyncio
 import gc
 import logging
+import os
 import signal
+import socket
 import time
 from contextlib import suppress
 from dataclasses import replace
@@ -24,6 +26,7 @@
     Room,
     Served,
 )
+from brackenloft.logic import FIRST_LIMIT
 from brackenloft.net.wire import decimal
 from brackenloft.standins import BoardNode, Fault, in_order
 
@@ -361,6 +364,32 @@
     run(test())
 
 
+def test_answer_that_came_while_a_reader_of_the_host_held_the_loop_up_is_read_before_its_time_is_called():
+    """On uvloop timers come right behind what sockets called, and before sockets are looked at again."""
+    async def test():
+        server = FakeServer(lambda words: None)
+        async with node(server, classes=(RequestClass("read", 200.0, 250.0, Effect.SAFE),)) as gateway:
+            task = asyncio.ensure_future(gateway.edge.call(READ))
+            await server.until(lambda: len(server.commands) == 1)
+            loop, (ours, theirs) = asyncio.get_running_loop(), socket.socketpair()
+
+            def slow_reader():
+                loop.remove_reader(ours)
+                os.write(server.writers[0].get_extra_info("socket").fileno(), array(b"v"))
+                hold_up(0.4)
+
+            loop.add_reader(ours, slow_reader)
+            theirs.send(b"x")
+            assert await task == Served(b"v")
+            (known,) = gateway.driver.gateway.servers.values()
+            assert not any(bad for bad, _, _ in known.marks.values())
+            clean(gateway.edge)
+            ours.close()
+            theirs.close()
+
+    run(test())
+
+
 def test_nothing_is_written_after_its_time_though_its_connection_came_up():
     async def test():
         server = await FakeServer().start()
@@ -379,15 +408,27 @@
     run(test())
 
 
+class DeafLoop:
+    """A loop that is held up whenever a connection has come up, until its time is over."""
+
+    def __init__(self, loop):
+        self.loop = loop
+
+    def __getattr__(self, name):
+        return getattr(self.loop, name)
+
+    async def sock_connect(self, sock, address):
+        await self.loop.sock_connect(sock, address)
+        await asyncio.Event().wait()
+
+
 def test_connection_that_came_up_while_the_loop_was_held_up_is_not_a_failed_one():
     async def test():
         server = await FakeServer().start()
         async with node(limits=Limits(max_attempts=1, connect_timeout_ms=50.0)) as gateway:
             gateway.told(server.entry(1))
-            task = asyncio.ensure_future(gateway.edge.call(BUY))
-            await asyncio.sleep(0)
-            hold_up(0.2)
-            assert isinstance(await task, Served)
+            gateway.servers.loop = DeafLoop(gateway.servers.loop)
+            assert isinstance(await gateway.edge.call(BUY), Served)
             clean(gateway.edge)
 
     run(test())
@@ -428,6 +469,40 @@
     run(test())
 
 
+def test_what_waits_when_time_is_over_has_failed_at_once():
+    async def test():
+        async with node(plans=PLANS) as gateway:
+            edge, call = gateway.edge, replace(BUY, plan="one")
+            granted = edge.begin(call, local=True)
+            waiting = [asyncio.ensure_future(edge.call(call)) for _ in range(3)]
+            await granted.wait()
+            await until(lambda: len(edge.driver.gateway.parked) == 3)
+            await edge.close(0.0)
+            answers = await asyncio.wait_for(asyncio.gather(*waiting), 5.0)
+            assert all(isinstance(answer, Failed | Refused) for answer in answers) and not edge.driver.calls
+
+    run(test())
+
+
+def test_first_list_of_a_source_bounds_what_is_out_at_first():
+    async def test():
+        server = await FakeServer(lambda words: None).start()
+        async with node() as gateway:
+            edge = gateway.edge
+            edge.use([])
+            edge.use([Node("a", "127.0.0.1", server.port)])
+            assert edge.driver.gateway.pool == FIRST_LIMIT / SETTINGS.gateways
+            tasks = [asyncio.ensure_future(edge.call(READ)) for _ in range(20)]
+            await until(lambda: edge.counters()["attempts"] > 0)
+            assert edge.counters()["attempts"] <= FIRST_LIMIT
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+            clean(edge)
+
+    run(test())
+
+
 def test_close_that_the_host_cancels_still_ends_everything():
     async def test():
         server = FakeServer(lambda words: None)
