--- a/brackenloft/__main__.py
+++ b/brackenloft/__main__.py
@@ -24,8 +24,10 @@
 log = logging.getLogger("brackenloft")
 
 OTHER_DESCRIPTORS = 32  # beside clients and servers: the log, the loop, discovery, the listener, a margin
-SERVERS_SHARE = 0.25  # of the rest. Clients hold a third of all for requests, as many again have asked once
-# and may not be closed for 2 s, and some say nothing; what is out at servers is a small part of that
+SERVERS_SHARE = 0.125  # of the rest, kept for each side: 26 connections to servers are seen of 384 descriptors
+CLIENTS_SHARE = 0.5  # what is between them is lent. Clients hold a third of all for requests, as many again
+# have asked once and may not be closed for 2 s, and some say nothing
+ASKING = 3  # clients hold a third of the descriptors for requests at most: theirs run out before ours
 MEGABYTE = 1 << 20
 PROGRAM = 20 * MEGABYTE  # the program itself, 14 seen, and what a list of servers and its customers take
 HELD_SHARE = 0.4  # of the rest of the memory, for what clients have sent; as much for servers' answers
@@ -109,9 +111,10 @@
 def _room(config: Config) -> Room:
     """What the platform's limits leave for clients and servers."""
     budget = max(2, config.descriptors - OTHER_DESCRIPTORS)
-    for_servers = max(1, int(budget * SERVERS_SHARE))
+    for_servers, for_clients = max(1, int(budget * SERVERS_SHARE)), max(1, int(budget * CLIENTS_SHARE))
     held = max(LEAST_HELD, int((config.memory - PROGRAM) * HELD_SHARE))
-    return Room(for_servers, budget - for_servers, held)
+    lent = budget - for_servers - for_clients
+    return Room(for_servers, for_clients, held, asking=max(1, config.descriptors // ASKING), lent=lent)
 
 
 def _span_s(settings: api.Settings) -> float:
--- a/brackenloft/edge/edge.py
+++ b/brackenloft/edge/edge.py
@@ -16,6 +16,7 @@
 from typing import Any
 
 from brackenloft import interface as api
+from brackenloft.admission.budget import Budget
 from brackenloft.answers import Answer, Granted, Refused
 from brackenloft.checks import CLIENT_MARGIN_MS, Checks, FieldError
 from brackenloft.edge.sources import Node, listing
@@ -32,6 +33,7 @@
 
 MEGABYTE = 1 << 20
 FIRST_LIST_S = 1.0  # how long the known list, which may be old, waits for discovery's before it must do
+SPARE = 8  # descriptors that a side may take at once beyond what it holds: a burst of new attempts
 CLOSE_S = 3.7  # for closing by default: the longest deadline of the platform and some to spare
 LOOK_S = 0.01  # between two looks at what is still in hand while closing
 ID_SPACE = 1 << 64
@@ -45,19 +47,23 @@
 class Room:
     """What an edge may take of the host's process.
 
-    ``server_connections`` and ``client_connections`` are descriptors; ``held`` bytes are kept at most for
+    ``server_connections`` and ``client_connections`` are descriptors kept for the two sides, ``lent`` more that
+    either may use while the other does not. ``held`` bytes are kept at most for
     each of the two sides (what clients have sent, what servers have answered); ``in_hand`` requests of the
-    host itself are open at once, beyond which they are refused.
+    host itself are open at once, beyond which they are refused. ``asking``: connections with requests that the
+    clients open by themselves, None for as many as are taken: from half of them on places count as short.
     """
 
     server_connections: int = 256
     client_connections: int = 768
     held: int = 32 * MEGABYTE
     in_hand: int = 10_000
+    asking: int | None = None
+    lent: int = 0
 
     def __post_init__(self) -> None:
         for name, value in asdict(self).items():
-            if not value > 0:
+            if value is not None and not (value > 0 or name == "lent" and value == 0):
                 raise FieldError(name, f"not above 0: {value!r}")
 
 
@@ -196,9 +202,12 @@
         if self.is_open:
             raise EdgeClosed("this edge is open already")
         self.loop = asyncio.get_running_loop()
-        self.servers = Servers(self.settings, self.room.server_connections, self.room.held)
+        room = self.room
+        total = room.client_connections + room.server_connections + room.lent
+        self.budget = Budget(total, room.client_connections, room.server_connections, SPARE if room.lent else 0)
+        self.servers = Servers(self.settings, self.budget, room.held)
         self.driver = Driver(Gateway(self.settings, self.seed), self.servers, Clock())
-        self.clients = Clients(self.driver, self.settings, self.room.client_connections, self.room.held)
+        self.clients = Clients(self.driver, self.settings, self.budget, room.held, room.asking or 0)
         self.discovery = Discovery(self._news)
         self._listed = False
         self._ready = asyncio.Event()
--- a/brackenloft/interface.py
+++ b/brackenloft/interface.py
@@ -230,7 +230,9 @@
     """A client's try. It may come through ``width`` gateways in a row from number ``first_gateway``.
 
     ``served_here``: the host does the work itself; it is metered, held and capped like any other, and sent
-    to ``HERE`` once at most.
+    to ``HERE`` once at most. ``scarcity``: of what the request alone would hold for some time, as the first one
+    on a new connection, this share is taken (0 to 1); 0 where nothing is held for it. ``age_ms``: how long it
+    had come before it was read; ``patience_ms`` counts from its reading.
     """
 
     request_id: str
@@ -244,9 +246,11 @@
     is_retry: bool = False
     is_write: bool = False
     served_here: bool = False
+    scarcity: float = 0.0
+    age_ms: float = 0.0
 
     def __post_init__(self) -> None:
-        _check(self, 0.0, "units", "patience_ms")
+        _check(self, 0.0, "units", "patience_ms", "scarcity", "age_ms")
         _check(self, 1, "width")
 
 
--- a/brackenloft/net/clients.py
+++ b/brackenloft/net/clients.py
@@ -6,12 +6,15 @@
 import logging
 import re
 import socket
+import struct
 from collections import OrderedDict, deque
 from contextlib import suppress
+from dataclasses import replace
 from itertools import islice
 from typing import cast
 
 from brackenloft import interface as api
+from brackenloft.admission.budget import Budget, Side
 from brackenloft.answers import FAILED, Answer
 from brackenloft.checks import Checks
 from brackenloft.net import wire
@@ -25,9 +28,13 @@
 MOST_AT_ONCE = 64  # commands of one connection read before the others have their turn
 MOST_ERRORS = 16  # bad commands in a row, after which a connection is closed: no use comes of more
 COMMAND_S = 2.0  # for a first command, from connecting on, and for the rest of one that has beg; of 3 s
+AGED_S = 0.05  # from which the time that a request has waited in the kernel counts: the loop's turns are less
+MOST_AGE_MS = 60_000  # more than any client waits: not to be believed
+INFO_SIZE, INFO_OFFSET, INFO_LAST_DATA = 104, 52, struct.Struct("=I")
 LINGER_S = 0.3  # a broken connection stays so long, unread, that the error is not reset away
 STALLED_S = 15.0  # a client that takes no byte of its answers for so long is gone
 FRESH_S = 0.25  # who has said nothing is let be so long, or would come back at once, again and again
+SHORT = 0.5  # share of the places taken from which they are given up as soon as may be
 IDLE_S = 2.0  # a connection on which no request is open may be closed after that
 SWEEP_S = 0.1  # between two looks at who is overdue
 BACKLOG = 1024  # connections that wait in the kernel: all that come while there is no room
@@ -38,6 +45,19 @@
 DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
 
 
+def _age_s(sock: socket.socket) -> float:
+    """How long what came last has lain in the kernel; 0 where that can't be told.
+
+    From struct tcp_info (Linux, tcp(7)): tcpi_last_data_recv, milliseconds.
+    """
+    try:
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, INFO_SIZE)
+        age_ms: int = INFO_LAST_DATA.unpack_from(info, INFO_OFFSET)[0]
+    except (OSError, AttributeError, struct.error):
+        return 0.0
+    return age_ms / 1000.0 if age_ms <= MOST_AGE_MS else 0.0
+
+
 class CommandError(ValueError):
     """A command that is answered with an error; the connection lives on."""
 
@@ -109,17 +129,20 @@
 class Slot:
     """The place of a command's reply in the order of its connection."""
 
-    __slots__ = ("connection", "answer", "request_id", "size")
+    __slots__ = ("connection", "answer", "request_id", "size", "call")
 
     def __init__(
         self, connection: Client, answer: bytes | None = None, request_id: str = "", size: int = 0,
     ) -> None:
         self.connection, self.answer, self.request_id = connection, answer, request_id
         self.size = size  # bytes that it holds: the command, later the answer
+        self.call: Call | None = None
 
     def fill(self, answer: Answer) -> None:
         """The command's one answer."""
         self.answer = wire.answer_line(answer)
+        if self.call and not self.call.sends:
+            self.connection.turned_away()
         self.connection.hold(len(self.answer) - self.size)
         self.size = len(self.answer)
         self.connection.flush()
@@ -133,6 +156,7 @@
         self.reader = Commands()
         self.slots: deque[Slot] = deque()
         self.held = self.in_hand = 0  # bytes in all and in slots
+        self.age_s = 0.0  # of what came first, when it was read
         self.asked = self.errors = 0  # requests so far, and bad commands in a row
         self.transport: asyncio.Transport | None = None
         self.spoke = self.ending = self.unread = self.stuck = self.paused = self.reading = self.tired = False
@@ -165,6 +189,8 @@
     def data_received(self, data: bytes) -> None:
         if self.ending:
             return
+        if not self.spoke and not self.reader.buffer:
+            self.age_s = _age_s(self.socket)
         self.reader.feed(data)
         self.hold(len(data), in_hand=False)
         self._read()
@@ -249,6 +275,7 @@
             return
         self.errors = 0
         self.asked += 1
+        self.clients.asking += self.asked == 1
         if self.clients.held > self.clients.most_held:
             self.hold(-size, in_hand=False)
             self._reply(b"-BUSY\r\n")  # guards against commands in hand that together outgrow the memory
@@ -256,7 +283,21 @@
         self.in_hand += size
         slot = Slot(self, None, request.request_id, size)
         self.slots.append(slot)
-        driver.request(Call(request.request_id, encode, slot.fill), request, request.patience_ms)
+        slot.call = Call(request.request_id, encode, slot.fill)
+        if self.asked == 1:
+            age_ms = self.age_s * 1000.0 if self.age_s >= AGED_S else 0.0
+            patience_ms = max(0.0, request.patience_ms - age_ms)
+            request = replace(
+                request, scarcity=self.clients.scarcity(), age_ms=age_ms, patience_ms=patience_ms)
+        driver.request(slot.call, request, request.patience_ms)
+
+    def turned_away(self) -> None:
+        """Nothing was sent on for a request. If it was the first one, and places are short, it ends here.
+
+        Guards against connections that hold a place for seconds for nothing.
+        """
+        if self.asked == 1 and self.clients.short():
+            self.ending = True
 
     def _refuse(self, why: str) -> None:
         """A bad command: an error, and after many in a row the end."""
@@ -360,15 +401,18 @@
 class Clients:
     """The listener and the connections it accepted, bounded in number and in what they hold."""
 
-    def __init__(self, driver: Driver, settings: api.Settings, most_connections: int, most_held: int) -> None:
+    def __init__(
+        self, driver: Driver, settings: api.Settings, budget: Budget, most_held: int, usual: int = 0,
+    ) -> None:
         self.driver, self.requests = driver, Requests(settings)
-        self.most_connections, self.most_held = most_connections, most_held
+        self.budget, self.most_held = budget, most_held
         self.held = 0  # bytes of commands and replies
         self.connections: OrderedDict[Client, None] = OrderedDict()
         self.owing: OrderedDict[Client, float] = OrderedDict()  # a command or an end, since when
         self.idle: OrderedDict[Client, float] = OrderedDict()  # with nothing in hand, and since when
         self.once: OrderedDict[Client, float] = OrderedDict()  # the same, of those who have asked once
-        self.places = 0  # descriptors taken: counted from accepting until the loop has closed them
+        self.asking = 0  # connections that have asked for something
+        self.usual = usual  # connections that clients open for requests by themselves; 0 for any number
         self.loop = asyncio.get_running_loop()
         self.ready = self.leaving = self.accepting = False
         self.listener: socket.socket | None = None
@@ -406,10 +450,10 @@
         free only once the loop has closed its descriptor, so this goes on from ``closed``.
         """
         assert self.listener
-        if self.places >= self.most_connections:
+        if not self.budget.free(Side.CLIENTS):
             self._accept_no_more()
             self._make_room()
-        for _ in range(min(ACCEPTS, self.most_connections - self.places)):
+        for _ in range(min(ACCEPTS, self.budget.free(Side.CLIENTS))):
             try:
                 sock, _ = self.listener.accept()
             except BlockingIOError:
@@ -418,7 +462,7 @@
                 log.warning("no connection accepted: %r", error)
                 self._accept_no_more()  # until the next sweep
                 return
-            self.places += 1
+            self.budget.take(Side.CLIENTS)
             task = self.loop.create_task(self._admit(sock))
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
@@ -451,8 +495,25 @@
                 elif since < now - IDLE_S:
                     idle.move_to_end(client)  # it has a command to be read
 
+    def scarcity(self) -> float:
+        """The share of the places for requests that is taken, by one's own count or the clients'.
+
+        Connections that never asked do not count: turning requests away makes no room where these hold it.
+        """
+        places = self.budget.limit(Side.CLIENTS)
+        return min(1.0, self.asking / (min(self.usual, places) if self.usual else places))
+
+    def short(self) -> bool:
+        """Whether places are to be given up as soon as may be."""
+        return max(self.scarcity(), self.places / self.budget.limit(Side.CLIENTS)) > SHORT
+
+    @property
+    def places(self) -> int:
+        """Descriptors taken: counted from accepting until the loop has closed them."""
+        return self.budget.taken[Side.CLIENTS]
+
     def _place_free(self) -> None:
-        self.places -= 1
+        self.budget.give(Side.CLIENTS)
         self._accept_more()
 
     def opened(self, client: Client) -> None:
@@ -466,6 +527,7 @@
         self.owing.pop(client, None)
         self._stirs(client)
         self.held -= client.held
+        self.asking -= client.asked > 0
         self._place_free()
 
     def sort(self, client: Client, within: bool, took: bool) -> None:
@@ -486,7 +548,9 @@
         """All that came on a connection has been answered."""
         if client.spoke and client not in self.owing:
             self._stirs(client)
-            (self.once if client.asked == 1 else self.idle)[client] = self.loop.time()
+            # Who was never served has had nothing open since it came to the kernel, however long that took.
+            since = self.loop.time() - (0.0 if client.asked else client.age_s)
+            (self.once if client.asked == 1 else self.idle)[client] = since
 
     def _stirs(self, client: Client) -> None:
         self.idle.pop(client, None)
@@ -500,10 +564,10 @@
                 break
             del self.owing[client]
             client.overdue()
-        if self.places < self.most_connections:
+        if self.budget.free(Side.CLIENTS):
             self._accept_more()
-        elif not self.accepting:
-            self._make_room()  # somebody waits
+        if self.short():
+            self._make_room()  # somebody waits, or will before long, here or at the clients
         self.sweeper = self.loop.call_later(SWEEP_S, self._sweep)
 
     # ---- The end
--- a/brackenloft/net/servers.py
+++ b/brackenloft/net/servers.py
@@ -18,6 +18,7 @@
 from typing import cast
 
 from brackenloft import interface as api
+from brackenloft.admission.budget import Budget, Side
 from brackenloft.net.resp import Answer, Answers, ProtocolError
 from brackenloft.settings import REPORT_FIELD
 
@@ -286,12 +287,12 @@
 class Servers:
     """The servers of discovery's list and all connections to them, bounded over all."""
 
-    def __init__(self, settings: api.Settings, most_connections: int, most_held: int) -> None:
+    def __init__(self, settings: api.Settings, budget: Budget, most_held: int) -> None:
         self.loop = asyncio.get_running_loop()
         self.connect_timeout_s = settings.limits.connect_timeout_ms / 1000.0
         self.idle_limit_s = settings.limits.connection_idle_ms / 1000.0 * IDLE_SHARE
         self.readings = Readings(settings.load_fields, settings.largest_units)
-        self.most_connections, self.most_held = most_connections, most_held
+        self.budget, self.most_held = budget, most_held
         self.held = 0  # bytes of answers that are not whole yet
         self.hosts: dict[int, Host] = {}
         self.connections: set[Connection] = set()
@@ -356,7 +357,7 @@
         return None
 
     def _connect(self, host: Host, attempt: Attempt) -> None:
-        if len(self.connections) >= self.most_connections and not self._evict():
+        if not self.budget.take(Side.SERVERS) and not (self._evict() and self.budget.take(Side.SERVERS)):
             attempt.finish(Reply(api.Status.CONNECT_FAILED))
             return
         connection = Connection(self, host, attempt)
@@ -402,7 +403,9 @@
 
     def forget(self, connection: Connection) -> None:
         """A connection that is closing counts no more."""
-        self.connections.discard(connection)
+        if connection in self.connections:
+            self.connections.discard(connection)
+            self.budget.give(Side.SERVERS)
         with suppress(ValueError):
             connection.host.idle.remove(connection)
 
