--- a/brackenloft/__main__.py
+++ b/brackenloft/__main__.py
@@ -24,7 +24,7 @@
 log = logging.getLogger("brackenloft")
 
 OTHER_DESCRIPTORS = 32  # beside clients and servers: the log, the loop, discovery, the listener, a margin
-SERVERS_SHARE = 0.125  # of the rest, kept for each side: 26 connections to servers are seen of 384 descriptors
+SERVERS_SHARE = 0.125  # of the rest, kept for each side: 26 to servers were seen of 384 descriptors
 CLIENTS_SHARE = 0.5  # what is between them is lent. Clients hold a third of all for requests, as many again
 # have asked once and may not be closed for 2 s, and some say nothing
 ASKING = 3  # clients hold a third of the descriptors for requests at most: theirs run out before ours
--- a/brackenloft/admission/budget.py
+++ b/brackenloft/admission/budget.py
@@ -16,8 +16,8 @@
 
 
 class Budget:
-    """Counts descriptors. ``floors`` are kept free for a side, whatever the other one wants; ``spare`` more than
-    a side holds are left to it, so that one that grows a little need not wait for the other to give back.
+    """Counts descriptors. ``floors`` are kept free for a side, whatever the other one wants; ``spare`` more
+    than a side holds are left to it, so that one that grows a little need not wait for the other.
     """
 
     def __init__(self, total: int, clients: int, servers: int, spare: int = 0) -> None:
--- a/brackenloft/edge/edge.py
+++ b/brackenloft/edge/edge.py
@@ -47,11 +47,11 @@
 class Room:
     """What an edge may take of the host's process.
 
-    ``server_connections`` and ``client_connections`` are descriptors kept for the two sides, ``lent`` more that
-    either may use while the other does not. ``held`` bytes are kept at most for
-    each of the two sides (what clients have sent, what servers have answered); ``in_hand`` requests of the
-    host itself are open at once, beyond which they are refused. ``asking``: connections with requests that the
-    clients open by themselves, None for as many as are taken: from half of them on places count as short.
+    ``server_connections`` and ``client_connections`` are descriptors kept for the two sides, ``lent`` more
+    that either may use while the other does not. ``held`` bytes are kept at most for each of the two sides
+    (what clients have sent, what servers have answered); ``in_hand`` requests of the host itself are open at
+    once, beyond which they are refused. ``asking``: connections for requests that clients open at most by
+    themselves, None for as many as are taken.
     """
 
     server_connections: int = 256
@@ -204,7 +204,8 @@
         self.loop = asyncio.get_running_loop()
         room = self.room
         total = room.client_connections + room.server_connections + room.lent
-        self.budget = Budget(total, room.client_connections, room.server_connections, SPARE if room.lent else 0)
+        spare = SPARE if room.lent else 0
+        self.budget = Budget(total, room.client_connections, room.server_connections, spare)
         self.servers = Servers(self.settings, self.budget, room.held)
         self.driver = Driver(Gateway(self.settings, self.seed), self.servers, Clock())
         self.clients = Clients(self.driver, self.settings, self.budget, room.held, room.asking or 0)
--- a/brackenloft/interface.py
+++ b/brackenloft/interface.py
@@ -230,9 +230,9 @@
     """A client's try. It may come through ``width`` gateways in a row from number ``first_gateway``.
 
     ``served_here``: the host does the work itself; it is metered, held and capped like any other, and sent
-    to ``HERE`` once at most. ``scarcity``: of what the request alone would hold for some time, as the first one
-    on a new connection, this share is taken (0 to 1); 0 where nothing is held for it. ``age_ms``: how long it
-    had come before it was read; ``patience_ms`` counts from its reading.
+    to ``HERE`` once at most. ``scarcity``: of what the request alone would hold for some time, as the first
+    one on a new connection, this share is taken by others (0 to 1); 0 where nothing is held for it.
+    ``age_ms``: how long before its reading it had come; ``patience_ms`` counts from its reading.
     """
 
     request_id: str
--- a/brackenloft/logic.py
+++ b/brackenloft/logic.py
@@ -87,7 +87,7 @@
 SAMPLE = 10  # servers compared for a request, drawn at random, beside as many that answered it quickly last
 
 # Crowds: requests that each hold a place of their own for a while, worth it or not
-CROWD_FROM = 0.7  # share of the places taken from which the cheapest of them are turned away
+CROWD_FROM = 0.8  # share of the places taken from which the cheapest of them are turned away
 CROWD_SEEN = 200  # of the last of them, whose values tell which are cheap
 
 # Cold servers
@@ -761,9 +761,9 @@
     def _crowded_out(self, event: Request, kind: RequestClass, plan: Plan) -> bool:
         """Whether the place that the request would hold is better kept for one that is worth more.
 
-        Guards against crowds that ask once on ever new connections: places come free at a fixed pace, whatever
-        they were held for. The cheapest are turned away, more of them the more places are taken, so that as
-        many come in as go. Harm: while it lasts the least worth is hardly served at all.
+        Guards against crowds that ask once on ever new connections: places come free at a fixed pace,
+        whatever they were held for. The cheapest are turned away, more of them the more places are taken, so
+        that as many come in as go. Harm: while it lasts the least worth is hardly served at all.
         """
         value = kind.worth * event.units
         cheaper = sum(other < value for other in self.crowd)
--- a/brackenloft/net/clients.py
+++ b/brackenloft/net/clients.py
@@ -36,10 +36,10 @@
 FRESH_S = 0.25  # who has said nothing is let be so long, or would come back at once, again and again
 SHORT = 0.5  # share of the places taken from which they are given up as soon as may be
 IDLE_S = 2.0  # a connection on which no request is open may be closed after that
-SWEEP_S = 0.1  # between two looks at who is overdue
+SWEEP_S = 0.05  # between two looks at who is overdue
 BACKLOG = 1024  # connections that wait in the kernel: all that come while there is no room
 ACCEPTS = 32  # connections accepted before the others have their turn
-ROOM = 8  # connections closed at once when there is no room for another
+ROOM = 16  # connections closed at once when there is no room for another
 ID = re.compile(rb"[0-9A-Za-z]{1,64}")  # of a request, and an idempotency key
 WHOLE = re.compile(rb"[0-9]{1,6}")
 DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
@@ -498,10 +498,12 @@
     def scarcity(self) -> float:
         """The share of the places for requests that is taken, by one's own count or the clients'.
 
+        For the request that has come last: its own place does not count.
+
         Connections that never asked do not count: turning requests away makes no room where these hold it.
         """
         places = self.budget.limit(Side.CLIENTS)
-        return min(1.0, self.asking / (min(self.usual, places) if self.usual else places))
+        return min(1.0, max(0, self.asking - 1) / (min(self.usual, places) if self.usual else places))
 
     def short(self) -> bool:
         """Whether places are to be given up as soon as may be."""
