Least rates for both sides, both ways; what a client does not take is counted

Need: a client that did not read its answers held up to 1 MiB uncounted each and was given 15 s flat; a node that took no bytes of a command ended as one that may have run.

Every byte buys time at a least rate, what bursts save up is bounded, our own pauses and a held up loop are given back. Answers that a client does not take count as held; beyond the memory who has most is cut off. An attempt is written whole when its last byte is in the kernel; given up before, it never ran.

--- a/brackenloft/edge/edge.py
+++ b/brackenloft/edge/edge.py
@@ -363,7 +363,9 @@
             "client_connections": len(self.clients.connections),
             "server_connections": len(self.servers.connections),
         }
-        return asdict(self.driver.counters) | now
+        bites = {f"bit: {name}": count for part in (self.clients, self.servers)
+                 for name, count in part.bites.counts.items()}
+        return asdict(self.driver.counters) | now | bites
 
     def _check_open(self) -> None:
         if not self.is_open:
--- a/brackenloft/net/clients.py
+++ b/brackenloft/net/clients.py
@@ -7,6 +7,7 @@
 import re
 import socket
 import struct
+import time
 from collections import OrderedDict, deque
 from contextlib import suppress
 from dataclasses import replace
@@ -15,9 +16,11 @@
 
 from brackenloft import interface as api
 from brackenloft.admission.budget import Budget, Side
+from brackenloft.admission.rate import Least, Pace
 from brackenloft.answers import FAILED, Answer
 from brackenloft.checks import Checks
 from brackenloft.net import wire
+from brackenloft.net.bites import Bites
 from brackenloft.net.driver import Call, Driver
 from brackenloft.net.resp import Commands, ProtocolError
 
@@ -32,7 +35,10 @@
 MOST_AGE_MS = 60_000  # more than any client waits: not to be believed
 INFO_SIZE, INFO_OFFSET, INFO_LAST_DATA = 104, 52, struct.Struct("=I")
 LINGER_S = 0.3  # a broken connection stays so long, unread, that the error is not reset away
-STALLED_S = 15.0  # a client that takes no byte of its answers for so long is gone
+READ_RATE = 16 * 1024  # bytes a second of a command that takes longer than COMMAND_S: a poor link brings more
+STALLED_S = 15.0  # a client that takes no byte of its answers for so long is gone; a burst may save as much
+WRITE_RATE = 4 * 1024  # bytes a second that a client takes at least of answers that pile up here
+LATE_S = 0.025  # a sweep so late says that the loop was held up: nobody is too slow for that
 FRESH_S = 0.25  # who has said nothing is let be so long, or would come back at once, again and again
 SHORT = 0.5  # share of the places taken from which they are given up as soon as may be
 IDLE_S = 2.0  # a connection on which no request is open may be closed after that
@@ -160,7 +166,10 @@
         self.asked = self.errors = 0  # requests so far, and bad commands in a row
         self.transport: asyncio.Transport | None = None
         self.spoke = self.ending = self.unread = self.stuck = self.paused = self.reading = self.tired = False
-        self.timer: asyncio.TimerHandle | None = None  # while it is stuck, or lingers
+        self.timer: asyncio.TimerHandle | None = None  # while it lingers
+        self.reads: Pace | None = None  # while it is within a command
+        self.writes: Pace | None = None  # while it is stuck
+        self.unsent = 0  # bytes of answers that it has not taken, while it is stuck
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         # uvloop's transports are not asyncio.Transport by class: no isinstance here
@@ -191,6 +200,8 @@
             return
         if not self.spoke and not self.reader.buffer:
             self.age_s = _age_s(self.socket)
+        if self.reads:
+            self.reads.moved(len(data), time.monotonic())
         self.reader.feed(data)
         self.hold(len(data), in_hand=False)
         self._read()
@@ -240,6 +251,8 @@
         pause = self.ending or self.tired or self._full()
         if pause != self.paused:
             self.paused = pause
+            if self.reads:
+                (self.reads.pause if pause else self.reads.resume)(time.monotonic())
             (self.transport.pause_reading if pause else self.transport.resume_reading)()
 
     def _break(self, why: str) -> None:
@@ -341,6 +354,8 @@
                 break
             self.hold(-self.slots.popleft().size)
             self.transport.write(answer)
+        if self.stuck:
+            self._count_unsent()
         if self.reading:
             return
         if self.paused and not self.ending:
@@ -360,7 +375,7 @@
             return
         if self.ending and self.unread:
             if self.timer is None:
-                self.timer = self.clients.loop.call_later(LINGER_S, self._abort)
+                self.timer = self.clients.loop.call_later(LINGER_S, self.abort)
         elif self.ending or self.clients.leaving:
             self.transport.close()
 
@@ -370,18 +385,33 @@
         Guards against a slow reader whose answers pile up here.
         """
         self.stuck = True
+        self.writes = Pace(Least(WRITE_RATE, STALLED_S, STALLED_S), time.monotonic())
+        self.clients.stuck[self] = None
+        self._count_unsent()
         self._throttle()
-        if self.timer is None:
-            self.timer = self.clients.loop.call_later(STALLED_S, self._abort)
+
+    def _count_unsent(self) -> int:
+        """Count what it has not taken yet as held; how much less that is than before."""
+        size = self.transport.get_write_buffer_size() if self.stuck and self.transport else 0
+        gone, self.unsent = self.unsent - size, size
+        self.hold(-gone, in_hand=False)
+        return gone
+
+    def takes_too_little(self, now: float, late: float) -> bool:
+        """Whether answers pile up here that it takes too slowly."""
+        assert self.writes
+        self.writes.excuse(late)
+        self.writes.moved(max(0, self._count_unsent()), now)
+        return self.writes.too_slow(now)
 
     def resume_writing(self) -> None:
-        self.stuck = False
-        if self.timer:
-            self.timer.cancel()
-            self.timer = None
+        self.stuck, self.writes = False, None
+        self.clients.stuck.pop(self, None)
+        self._count_unsent()
         self.flush()
 
-    def _abort(self) -> None:
+    def abort(self) -> None:
+        """End the connection, whatever is still to be written on it."""
         if self.transport:
             self.transport.abort()
 
@@ -406,6 +436,10 @@
     ) -> None:
         self.driver, self.requests = driver, Requests(settings)
         self.budget, self.most_held = budget, most_held
+        self.bites = Bites()
+        self.slow: dict[Client, None] = {}  # within a command for long, but not too slow so far
+        self.stuck: dict[Client, None] = {}  # whose answers pile up here
+        self.swept = time.monotonic()
         self.held = 0  # bytes of commands and replies
         self.connections: OrderedDict[Client, None] = OrderedDict()
         self.owing: OrderedDict[Client, float] = OrderedDict()  # a command or an end, since when
@@ -527,6 +561,8 @@
         """A connection has ended, and its descriptor is free."""
         self.connections.pop(client, None)
         self.owing.pop(client, None)
+        self.slow.pop(client, None)
+        self.stuck.pop(client, None)
         self._stirs(client)
         self.held -= client.held
         self.asking -= client.asked > 0
@@ -534,11 +570,17 @@
 
     def sort(self, client: Client, within: bool, took: bool) -> None:
         """Note what a connection is at: within a command, at its end, idle, or with requests in hand."""
+        if took or not within:
+            client.reads = None
+            self.slow.pop(client, None)
+        if within and client.reads is None and not client.ending:
+            client.reads = Pace(Least(READ_RATE, COMMAND_S, COMMAND_S), time.monotonic())
         if took:
             self.owing.pop(client, None)
         if within or client.ending:
             self._stirs(client)
-            self.owing.setdefault(client, self.loop.time())
+            if client not in self.slow:
+                self.owing.setdefault(client, self.loop.time())
         elif client.spoke:
             self.owing.pop(client, None)
             if client.slots:
@@ -565,13 +607,37 @@
             if since > before:
                 break
             del self.owing[client]
-            client.overdue()
+            if client.reads and not client.ending:
+                self.slow[client] = None
+            else:
+                client.overdue()
+        self._cut_the_slow()
         if self.budget.free(Side.CLIENTS):
             self._accept_more()
         if self.short():
             self._make_room()  # somebody waits, or will before long, here or at the clients
         self.sweeper = self.loop.call_later(SWEEP_S, self._sweep)
 
+    def _cut_the_slow(self) -> None:
+        """End who reads or writes below the least rate, and who has most here if it is too much for all."""
+        now = time.monotonic()
+        late = max(0.0, now - self.swept - SWEEP_S)
+        late, self.swept = late if late > LATE_S else 0.0, now
+        for client in list(self.slow):
+            if client.reads:
+                client.reads.excuse(late)
+            if client.reads is None or client.reads.too_slow(now):
+                del self.slow[client]
+                self.bites.bite("least rate of commands", "a client is turned away")
+                client.overdue()
+        for client in list(self.stuck):
+            if client.takes_too_little(now, late):
+                self.bites.bite("least rate of answers", "a client that takes too little is cut off")
+                client.abort()
+        if self.held > self.most_held and self.stuck:
+            self.bites.bite("memory of answers", "the client that has most is cut off")
+            max(self.stuck, key=lambda client: client.unsent).abort()
+
     # ---- The end
 
     def stop_listening(self) -> None:
--- a/brackenloft/net/servers.py
+++ b/brackenloft/net/servers.py
@@ -19,6 +19,8 @@
 
 from brackenloft import interface as api
 from brackenloft.admission.budget import Budget, Side
+from brackenloft.admission.rate import Least, Pace
+from brackenloft.net.bites import Bites
 from brackenloft.net.resp import Answer, Answers, ProtocolError
 from brackenloft.settings import REPORT_FIELD
 
@@ -30,6 +32,10 @@
 MOST_LOAD = 1_000_000.0  # of any figure in a load report
 COST_LARGEST = 10.0  # how many times the largest guess the units that a request took may be
 FIGURE = re.compile(r"[a-z_0-9]{1,20}=[0-9]{1,9}(\.[0-9]{1,20})?")
+SLOW_RATE = 32 * 1024  # bytes a second of an answer, or of a command that a server takes, at least
+SLOW_S = 1.0  # before that counts, and what a burst may save up: a small part of any aim
+LOOK_S = 0.1  # between two looks at those under way
+LATE_S = 0.025  # a look so late says that the loop was held up: no server is too slow for that
 SWEEP_S = 1.0  # between two looks at idle connections
 Address = tuple[str, int]
 
@@ -150,7 +156,9 @@
         self.task: asyncio.Task[None] | None = None
         self.reader = Answers()
         self.held = 0  # bytes of an answer that is not whole yet
-        self.handed = False  # the attempt's last byte to the kernel
+        self.handed = False  # the attempt's last byte to the kernel: written whole; never, while it is not
+        self.pace: Pace | None = None  # of a command or an answer that is under way for a while
+        self.unsent = 0
         self.idle_since = 0.0
         self.closed = False
         attempt.connection = self
@@ -205,10 +213,24 @@
         assert self.transport is not None
         self.handed, attempt.written = False, time.monotonic()
         self.transport.write(attempt.payload)
-        self.handed = self.transport.get_write_buffer_size() == 0
+        self.unsent = self.transport.get_write_buffer_size()
+        self.handed = self.unsent == 0
+        if not self.handed:
+            self.servers.look_at(self)
 
     def resume_writing(self) -> None:
-        self.handed = True
+        self.handed, self.pace = True, None
+
+    def too_slow(self, now: float, late: float) -> bool:
+        """Whether what is under way moves below the least rate; a command by what the kernel takes."""
+        if self.pace is None:
+            return False
+        self.pace.excuse(late)
+        if not self.handed and self.transport:
+            size = self.transport.get_write_buffer_size()
+            self.pace.moved(max(0, self.unsent - size), now)
+            self.unsent = size
+        return self.pace.too_slow(now)
 
     def data_received(self, data: bytes) -> None:
         """An answer, or a part of one; it is judged before the connection is used again.
@@ -226,7 +248,11 @@
             answer = self.reader.answer()
             if answer is None:
                 self.servers.hold(len(self.reader.buffer) - self.held, self)
+                if self.pace:
+                    self.pace.moved(len(data), time.monotonic())
+                self.servers.look_at(self)
                 return
+            self.pace = None
             self.servers.hold(-self.held, self)
             reply = self.servers.readings.reply(answer)
         except ProtocolError as error:
@@ -294,6 +320,10 @@
         self.readings = Readings(settings.load_fields, settings.largest_units)
         self.budget, self.most_held = budget, most_held
         self.held = 0  # bytes of answers that are not whole yet
+        self.bites = Bites()
+        self.under_way: set[Connection] = set()  # whose pace is watched
+        self.looking: asyncio.TimerHandle | None = None
+        self.looked = 0.0
         self.hosts: dict[int, Host] = {}
         self.connections: set[Connection] = set()
         self.sweeper = self.loop.call_later(SWEEP_S, self._sweep)
@@ -378,7 +408,9 @@
         """Stop waiting: the connection is closed, then the outcome told. One not up yet never ran."""
         connection = attempt.connection
         if attempt.done and connection:
-            connection.close(status if connection.transport else not_up)
+            if connection.transport and not connection.handed:
+                not_up = api.Status.CONNECT_FAILED  # its last bytes never left this machine
+            connection.close(status if connection.handed else not_up)
 
     def close_idle(self, server: int) -> None:
         """Close the idle connections to a server."""
@@ -401,6 +433,30 @@
         if size > 0 and self.held > self.most_held:
             raise ProtocolError("more answers than there is memory for")
 
+    def look_at(self, connection: Connection) -> None:
+        """A command or an answer did not go or come at once: its pace is watched if it still does not."""
+        self.under_way.add(connection)
+        if self.looking is None:
+            self.looked = time.monotonic()
+            self.looking = self.loop.call_later(LOOK_S, self._look)
+
+    def _look(self) -> None:
+        """Guards against servers that take or send a byte now and then until the caller's time is up."""
+        now = time.monotonic()
+        late = max(0.0, now - self.looked - LOOK_S)
+        late, self.looked, self.looking = late if late > LATE_S else 0.0, now, None
+        for connection in list(self.under_way):
+            if connection.closed or (connection.handed and not connection.reader.buffer):
+                self.under_way.discard(connection)
+            elif connection.pace is None:
+                connection.pace = Pace(Least(SLOW_RATE, SLOW_S, SLOW_S), now)
+            elif connection.too_slow(now, late):
+                self.under_way.discard(connection)
+                self.bites.bite("least rate of servers", "a slow attempt is ended")
+                connection.close(api.Status.ERROR if connection.handed else api.Status.CONNECT_FAILED)
+        if self.under_way:
+            self.looking = self.loop.call_later(LOOK_S, self._look)
+
     def forget(self, connection: Connection) -> None:
         """A connection that is closing counts no more."""
         if connection in self.connections:
@@ -420,5 +476,7 @@
     def close(self) -> None:
         """Close everything, at the end."""
         self.sweeper.cancel()
+        if self.looking:
+            self.looking.cancel()
         for connection in list(self.connections):
             connection.close(api.Status.CANCELLED)
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,109 @@
+"""Budget and least rate against plain models; no sockets, no clock."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from brackenloft.admission.budget import OTHER, Budget, Side
+from brackenloft.admission.rate import Least, Pace
+
+SIDES = st.sampled_from(list(Side))
+
+
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(st.integers(1, 12), st.integers(1, 12), st.integers(0, 12), st.integers(0, 4),
+       st.lists(st.tuples(SIDES, st.booleans()), max_size=120))
+def test_budget_is_never_passed_and_a_floor_is_always_there(clients, servers, lent, spare, steps):
+    total = clients + servers + lent
+    budget, held = Budget(total, clients, servers, spare), dict.fromkeys(Side, 0)
+    floors = {Side.CLIENTS: clients, Side.SERVERS: servers}
+    for side, takes in steps:
+        if takes:
+            free = budget.free(side)
+            assert budget.take(side) == (free > 0)
+            held[side] += free > 0
+            if held[side] <= floors[side]:
+                assert free > 0 or held[side] == floors[side]  # what the floor promises was there
+        elif held[side]:
+            budget.give(side)
+            held[side] -= 1
+        assert budget.taken == held and sum(held.values()) <= total
+        for one in Side:
+            assert budget.free(one) <= total - sum(held.values())
+            if held[one] < floors[one]:
+                assert budget.free(one) > 0
+            if budget.owed(one):
+                assert not budget.free(one) and held[one] > floors[one]
+            assert budget.limit(one) >= floors[one]
+
+
+def test_what_one_side_leaves_the_other_may_have_but_for_some_to_spare():
+    budget = Budget(20, 8, 4, spare=2)
+    while budget.take(Side.CLIENTS):
+        pass
+    assert budget.taken[Side.CLIENTS] == 16 and budget.free(Side.SERVERS) == 4
+    for _ in range(4):
+        assert budget.take(Side.SERVERS)
+    assert not budget.take(Side.SERVERS) and budget.owed(Side.CLIENTS) == 2
+    for _ in range(2):
+        budget.give(Side.CLIENTS)
+        assert not budget.take(Side.SERVERS)  # some are to spare for clients
+    budget.give(Side.CLIENTS)
+    assert budget.take(Side.SERVERS) and OTHER[Side.SERVERS] is Side.CLIENTS
+
+
+@pytest.mark.parametrize("floors", [(0, 1), (1, 0), (6, 5)])
+def test_floors_that_do_not_go_into_the_budget_are_an_error(floors):
+    with pytest.raises(ValueError, match="floors"):
+        Budget(10, *floors)
+    with pytest.raises(ValueError, match="hold none"):
+        Budget(10, 1, 1).give(Side.CLIENTS)
+
+
+LEAST = Least(rate=100.0, grace_s=2.0, span_s=3.0)
+
+
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(st.lists(st.tuples(st.integers(1, 40), st.integers(0, 200)), max_size=60), st.integers(101, 400))
+def test_who_keeps_above_the_rate_is_never_too_slow(gaps, rate):
+    """Each gap of tenths of a second below the grace brings at least what the rate asks for it."""
+    pace, now = Pace(LEAST, 0.0), 0.0
+    for tenths, more in gaps:
+        span = min(tenths, 19) / 10.0
+        now += span
+        assert not pace.too_slow(now)
+        pace.moved(int(rate * span) + 1 + more, now)
+
+
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(st.integers(0, 100_000), st.integers(1, 90))
+def test_trickle_after_any_burst_is_cut_within_a_stated_time(burst, rate):
+    pace, now = Pace(LEAST, 0.0), 0.0
+    pace.moved(burst, 0.0)
+    while not pace.too_slow(now):
+        now += 0.1
+        pace.moved(rate // 10, now)
+        assert now <= LEAST.span_s / (1.0 - rate / LEAST.rate) + LEAST.grace_s + 1.0
+    assert now > LEAST.grace_s
+
+
+@settings(derandomize=True, max_examples=200, deadline=None)
+@given(st.lists(st.tuples(st.floats(0.0, 50.0), st.floats(0.0, 50.0)), max_size=20))
+def test_time_that_we_wait_ourselves_counts_for_nothing(spans):
+    pace, now, own = Pace(LEAST, 0.0), 0.0, 0.0
+    for ours, theirs in spans:
+        pace.pause(now)
+        pace.pause(now + ours / 2.0)
+        assert not pace.too_slow(now + ours)
+        now += ours
+        pace.resume(now)
+        now, own = now + theirs, own + theirs
+        assert pace.too_slow(now) == (own > LEAST.grace_s) or abs(own - LEAST.grace_s) < 1e-6
+    pace.excuse(1000.0)
+    assert not pace.too_slow(now)
+
+
+@pytest.mark.parametrize("figures", [(0.0, 1.0, 1.0), (1.0, -1.0, 1.0), (1.0, 1.0, 0.0)])
+def test_rate_that_is_none_is_an_error(figures):
+    with pytest.raises(ValueError, match="least rate"):
+        Least(*figures)
