--- a/brackenloft/net/clients.py
+++ b/brackenloft/net/clients.py
@@ -17,6 +17,7 @@
 from brackenloft import interface as api
 from brackenloft.admission.budget import Budget, Side
 from brackenloft.admission.rate import Least, Pace
+from brackenloft.admission.roll import Roll, Standing
 from brackenloft.answers import FAILED, Answer
 from brackenloft.checks import Checks
 from brackenloft.net import wire
@@ -199,6 +200,7 @@
         if self.ending:
             return
         if not self.spoke and not self.reader.buffer:
+            self.clients.roll.stirs(self)
             self.age_s = _age_s(self.socket)
         if self.reads:
             self.reads.moved(len(data), time.monotonic())
@@ -443,8 +445,7 @@
         self.held = 0  # bytes of commands and replies
         self.connections: OrderedDict[Client, None] = OrderedDict()
         self.owing: OrderedDict[Client, float] = OrderedDict()  # a command or an end, since when
-        self.idle: OrderedDict[Client, float] = OrderedDict()  # with nothing in hand, and since when
-        self.once: OrderedDict[Client, float] = OrderedDict()  # the same, of those who have asked once
+        self.roll: Roll[Client] = Roll()  # who does nothing now, and may be closed for it
         self.asking = 0  # connections that have asked for something
         self.usual = usual  # connections that clients open for requests by themselves; 0 for any number
         self.loop = asyncio.get_running_loop()
@@ -513,21 +514,18 @@
     def _make_room(self) -> None:
         """Close who is leaving, who has said nothing yet, and who is idle, the longest first.
 
-        Those who have asked once go before those who come again. Guards against clients that keep a
-        connection for good and so make the usual ones open theirs anew. Never one within a command or with a
-        request in hand.
+        Guards against clients that keep a connection for good and so make the usual ones open theirs anew.
+        Never one within a command or with a request in hand.
         """
         now, room = self.loop.time(), ROOM
-        for client, since in list(islice(self.owing.items(), 4 * ROOM)):
-            if client.ending or (since < now - FRESH_S and not client.spoke and not client.held):
+        for client in list(islice(self.owing, 4 * ROOM)):
+            if client.ending:
                 room -= client.drop()
-        for idle in (self.once, self.idle):
-            for client, since in list(islice(idle.items(), max(0, room))):
-                if since < now - IDLE_S and client.drop():
-                    room -= 1
-                    del idle[client]
-                elif since < now - IDLE_S:
-                    idle.move_to_end(client)  # it has a command to be read
+        for client in list(self.roll.closable(now, FRESH_S, IDLE_S, max(0, room))):
+            if client.drop():
+                self.roll.stirs(client)
+            else:
+                self.roll.later(client)  # it has a command to be read
 
     def scarcity(self) -> float:
         """The share of the places for requests that is taken, by one's own count or the clients'.
@@ -556,6 +554,7 @@
         """A new connection; its first command is due."""
         self.connections[client] = None
         self.owing[client] = self.loop.time()
+        self.roll.rests(client, Standing.FRESH, self.loop.time())
 
     def closed(self, client: Client) -> None:
         """A connection has ended, and its descriptor is free."""
@@ -563,7 +562,7 @@
         self.owing.pop(client, None)
         self.slow.pop(client, None)
         self.stuck.pop(client, None)
-        self._stirs(client)
+        self.roll.stirs(client)
         self.held -= client.held
         self.asking -= client.asked > 0
         self._place_free()
@@ -578,27 +577,22 @@
         if took:
             self.owing.pop(client, None)
         if within or client.ending:
-            self._stirs(client)
+            self.roll.stirs(client)
             if client not in self.slow:
                 self.owing.setdefault(client, self.loop.time())
         elif client.spoke:
             self.owing.pop(client, None)
             if client.slots:
-                self._stirs(client)
+                self.roll.stirs(client)
             else:
                 self.rests(client)
 
     def rests(self, client: Client) -> None:
         """All that came on a connection has been answered."""
         if client.spoke and client not in self.owing:
-            self._stirs(client)
             # Who was never served has had nothing open since it came to the kernel, however long that took.
             since = self.loop.time() - (0.0 if client.asked else client.age_s)
-            (self.once if client.asked == 1 else self.idle)[client] = since
-
-    def _stirs(self, client: Client) -> None:
-        self.idle.pop(client, None)
-        self.once.pop(client, None)
+            self.roll.rests(client, Standing.ONCE if client.asked == 1 else Standing.IDLE, since)
 
     def _sweep(self) -> None:
         before = self.loop.time() - COMMAND_S
