A client within a command, or with answers to take, never counts as resting

Seen by breaking the guard on pauses: while a client did not take its answers, the rest of a command that it had begun was forgotten, the connection counted as resting and could have been closed for room. Part of a command, or one not taken yet, keeps it busy; its time stands still while we do not read. A test fails without either.

--- a/brackenloft/net/clients.py
+++ b/brackenloft/net/clients.py
@@ -239,7 +239,7 @@
             self.tired = True
             self.clients.loop.call_soon(self._go_on)
         self._throttle()
-        self.clients.sort(self, within, took > 0)
+        self.clients.sort(self, bool(self.reader.buffer), took > 0)  # part of one, or some not taken yet
         self._leave_if_done()
 
     def _go_on(self) -> None:
@@ -574,6 +574,8 @@
             self.slow.pop(client, None)
         if within and client.reads is None and not client.ending:
             client.reads = Pace(Least(READ_RATE, COMMAND_S, COMMAND_S), time.monotonic())
+            if client.paused:
+                client.reads.pause(time.monotonic())
         if took:
             self.owing.pop(client, None)
         if within or client.ending:
@@ -582,14 +584,14 @@
                 self.owing.setdefault(client, self.loop.time())
         elif client.spoke:
             self.owing.pop(client, None)
-            if client.slots:
+            if client.slots or client.stuck:
                 self.roll.stirs(client)
             else:
                 self.rests(client)
 
     def rests(self, client: Client) -> None:
         """All that came on a connection has been answered."""
-        if client.spoke and client not in self.owing:
+        if client.spoke and not client.stuck and client not in self.owing and client not in self.slow:
             # Who was never served has had nothing open since it came to the kernel, however long that took.
             since = self.loop.time() - (0.0 if client.asked else client.age_s)
             self.roll.rests(client, Standing.ONCE if client.asked == 1 else Standing.IDLE, since)
--- a/brackenloft/net/servers.py
+++ b/brackenloft/net/servers.py
@@ -405,11 +405,9 @@
     def stop(
         self, attempt: Attempt, status: api.Status, not_up: api.Status = api.Status.CONNECT_FAILED,
     ) -> None:
-        """Stop waiting: the connection is closed, then the outcome told. One not up yet never ran."""
+        """Stop waiting: the connection is closed, then the outcome told. One not written whole never ran."""
         connection = attempt.connection
         if attempt.done and connection:
-            if connection.transport and not connection.handed:
-                not_up = api.Status.CONNECT_FAILED  # its last bytes never left this machine
             connection.close(status if connection.handed else not_up)
 
     def close_idle(self, server: int) -> None:
--- a/tests/test_net_slow.py
+++ b/tests/test_net_slow.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import time
 from dataclasses import replace
 
 import pytest
@@ -170,6 +171,30 @@
     run(test())
 
 
+def test_command_that_waits_as_its_client_takes_an_answer_is_not_too_slow():
+    async def test():
+        server = FakeServer(lambda words: array(LARGE if words[2].endswith(b"1") else b"v"))
+        async with node(server) as gateway:
+            small_buffers(gateway)
+            loop, got, began = asyncio.get_running_loop(), 0, time.monotonic()
+            sock = await deaf_peer(gateway, call(1, "buy"), call(2)[:30])
+            await until(lambda: bool(gateway.clients.stuck))
+            while got < len(LARGE):  # for longer than a command is given, in which the rest is not read
+                await asyncio.sleep(0.02)
+                got += len(await loop.sock_recv(sock, 16 * 1024))
+            assert time.monotonic() - began > 2.0 * clients_module.COMMAND_S
+            await loop.sock_sendall(sock, call(2)[30:])
+            text = b""
+            while not text.endswith(b"$1\r\nv\r\n"):
+                part = await loop.sock_recv(sock, 4096)
+                assert part, text
+                text += part
+            assert not gateway.clients.bites.counts
+            sock.close()
+
+    run(test())
+
+
 def test_answer_that_trickles_ends_as_one_that_may_have_run():
     async def test():
         server = FakeServer(lambda words: b"*3\r\n$900000\r\nvvv")
