Memory is made by who holds most, shares in a crowd are fair, and who leaves drains the queue

On the servers' side the same: the answer that came was given up, not the largest. Change: admission/room.py says who goes, the largest first; clients and servers use it at the moment of need. In a crowd, what a customer asks beyond twice its share by the plans' rates is turned away first (policy/crowd.py). The budget of descriptors takes any number of fronts. A gateway that leaves accepts what waits in the kernel before its listener closes: with 12 places a crowd of 120 lost its requests to resets.

--- a/brackenloft/admission/budget.py
+++ b/brackenloft/admission/budget.py
@@ -1,41 +1,41 @@
-"""One budget of descriptors for both sides: what one side leaves, the other may use, but for a floor."""
+"""One budget of descriptors for all sides: what one side leaves, the others may use, but for a floor."""
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from enum import Enum
 
 
 class Side(Enum):
-    """Who holds a descriptor."""
+    """Who holds a descriptor: the clients of a front, or the servers."""
 
     CLIENTS = "clients"
     SERVERS = "servers"
 
 
-OTHER = {Side.CLIENTS: Side.SERVERS, Side.SERVERS: Side.CLIENTS}
-
-
 class Budget:
-    """Counts descriptors. ``floors`` are kept free for a side, whatever the other one wants; ``spare`` more
-    than a side holds are left to it, so that one that grows a little need not wait for the other.
+    """Counts descriptors of any number of sides, each front being one.
+
+    ``floors`` are kept free for a side, whatever the others want; ``spare`` more than a side holds are left
+    to it, so that one that grows a little need not wait for the others.
     """
 
-    def __init__(self, total: int, clients: int, servers: int, spare: int = 0) -> None:
-        if clients < 1 or servers < 1 or clients + servers > total:
-            raise ValueError(f"floors of {clients} and {servers} do not go into {total}")
-        self.total, self.spare = total, spare
-        self.floors = {Side.CLIENTS: clients, Side.SERVERS: servers}
-        self.taken = {Side.CLIENTS: 0, Side.SERVERS: 0}
+    def __init__(self, total: int, floors: Mapping[Side, int], spare: int = 0) -> None:
+        if min(floors.values()) < 1 or sum(floors.values()) > total:
+            raise ValueError(f"floors of {', '.join(map(str, floors.values()))} do not go into {total}")
+        self.total, self.spare, self.floors = total, spare, dict(floors)
+        self.taken = dict.fromkeys(floors, 0)
 
     def limit(self, side: Side) -> int:
         """How many a side may hold now, at least its floor."""
-        other = OTHER[side]
-        kept = max(self.floors[other], self.taken[other] + self.spare)
+        kept = sum(max(floor, self.taken[other] + self.spare)
+                   for other, floor in self.floors.items() if other is not side)
         return max(self.floors[side], self.total - kept)
 
     def free(self, side: Side) -> int:
         """How many more a side may take now."""
-        return max(0, min(self.limit(side), self.total - self.taken[OTHER[side]]) - self.taken[side])
+        taken = self.taken[side]
+        return max(0, min(self.limit(side) - taken, self.total - sum(self.taken.values())))
 
     def take(self, side: Side) -> bool:
         """Take one; False if there is none for this side."""
--- a/brackenloft/edge/edge.py
+++ b/brackenloft/edge/edge.py
@@ -16,7 +16,7 @@
 from typing import Any
 
 from brackenloft import interface as api
-from brackenloft.admission.budget import Budget
+from brackenloft.admission.budget import Budget, Side
 from brackenloft.answers import Answer, Granted, Refused
 from brackenloft.checks import CLIENT_MARGIN_MS, Checks, FieldError
 from brackenloft.edge.sources import Node, listing
@@ -205,7 +205,8 @@
         room = self.room
         total = room.client_connections + room.server_connections + room.lent
         spare = SPARE if room.lent else 0
-        self.budget = Budget(total, room.client_connections, room.server_connections, spare)
+        floors = {Side.CLIENTS: room.client_connections, Side.SERVERS: room.server_connections}
+        self.budget = Budget(total, floors, spare)
         self.servers = Servers(self.settings, self.budget, room.held)
         self.driver = Driver(Gateway(self.settings, self.seed), self.servers, Clock())
         self.clients = Clients(self.driver, self.settings, self.budget, room.held, room.asking or 0)
@@ -238,11 +239,15 @@
             self.driver.post(api.Stopping(within_s * 1000.0))
             await asyncio.sleep(accept_s)
             self.clients.stop_listening()
-            while (self.clients.connections or self._own or self.granted_now) and self.loop.time() < end:
+            while self._busy() and self.loop.time() < end:
                 await asyncio.sleep(LOOK_S)
         finally:  # also when the host cancels this
             self._end()
 
+    def _busy(self) -> bool:
+        clients = self.clients
+        return bool(clients.connections or clients.listener or self._own or self.granted_now)
+
     def _end(self) -> None:
         self.is_open = False
         if self._first_list:
--- a/brackenloft/logic.py
+++ b/brackenloft/logic.py
@@ -12,7 +12,6 @@
 from __future__ import annotations
 
 import random
-from collections import deque
 from collections.abc import Callable, Iterable
 from math import exp, inf
 from typing import Any
@@ -48,6 +47,7 @@
     Subscribe,
     TimerFired,
 )
+from brackenloft.policy.crowd import Crowd
 
 # Meter and slices
 THOUSANDTHS = 1000.0  # of a unit, the unit of the excess
@@ -86,10 +86,6 @@
 DOUBTED = 0.5  # share of failures from which a slow attempt is taken elsewhere, and a line is logged
 SAMPLE = 10  # servers compared for a request, drawn at random, beside as many that answered it quickly last
 
-# Crowds: requests that each hold a place of their own for a while, worth it or not
-CROWD_FROM = 0.8  # share of the places taken from which the cheapest of them are turned away
-CROWD_SEEN = 200  # of the last of them, whose values tell which are cheap
-
 # Cold servers
 COLD_SAFETY = 0.33  # of the tipping budget that a full fleet's even share may use: chance and heavy requests
 
@@ -189,7 +185,7 @@
         self.sends = 0
         self.ready: list[Server] = []
         self.cold: list[Server] = []
-        self.crowd: deque[float] = deque(maxlen=CROWD_SEEN)  # values of the last that held a place each
+        self.crowd = Crowd()
         self.logged: set[str] = set()
         self.actions: list[Action] = []
         self.handlers: dict[type, Callable[[Any], None]] = {
@@ -759,18 +755,10 @@
             self._release(flight)
 
     def _crowded_out(self, event: Request, kind: RequestClass, plan: Plan) -> bool:
-        """Whether the place that the request would hold is better kept for one that is worth more.
-
-        Guards against crowds that ask once on ever new connections: places come free at a fixed pace,
-        whatever they were held for. The cheapest are turned away, more of them the more places are taken, so
-        that as many come in as go. Harm: while it lasts the least worth is hardly served at all.
-        """
-        value = kind.worth * event.units
-        cheaper = sum(other < value for other in self.crowd)
-        alike = sum(other == value for other in self.crowd)
-        rank = (cheaper + self.random.random() * alike) / max(1, len(self.crowd))
-        self.crowd.append(value)
-        return rank < (event.scarcity - CROWD_FROM) / (1.0 - CROWD_FROM)
+        """Whether the place that the request would hold is better kept for another."""
+        return self.crowd.turns_away(
+            kind.worth * event.units, (plan.name, event.customer), plan.rate or 1.0, event.scarcity,
+            self.random.random)
 
     def _end_hold(self, flight: Flight) -> None:
         flight.waiting = False
--- a/brackenloft/net/clients.py
+++ b/brackenloft/net/clients.py
@@ -18,6 +18,7 @@
 from brackenloft.admission.budget import Budget, Side
 from brackenloft.admission.rate import Least, Pace
 from brackenloft.admission.roll import Roll, Standing
+from brackenloft.admission.room import relief
 from brackenloft.answers import FAILED, Answer
 from brackenloft.checks import Checks
 from brackenloft.net import wire
@@ -167,6 +168,7 @@
         self.asked = self.errors = 0  # requests so far, and bad commands in a row
         self.transport: asyncio.Transport | None = None
         self.spoke = self.ending = self.unread = self.stuck = self.paused = self.reading = self.tired = False
+        self.within = False  # a part of a command has come, and may be dropped
         self.timer: asyncio.TimerHandle | None = None  # while it lingers
         self.reads: Pace | None = None  # while it is within a command
         self.writes: Pace | None = None  # while it is stuck
@@ -218,7 +220,7 @@
         Guards against a client that pipelines without end. A reply that a command gets at once calls
         ``flush``, which may come back here: ``reading`` says so.
         """
-        self.reading, took, within = True, 0, False
+        self.reading, self.within, took, within = True, False, 0, False
         while not self.ending and self.transport and not self._full() and took < MOST_AT_ONCE:
             before = len(self.reader.buffer)
             try:
@@ -233,8 +235,9 @@
             self.spoke = True
             self._take(command, before - len(self.reader.buffer))
         self.reading = False
-        if within and self.clients.held > self.clients.most_held:
-            self._break("out of memory")
+        self.within = within
+        if within:
+            self.clients.relieve()
         if took == MOST_AT_ONCE and not self.tired:
             self.tired = True
             self.clients.loop.call_soon(self._go_on)
@@ -257,6 +260,22 @@
                 (self.reads.pause if pause else self.reads.resume)(time.monotonic())
             (self.transport.pause_reading if pause else self.transport.resume_reading)()
 
+    def loose(self) -> int:
+        """Bytes that would be free if it were cut off: what it does not take, and a part of a command."""
+        if self.transport is None or self.transport.is_closing() or not (self.stuck or self.within):
+            return 0
+        return max(0, self.held - self.in_hand)
+
+    def cut_off(self) -> None:
+        """End it for the memory that it holds: at once, or after an error where it takes what it is sent."""
+        self.within = False
+        if self.stuck:
+            self.hold(-self.unsent, in_hand=False)
+            self.unsent = 0
+            self.abort()
+        elif not self.ending:
+            self._break("out of memory")
+
     def _break(self, why: str) -> None:
         """What can't be read is answered and the connection closed, after the replies before it."""
         log.info("a client is turned away: %s", why)
@@ -291,7 +310,7 @@
         self.errors = 0
         self.asked += 1
         self.clients.asking += self.asked == 1
-        if self.clients.held > self.clients.most_held:
+        if not self.clients.relieve():
             self.hold(-size, in_hand=False)
             self._reply(b"-BUSY\r\n")  # guards against commands in hand that together outgrow the memory
             return
@@ -492,6 +511,8 @@
             try:
                 sock, _ = self.listener.accept()
             except BlockingIOError:
+                if self.leaving:
+                    self._close_listener()
                 return
             except OSError as error:
                 log.warning("no connection accepted: %r", error)
@@ -630,25 +651,46 @@
             if client.takes_too_little(now, late):
                 self.bites.bite("least rate of answers", "a client that takes too little is cut off")
                 client.abort()
-        if self.held > self.most_held and self.stuck:
-            self.bites.bite("memory of answers", "the client that has most is cut off")
-            max(self.stuck, key=lambda client: client.unsent).abort()
+        self.relieve()
+
+    def relieve(self) -> bool:
+        """Cut off who holds most, if all hold too much; whether there is room now.
+
+        Guards against those who hold little and are turned away for what others keep. What is in hand stays:
+        it is owed.
+        """
+        if self.held <= self.most_held:
+            return True
+        holders = {client: size for client in self.connections if (size := client.loose())}
+        for client in relief(self.held, self.most_held, holders):
+            self.bites.bite("memory", "the client that holds most is cut off")
+            client.cut_off()
+        return self.held <= self.most_held
 
     # ---- The end
 
     def stop_listening(self) -> None:
-        """Accept no more, and close each connection once nothing is owed on it."""
+        """Close each connection once nothing is owed on it, accept who waits in the kernel, then nobody.
+
+        Guards against losing a crowd's requests: the kernel has taken what waits for a place, and resets it
+        when the listener closes. The places come free here, as who rests is closed.
+        """
+        self.leaving = True
+        for client in list(self.connections):
+            client.flush()
+        if self.listener:
+            self._accept_more()
+            self._accept()
+
+    def _close_listener(self) -> None:
         if self.listener:
             self._accept_no_more()
             self.listener.close()
             self.listener = None
-        self.leaving = True
-        for client in list(self.connections):
-            client.flush()
 
     def abort(self) -> None:
         """Close what is left, at the very end."""
         self.sweeper.cancel()
+        self._close_listener()
         for client in list(self.connections):
-            if client.transport:
-                client.transport.abort()
+            client.abort()
--- a/brackenloft/net/servers.py
+++ b/brackenloft/net/servers.py
@@ -20,6 +20,7 @@
 from brackenloft import interface as api
 from brackenloft.admission.budget import Budget, Side
 from brackenloft.admission.rate import Least, Pace
+from brackenloft.admission.room import relief
 from brackenloft.net.bites import Bites
 from brackenloft.net.resp import Answer, Answers, ProtocolError
 from brackenloft.settings import REPORT_FIELD
@@ -428,8 +429,14 @@
         """Count bytes held for an answer. Guards against answers that together outgrow the memory."""
         connection.held += size
         self.held += size
-        if size > 0 and self.held > self.most_held:
-            raise ProtocolError("more answers than there is memory for")
+        if size <= 0 or self.held <= self.most_held:
+            return
+        holders = {one: one.held for one in self.connections if one.held}
+        for one in relief(self.held, self.most_held, holders):
+            self.bites.bite("memory of answers", "the answer that holds most is given up")
+            if one is connection:
+                raise ProtocolError("more answers than there is memory for")
+            one.close(api.Status.ERROR)  # it may have run
 
     def look_at(self, connection: Connection) -> None:
         """A command or an answer did not go or come at once: its pace is watched if it still does not."""
