--- a/brackenloft/policy/crowd.py
+++ b/brackenloft/policy/crowd.py
@@ -5,7 +5,7 @@
 from collections import deque
 from collections.abc import Callable, Hashable
 
-CROWD_FROM = 0.8  # share of the places taken from which the cheapest of them are turned away
+CROWD_FROM = 0.9  # share of the places taken from which the cheapest of them are turned away
 CROWD_SEEN = 200  # of the last of them, whose values tell which are cheap
 FAIR_MULTIPLE = 2.0  # of its fair share that a customer may ask for: rates are uneven by nature
 FAIR_LEAST = 2.0  # and so many more: two by chance are no crowd
