The decisions taken apart: meter, servers, attempts with a table of states, parked, crowd

Need: Gateway had grown to 700 lines in one class, and what may happen in which state of a request was spread over flags. A Flight's states and what follows which, and which trigger still means something in which, are two tables; a change that the table does not have raises. Choice and health skip what nothing has failed at, and figures of cold servers where none is cold. Crowds: as many come in as places come free, steadily, in place of a share by how many are taken, which filled all places in one second with whatever came and turned the worthiest away in the next.

--- a/benchmarks/ordinary.py
+++ b/benchmarks/ordinary.py
@@ -335,11 +335,11 @@
                 sends[action.request_id] = action
 
     if parked:
-        gateway.pool = float(parked)
+        gateway.fleet.pool = float(parked)
         ask("holder", "full", "f")
         for number in range(parked):  # wait for their customer's one place, which is taken all the while
             ask(f"p{number}", "full", "f")
-        gateway.pool = max(float(parked), 6.0 * servers)
+        gateway.fleet.pool = max(float(parked), 6.0 * servers)
     spent = 0.0
     for number in range(requests):
         now += 0.01
--- a/brackenloft/__init__.py
+++ b/brackenloft/__init__.py
@@ -38,7 +38,7 @@
     TellPeer,
     TimerFired,
 )
-from brackenloft.logic import Gateway
+from brackenloft.policy import Gateway
 
 __all__ = [
     "Action", "Cancel", "ClientGone", "CloseIdle", "Contract", "CounterAdd", "CounterReply", "DiscoveryMode",
--- a/brackenloft/adapter.py
+++ b/brackenloft/adapter.py
@@ -12,7 +12,7 @@
 from typing import Any, TextIO
 
 from brackenloft import interface as api
-from brackenloft.logic import Gateway
+from brackenloft.policy import Gateway
 from brackenloft.settings import Fields, settings_from
 
 STATUS = {
--- a/brackenloft/edge/edge.py
+++ b/brackenloft/edge/edge.py
@@ -20,7 +20,6 @@
 from brackenloft.answers import Answer, Granted, Refused
 from brackenloft.checks import CLIENT_MARGIN_MS, Checks, FieldError
 from brackenloft.edge.sources import Node, listing
-from brackenloft.logic import Gateway
 from brackenloft.net import driver as driving
 from brackenloft.net import wire
 from brackenloft.net.clients import Clients
@@ -28,6 +27,7 @@
 from brackenloft.net.driver import Clock, Driver
 from brackenloft.net.resp import LONGEST_VALUE
 from brackenloft.net.servers import Address, Servers
+from brackenloft.policy import Gateway
 
 log = logging.getLogger(__name__)
 
--- a/brackenloft/interface.py
+++ b/brackenloft/interface.py
@@ -232,6 +232,7 @@
     ``served_here``: the host does the work itself; it is metered, held and capped like any other, and sent
     to ``HERE`` once at most. ``scarcity``: of what the request alone would hold for some time, as the first
     one on a new connection, this share is taken by others (0 to 1); 0 where nothing is held for it.
+    ``turnover``: of these, so many come free in a second at least.
     ``age_ms``: how long before its reading it had come; ``patience_ms`` counts from its reading.
     """
 
@@ -247,10 +248,11 @@
     is_write: bool = False
     served_here: bool = False
     scarcity: float = 0.0
+    turnover: float = 0.0
     age_ms: float = 0.0
 
     def __post_init__(self) -> None:
-        _check(self, 0.0, "units", "patience_ms", "scarcity", "age_ms")
+        _check(self, 0.0, "units", "patience_ms", "scarcity", "turnover", "age_ms")
         _check(self, 1, "width")
 
 
--- a/brackenloft/net/clients.py
+++ b/brackenloft/net/clients.py
@@ -44,6 +44,7 @@
 FRESH_S = 0.25  # who has said nothing is let be so long, or would come back at once, again and again
 SHORT = 0.5  # share of the places taken from which they are given up as soon as may be
 IDLE_S = 2.0  # a connection on which no request is open may be closed after that
+SERVED_S = 0.1  # about what it is open for before
 SWEEP_S = 0.05  # between two looks at who is overdue
 BACKLOG = 1024  # connections that wait in the kernel: all that come while there is no room
 ACCEPTS = 32  # connections accepted before the others have their turn
@@ -322,7 +323,8 @@
             age_ms = self.age_s * 1000.0 if self.age_s >= AGED_S else 0.0
             patience_ms = max(0.0, request.patience_ms - age_ms)
             request = replace(
-                request, scarcity=self.clients.scarcity(), age_ms=age_ms, patience_ms=patience_ms)
+                request, scarcity=self.clients.scarcity(), turnover=self.clients.turnover(), age_ms=age_ms,
+                patience_ms=patience_ms)
         driver.request(slot.call, request, request.patience_ms)
 
     def turned_away(self) -> None:
@@ -555,8 +557,16 @@
 
         Connections that never asked do not count: turning requests away makes no room where these hold it.
         """
+        return min(1.0, max(0, self.asking - 1) / self._for_requests())
+
+    def _for_requests(self) -> int:
+        """Places that clients may hold for requests."""
         places = self.budget.limit(Side.CLIENTS)
-        return min(1.0, max(0, self.asking - 1) / (min(self.usual, places) if self.usual else places))
+        return min(self.usual, places) if self.usual else places
+
+    def turnover(self) -> float:
+        """Places for requests that come free in a second, when all are held for as long as they may be."""
+        return self._for_requests() / (IDLE_S + SERVED_S)
 
     def short(self) -> bool:
         """Whether places are to be given up as soon as may be."""
--- a/brackenloft/net/driver.py
+++ b/brackenloft/net/driver.py
@@ -15,9 +15,9 @@
 
 from brackenloft import interface as api
 from brackenloft.answers import FAILED, Answer, Granted, Refused, Served
-from brackenloft.logic import Gateway
 from brackenloft.net.lag import Lag
 from brackenloft.net.servers import Attempt, Reply, Servers
+from brackenloft.policy import Gateway
 
 log = logging.getLogger(__name__)
 
--- a/brackenloft/policy/__init__.py
+++ b/brackenloft/policy/__init__.py
@@ -1,1 +1,7 @@
-"""The decisions, apart from sockets, clocks and wires: see ``brackenloft.logic`` for the way through."""
+"""The decisions, apart from sockets, clocks and wires: which server gets a request, whether to try again, and
+what is turned away. The way through is told in gateway.py.
+"""
+
+from brackenloft.policy.gateway import Gateway
+
+__all__ = ["Gateway"]
--- /dev/null
+++ b/brackenloft/policy/gateway.py
@@ -0,0 +1,399 @@
+"""The gateway's decisions: events go in, actions come out. The types of both stand in interface.py.
+
+The path of a request, from top to bottom of ``Gateway``:
+  _on_request  unknown names are refused; the customer's leaky bucket says send, hold or refuse (meter)
+  _release     after a hold, or at once: the in-flight cap, the ceiling, a server (servers); else it is parked
+  _send        an attempt goes out; its server, its customer and the budgets are charged
+  _on_outcome  health is judged, the meter read; a failed attempt is sent again or answered
+  _answer      refused where a retry is proven harmless, else failed; once, before the deadline
+Parked requests are tried again whenever an attempt ends or the list of servers changes. What may happen in
+which state of a request is told by the tables of attempts.py.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from math import inf
+from typing import Any
+
+from brackenloft.interface import (
+    HERE,
+    Action,
+    Allowance,
+    Cancel,
+    ClientGone,
+    DiscoveryMode,
+    Effect,
+    Event,
+    Fail,
+    ListKind,
+    Log,
+    Outcome,
+    Plan,
+    ProbeResult,
+    Refuse,
+    Request,
+    RequestClass,
+    Send,
+    ServerList,
+    SetTimer,
+    Settings,
+    Status,
+    Stopping,
+    StreamStarted,
+    Subscribe,
+    TimerFired,
+)
+from brackenloft.policy.attempts import Flight, State, Terms, Trigger
+from brackenloft.policy.crowd import Crowd
+from brackenloft.policy.meter import Meter
+from brackenloft.policy.parked import Parked
+from brackenloft.policy.servers import DOUBTED, SLOW, Fleet, Server
+
+ANSWER_TICKS = 2.0  # ticks before the client's deadline of the last answer: one to fire, one to spare
+ASK_SHARE = 0.5  # of the time in which discovery must be asked: room for one failed call
+MOST_PARKED = 1000  # while there is no server to tell how many may wait: some seconds of work at hand
+RETRY_SHARE = 0.2  # further attempts per first one, over time: bounds what failures can add to the load
+RETRY_STORE = 10.0  # further attempts saved up at most
+MOST_NOTES = 100  # different lines for the people on call
+
+
+class Gateway:
+    """One gateway's decisions. Feed events in order; carry out the actions in order."""
+
+    def __init__(self, settings: Settings, seed: int) -> None:
+        self.settings, self.random = settings, random.Random(seed)
+        self.terms = {(kind.name, plan.name): Terms(kind, plan)
+                      for kind in settings.classes for plan in settings.plans}
+        self.meter = Meter(settings)
+        self.fleet = Fleet(settings, self.random, self._log_once)
+        self.flights: dict[str, Flight] = {}
+        self.parked = Parked(self._value)
+        self.crowd = Crowd()
+        self.timers: dict[int, tuple[Callable[[Any], None], Any]] = {}
+        self.tokens, self.now, self.ends_at = 0, -inf, inf
+        self.retries = RETRY_STORE
+        self.logged: set[str] = set()
+        self.actions: list[Action] = []
+        self.handlers: dict[type, Callable[[Any], None]] = {
+            Request: self._on_request, Outcome: self._on_outcome, TimerFired: self._on_timer,
+            ServerList: self._on_list, ClientGone: self._on_gone, StreamStarted: self._on_stream,
+            ProbeResult: self._on_probe, Stopping: self._on_stopping,
+        }
+
+    def handle(self, now_ms: float, event: Event) -> list[Action]:
+        """Decide on one event at this time; times never go back."""
+        if not now_ms >= self.now:
+            raise ValueError(f"now_ms: {now_ms!r} is before {self.now!r}")
+        self.now = self.fleet.now = now_ms
+        self.actions = []
+        self.meter.started_at = min(self.meter.started_at, now_ms)
+        handler = self.handlers.get(type(event))
+        if handler:
+            handler(event)
+        return self.actions
+
+    def allowance(self, plan_name: str, customer_name: str, width: int = 1) -> Allowance:
+        """What a customer could have now; changes nothing. KeyError: there is no such plan."""
+        return self.meter.allowance(plan_name, customer_name, width, self.now)
+
+    # ---- Requests in
+
+    def _on_request(self, event: Request) -> None:
+        terms = self.terms.get((event.class_name, event.plan))
+        if event.request_id in self.flights:
+            return  # it is in hand already, and may have run: a refusal here would be its answer
+        if terms is None:
+            self._log_once(f"refused: unknown class {event.class_name!r} or plan {event.plan!r}")
+            self.actions.append(Refuse(event.request_id))
+            return
+        kind, plan = terms.kind, terms.plan
+        if event.age_ms and event.age_ms + self.fleet.latency[kind.name] >= kind.aim_ms:
+            self.actions.append(Refuse(event.request_id))
+            return
+        meter, now = self.meter, self.now
+        customer = meter.customer(event, plan, now)
+        if event.is_retry and meter.thin(customer, plan):
+            self.actions.append(Refuse(event.request_id, over_quota=True))
+            return
+        flight = Flight(event, terms, customer, now, self.random.random())
+        before = customer.excess, customer.touched
+        hold = meter.hold_ms(customer, plan, kind, event.units, now)
+        if hold and hold >= min(event.patience_ms, meter.useful_ms(kind, self.fleet.latency[kind.name])):
+            customer.excess, customer.touched = before
+            advice = meter.advice_ms(customer, plan, event.units, now)
+            self.actions.append(Refuse(event.request_id, advice, True))
+            return
+        if event.scarcity and self._crowded_out(event, kind, plan):
+            customer.excess, customer.touched = before
+            self.actions.append(Refuse(event.request_id))
+            return
+        self.flights[event.request_id] = flight
+        if event.served_here and not hold:
+            self._release(flight)
+            if flight.state is not State.STREAMING:
+                self._limit(flight)  # the host's, without a deadline, where it was granted
+            return
+        self._limit(flight)
+        if hold > 0.0:
+            flight.move(State.HELD)
+            self._arm(hold, self._end_hold, flight, flight)
+        else:
+            self._release(flight)
+
+    def _crowded_out(self, event: Request, kind: RequestClass, plan: Plan) -> bool:
+        """Whether the place that the request would hold is better kept for another."""
+        return self.crowd.turns_away(
+            kind.worth * event.units, (plan.name, event.customer), plan.rate or 1.0, event.scarcity,
+            event.turnover, self.now, self.random.random)
+
+    # ---- To a server, or parked
+
+    def _end_hold(self, flight: Flight) -> None:
+        if flight.hears(Trigger.RELEASE):
+            self._release(flight)
+
+    def _release(self, flight: Flight) -> None:
+        """First send: within the in-flight cap and the ceiling, to a server; else parked until it may go."""
+        customer, plan, meter = flight.customer, flight.plan, self.meter
+        wait = meter.ceiling_wait(customer, plan, flight.request.units, self.now)
+        if wait >= flight.deadline - self.now:
+            self._answer(flight)
+            return
+        capped = customer.out >= meter.in_flight_cap(customer, plan, self.now)
+        server = None if wait or capped else self.fleet.choose(flight)
+        if server:
+            self.parked.drop(flight)
+            self._send(flight, server)
+            return
+        self._park(flight, wait)
+
+    def _park(self, flight: Flight, wait: float) -> None:
+        """Hold what can't go now; the least worth for its work is refused when more wait than go at once.
+
+        Guards against queues here that outlast the aim. Harm: a short burst over few servers is
+        refused though it would have been served in time.
+        """
+        if flight not in self.parked:
+            last = flight.arrived + flight.kind.aim_ms - self.fleet.latency[flight.kind.name]
+            self._arm(max(0.0, last - self.now), self._end_park, flight, flight)
+        flight.move(State.PARKED)
+        self.parked.add(flight)
+        if len(self.parked) > (max(1.0, self.fleet.pool) if self.fleet.servers else MOST_PARKED):
+            self._answer(self.parked.least())
+        if wait and not flight.closed:
+            self._arm(wait + self.settings.tick_ms, self._end_hold, flight, flight)
+
+    def _value(self, flight: Flight) -> float:
+        """Worth for the work."""
+        kind = flight.kind
+        return kind.worth * flight.plan.price * flight.request.units / self.fleet.latency[kind.name]
+
+    def _end_park(self, flight: Flight) -> None:
+        if flight.hears(Trigger.END_PARK) and (flight.request.served_here or self.fleet.ready):
+            self._answer(flight)
+
+    def _retry_parked(self) -> None:
+        for flight in self.parked.in_order():
+            self._release(flight)
+
+    # ---- Attempts
+
+    def _send(self, flight: Flight, server: Server) -> None:
+        request, number = flight.request, flight.sends
+        if number == 0:
+            self.meter.draw_ceiling(flight.customer, flight.plan, request.units, self.now)
+        flight.sends += 1
+        flight.out[number] = (server, self.now)
+        flight.customer.out += 1
+        if server is self.fleet.here:
+            flight.move(State.STREAMING)  # the host's now, and without a deadline
+            self.actions.append(Send(request.request_id, HERE))
+            return  # nothing of it tells of servers: no pool, no marks, no budget of further attempts
+        flight.move(State.OUT)
+        if number == 0:
+            self.retries = min(RETRY_STORE, self.retries + RETRY_SHARE)
+        else:
+            self.retries -= 1.0
+        flight.tried.add(server.id)
+        self.fleet.sent(server, (request.request_id, number))
+        self.actions.append(Send(request.request_id, server.id))
+        self._arm(SLOW * flight.kind.aim_ms, self._on_slow, (flight, number), flight)
+
+    def _may_resend(self, flight: Flight) -> bool:
+        return flight.sends < self.settings.limits.max_attempts and self.retries >= 1.0
+
+    def _on_outcome(self, event: Outcome) -> None:
+        flight = self.flights.get(event.request_id)
+        if flight is None or event.attempt not in flight.out:
+            return
+        attempt = flight.out.pop(event.attempt)
+        server, fleet = attempt[0], self.fleet
+        flight.customer.out -= 1
+        if server is not fleet.here:
+            fleet.back(server, (event.request_id, event.attempt))
+            fleet.judge(flight, server, event.status)
+            fleet.press(server, flight.kind, event)
+            fleet.report(server, event.load)
+        if event.used_percent is not None:
+            flight.customer.used, flight.customer.used_at = event.used_percent / 100.0, self.now
+        if event.status is Status.OK:
+            if server is not fleet.here:
+                fleet.learn(server, flight.kind, event.latency_ms)
+            if event.final_units is not None and not flight.closed:
+                self.meter.settle(flight.customer, flight.request.units, event.final_units)
+        if (event.closed or event.status is Status.OK) and not flight.closed:
+            flight.move(State.ANSWERED)
+        if not flight.closed:
+            self._again(flight, event.status, attempt)
+        self._drop_if_done(flight)
+        self._retry_parked()
+
+    def _again(self, flight: Flight, status: Status, attempt: tuple[Server, float]) -> None:
+        """After a failed attempt: another one where class, budget and time allow it, else the answer."""
+        flight.note_end(status, attempt)
+        if flight.out or flight.state is State.STREAMING:
+            return
+        if status is not Status.NOT_SENT and self.now < flight.deadline and self._may_resend(flight):
+            server = self.fleet.choose(flight)
+            if server:
+                self._send(flight, server)
+                return
+        self._answer(flight)
+
+    def _on_slow(self, which: tuple[Flight, int]) -> None:
+        """An attempt still out when it is slow tells so before its answer does; it may be taken elsewhere."""
+        flight, number = which
+        self.fleet.young.discard((flight.request.request_id, number))
+        if number not in flight.out or not flight.hears(Trigger.SLOW):
+            return
+        server, sent = flight.out[number]
+        self.fleet.mark(server, flight.keys[1], failed=True, why="silent")
+        self._arm((1.0 - SLOW) * flight.kind.aim_ms, self._on_late, which, flight)
+        doubted = (self.fleet.lost(flight.kind, sent)
+                   or self.fleet.share_failed(server, flight.keys[1]) >= DOUBTED)
+        if flight.kind.effect is Effect.UNSAFE or flight.closed or len(flight.out) > 1 or not doubted:
+            return
+        if flight.maybe_ran is None:
+            flight.maybe_ran = (server, sent)
+        if not self._may_resend(flight) or self.fleet.full():
+            return
+        other = self.fleet.choose(flight)
+        if other and other is not server and self.settings.limits.may_duplicate:
+            self._send(flight, other)
+        elif other and self.settings.limits.can_cancel:
+            self.actions.append(Cancel(flight.request.request_id, number))
+
+    def _on_late(self, which: tuple[Flight, int]) -> None:
+        """An attempt still out after the aim, and lost: the request is given up.
+
+        Guards against connections that fell silent: each would hold a place of its customer's in-flight cap
+        until the client's time is up. Harm: an answer that would have come late is not waited for.
+        """
+        flight, number = which
+        out = flight.out.get(number)
+        if out and flight.hears(Trigger.LATE) and self.fleet.lost(flight.kind, out[1]):
+            self._answer(flight)
+
+    def _on_stream(self, event: StreamStarted) -> None:
+        flight = self.flights.get(event.request_id)
+        if flight and flight.hears(Trigger.STREAM):
+            flight.move(State.STREAMING)
+
+    # ---- The end of a request
+
+    def _answer(self, flight: Flight) -> None:
+        """The final answer: a refusal where a retry is proven harmless, else a failure."""
+        if flight.closed:
+            return
+        request_id = flight.request.request_id
+        self.actions.append(Refuse(request_id) if flight.may_refuse() else Fail(request_id))
+        self._close(flight)
+
+    def _on_gone(self, event: ClientGone) -> None:
+        flight = self.flights.get(event.request_id)
+        if flight and not flight.closed:
+            self._close(flight)
+
+    def _close(self, flight: Flight) -> None:
+        """Nothing more is owed. A request that was never sent on leaves no excess: guards against holds of
+        clients that left. What is still out is withdrawn.
+        """
+        flight.move(State.ANSWERED)
+        if flight.sends == 0:
+            self.meter.settle(flight.customer, flight.request.units, 0.0)
+        if self.settings.limits.can_cancel:
+            self.actions.extend(Cancel(flight.request.request_id, number) for number in flight.out)
+        self._drop_if_done(flight)
+
+    def _drop_if_done(self, flight: Flight) -> None:
+        if flight.closed:
+            self.parked.drop(flight)
+            if not flight.out:
+                self.flights.pop(flight.request.request_id, None)
+                for token in flight.timers:  # guards against keeping it until the last of them is due
+                    self.timers.pop(token, None)
+                flight.timers.clear()
+
+    def _limit(self, flight: Flight) -> None:
+        """Arm the final answer: before the client's deadline, and before this gateway is ended."""
+        flight.deadline = min(flight.deadline, self.ends_at)
+        last = flight.deadline - self.now - ANSWER_TICKS * self.settings.tick_ms
+        self._arm(max(0.0, last), self._on_deadline, flight, flight)
+
+    def _on_deadline(self, flight: Flight) -> None:
+        if flight.hears(Trigger.DEADLINE):
+            self._answer(flight)
+
+    def _on_stopping(self, event: Stopping) -> None:
+        """Guards against losing requests whose clients would wait longer than this gateway will live."""
+        self.ends_at = self.now + event.within_ms
+        for flight in list(self.flights.values()):
+            if not flight.closed and flight.deadline > self.ends_at:
+                self._limit(flight)
+
+    # ---- Discovery
+
+    def _on_list(self, event: ServerList) -> None:
+        if self.settings.discovery is DiscoveryMode.ASK:
+            self._ask(event.kind)
+        if event.kind is not ListKind.FAILED:
+            self.fleet.take_list(event)
+            self._retry_parked()
+
+    def _ask(self, kind: ListKind) -> None:
+        """Subscribe at the start and after a failure; ask again well within the time the rules give."""
+        if kind in (ListKind.CACHED, ListKind.FAILED):
+            again = self.settings.contract.ask_within_ms * ASK_SHARE
+            delay = 0.0 if kind is ListKind.CACHED else again
+            self._arm(delay, lambda _: self.actions.append(Subscribe(True)), None)
+
+    def _on_probe(self, event: ProbeResult) -> None:
+        server = self.fleet.servers.get(event.server)
+        if server:
+            self.fleet.report(server, event.load)
+
+    # ---- Timers and notes
+
+    def _on_timer(self, event: TimerFired) -> None:
+        call = self.timers.pop(event.token, None)
+        if call:
+            call[0](call[1])
+
+    def _arm(
+        self, delay: float, call: Callable[[Any], None], argument: Any, flight: Flight | None = None,
+    ) -> None:
+        self.tokens += 1
+        self.timers[self.tokens] = (call, argument)
+        if flight:
+            flight.timers.append(self.tokens)
+        self.actions.append(SetTimer(self.tokens, delay))
+
+    def _log(self, text: str) -> None:
+        self.actions.append(Log(text))
+
+    def _log_once(self, text: str) -> None:
+        if text not in self.logged and len(self.logged) < MOST_NOTES:
+            self.logged.add(text)
+            self._log(text)
--- /dev/null
+++ b/brackenloft/policy/meter.py
@@ -0,0 +1,207 @@
+"""Quotas: the leaky bucket of each customer, the slice of its plan, the cap on what is out, the ceiling."""
+
+from __future__ import annotations
+
+from math import inf
+
+from brackenloft.interface import Allowance, Plan, Request, RequestClass, Settings
+
+THOUSANDTHS = 1000.0  # of a unit, the unit of the excess
+GROWTH = 0.1  # share of the room given out: the meter is late, and all gateways rise on one figure
+WORTH_BURST = 0.25  # by which the burst grows for a class of endless worth, to have what others leave
+CHEAP_HOLD = 0.1  # of the shortest aim, for which the least worthy class is held: the worthier wait longer
+THIN_BURST = 2.0  # requests by which an unused thin slice's burst grows: two by chance are no abuse
+NEWS_PERIODS = 4.0  # meter periods a reading stays news: the period, its lateness, a gap in traffic
+
+
+class Customer:
+    """What this gateway knows of one customer: its excess, its late metered use, what it has out."""
+
+    __slots__ = ("excess", "touched", "largest", "width", "used", "used_at", "out", "ceiling", "ceiling_at",
+                 "asked", "asked_at")
+
+    def __init__(self, now: float, ceiling: float) -> None:
+        self.excess, self.touched, self.largest, self.width = 0.0, now, 0.0, 1
+        self.used, self.used_at = 0.0, -inf
+        self.asked, self.asked_at = 0.0, now  # an excess that counts what was refused as well
+        self.out = 0
+        self.ceiling, self.ceiling_at = ceiling, now
+
+
+class Meter:
+    """The customers, and what each may have now. Times in milliseconds; ``now`` never goes back."""
+
+    def __init__(self, settings: Settings) -> None:
+        self.limits, self.gateways = settings.limits, settings.gateways
+        self.news_ms = NEWS_PERIODS * settings.meter_period_ms
+        self.plans = {item.name: item for item in settings.plans}
+        self.customers: dict[tuple[str, str], Customer] = {}
+        self.started_at = inf
+        worths = [item.worth for item in settings.classes]
+        self.cheap = min(worths) if min(worths) < max(worths) else 0.0  # the least worth, where worths differ
+        self.shortest = min(item.aim_ms for item in settings.classes)
+
+    # ---- Customers
+
+    def customer(self, request: Request, plan: Plan, now: float) -> Customer:
+        """The customer's state, as the last touched; the longest untouched is forgotten once it is as new."""
+        key = (request.plan, request.customer)
+        customer = self.customers.pop(key, None)
+        if customer is None:
+            customer = Customer(now, self._fresh_ceiling(plan, request.width, now))
+        customer.width = min(request.width, self.gateways)
+        customer.largest = max(customer.largest, request.units)
+        self.customers[key] = customer
+        self._forget(customer, now)
+        return customer
+
+    def _forget(self, current: Customer, now: float) -> None:
+        """Keeps the state bounded: each request brings one customer at most and may take two away.
+
+        One that can't be forgotten yet is looked at again in its turn. Guards against one that is slow to
+        drain, or has an attempt out for long, and keeps all behind it.
+        """
+        for _ in range(2):
+            key = next(iter(self.customers))
+            old, plan = self.customers[key], self.plans[key[0]]
+            if old is current:
+                return
+            idle = now - max(old.touched, old.used_at)
+            drained = old.excess <= plan.rate / old.width * idle
+            full = self._ceiling_level(old, plan, now) >= self._fresh_ceiling(plan, old.width, now)
+            recent = idle < self.news_ms
+            if recent and drained and full and not old.out:
+                return  # those behind it have been seen later, or are looked at again before long
+            del self.customers[key]
+            if old.out or recent or not drained or not full:
+                self.customers[key] = old
+
+    # ---- The slice
+
+    def _drain_ms(self, customer: Customer, plan: Plan) -> float:
+        """How long the even slice takes to drain the customer's largest request."""
+        return customer.largest * customer.width * THOUSANDTHS / plan.rate if plan.rate else 0.0
+
+    def _drained(self, customer: Customer, plan: Plan, now: float) -> float:
+        """Units the even slice has drained of what the customer asked here."""
+        return plan.rate * (now - customer.asked_at) / customer.width / THOUSANDTHS
+
+    def thin(self, customer: Customer, plan: Plan) -> bool:
+        """Whether the even slice is less than a request, in its burst and in all the time that news lasts.
+
+        Under thin slices what every gateway lets pass at first adds up to many times the quota, and no
+        gateway hears of the customer often enough to see it. Exceptions that act there, and only there:
+        a marked retry is refused, as it was most likely refused elsewhere for being over quota; and the
+        last reading stays news until a request has drained, its room growing the burst while the customer
+        asks no more here than its slice and two requests: a low reading of one held back is no room.
+        Guards against customers far over quota that try each gateway in turn. Harm: a retry after a failure
+        is refused too.
+        """
+        thin = plan.burst < customer.largest * customer.width
+        return thin and self._drain_ms(customer, plan) > self.news_ms
+
+    def _room(self, customer: Customer, lasts_ms: float, now: float) -> float:
+        """The room that the late reading leaves; none at or over quota, or when it is no news any more."""
+        return max(0.0, 1.0 - customer.used) if now - customer.used_at <= lasts_ms else 0.0
+
+    def share(self, customer: Customer, now: float) -> float:
+        """The slice of the quota: the even floor, and the even part of the room that fresh news leaves."""
+        return min(1.0, (1.0 + GROWTH * self._room(customer, self.news_ms, now)) / customer.width)
+
+    def _worthier(self, kind: RequestClass) -> float:
+        """By how much the burst is larger for a class: nothing for the least worthy.
+
+        Guards against a customer beyond its quota who fills it with what is worth least: an excess near the
+        burst is open to the worthier classes alone. Harm: it passes the quota by that much at first.
+        """
+        return 1.0 + WORTH_BURST * (1.0 - self.cheap / kind.worth) if self.cheap else 1.0
+
+    # ---- The bucket
+
+    def _burst(self, customer: Customer, plan: Plan) -> float:
+        return max(plan.burst / customer.width, customer.largest) * THOUSANDTHS
+
+    def hold_ms(self, customer: Customer, plan: Plan, kind: RequestClass, units: float, now: float) -> float:
+        """Milliseconds to hold the request, inf to refuse it; the excess is stored unless it is refused."""
+        if not plan.rate:
+            return 0.0
+        rate = plan.rate * self.share(customer, now)
+        burst = self._burst(customer, plan)
+        drained = self._drained(customer, plan, now)
+        customer.asked, customer.asked_at = max(0.0, customer.asked - drained) + units, now
+        if self.thin(customer, plan) and customer.asked <= THIN_BURST * customer.largest:
+            burst *= 1.0 + THIN_BURST * self._room(customer, self._drain_ms(customer, plan), now)
+        burst *= self._worthier(kind)
+        elapsed = now - customer.touched
+        excess = max(0.0, customer.excess - rate * elapsed + THOUSANDTHS * units)
+        if excess > 2.0 * burst:
+            return inf
+        customer.excess, customer.touched = excess, now
+        return max(0.0, excess - burst) / rate
+
+    def useful_ms(self, kind: RequestClass, latency_ms: float) -> float:
+        """How long a hold may last: for an answer within the shortest aim, and less for the least worthy.
+
+        Guards against sending on what earns nothing, as a band of one burst may last seconds longer than
+        the aim, and against a class that wins the quota by waiting longest: reads with twice the aim of
+        posts were served whole and posts four fifths. Harm: a class with a long aim, or that earns much
+        after it, is refused what it could have had.
+        """
+        if kind.worth == self.cheap:
+            return CHEAP_HOLD * self.shortest
+        return self.shortest - latency_ms
+
+    def advice_ms(self, customer: Customer, plan: Plan, units: float, now: float) -> float:
+        """When a request refused for the quota may come again: when the bucket has drained for it."""
+        if not self.limits.can_advise_retry:
+            return 0.0
+        rate = plan.rate * self.share(customer, now)
+        excess = customer.excess - rate * (now - customer.touched) + THOUSANDTHS * units
+        return min(self.limits.max_retry_after_ms, max(0.0, excess - self._burst(customer, plan)) / rate)
+
+    def allowance(self, plan_name: str, customer_name: str, width: int, now: float) -> Allowance:
+        """What a customer could have now; changes nothing. KeyError: there is no such plan."""
+        plan = self.plans[plan_name]
+        if not plan.rate:
+            return Allowance(0.0, 0.0, 0.0, 0.0)
+        customer = self.customers.get((plan_name, customer_name))
+        if customer is None:
+            return Allowance(plan.burst / width, plan.burst, plan.rate, 0.0)
+        rate = plan.rate * self.share(customer, now)
+        excess = max(0.0, customer.excess - rate * (now - customer.touched))
+        left = max(0.0, self._burst(customer, plan) - excess) / THOUSANDTHS
+        return Allowance(left, plan.burst, plan.rate, excess / rate)
+
+    def settle(self, customer: Customer, guess: float, true: float) -> None:
+        """Put a guess right once the answer tells the units."""
+        customer.excess = max(0.0, customer.excess + THOUSANDTHS * (true - guess))
+
+    # ---- The in-flight cap and the ceiling
+
+    def in_flight_cap(self, customer: Customer, plan: Plan, now: float) -> float:
+        """This gateway's slice of the attempts a customer may have out at once, at least one."""
+        cap = plan.max_in_flight
+        return max(1, int(cap * self.share(customer, now))) if cap else inf
+
+    def _fresh_ceiling(self, plan: Plan, width: int, now: float) -> float:
+        """The ceiling's share of a customer not seen since the start: unknown history starts at nought."""
+        return min(plan.ceiling_burst, plan.ceiling_rate * (now - self.started_at) / 1000.0) / width
+
+    def _ceiling_level(self, customer: Customer, plan: Plan, now: float) -> float:
+        refill = plan.ceiling_rate / customer.width * (now - customer.ceiling_at) / 1000.0
+        return min(plan.ceiling_burst / customer.width, customer.ceiling + refill)
+
+    def ceiling_wait(self, customer: Customer, plan: Plan, units: float, now: float) -> float:
+        """Milliseconds until this gateway's share of the hard ceiling holds the request's units."""
+        if not plan.ceiling_rate:
+            return 0.0
+        if units > plan.ceiling_burst / customer.width:
+            return inf
+        short = units - self._ceiling_level(customer, plan, now)
+        return max(0.0, short) * 1000.0 * customer.width / plan.ceiling_rate
+
+    def draw_ceiling(self, customer: Customer, plan: Plan, units: float, now: float) -> None:
+        """A first attempt takes its units from the ceiling."""
+        if plan.ceiling_rate:
+            customer.ceiling = self._ceiling_level(customer, plan, now) - units
+            customer.ceiling_at = now
--- /dev/null
+++ b/brackenloft/policy/servers.py
@@ -0,0 +1,317 @@
+"""Servers: what each has shown, how much may be out at all of them, and which one a request goes to."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Iterable
+from math import exp, inf
+
+from brackenloft.interface import (
+    HERE,
+    Effect,
+    ListKind,
+    Outcome,
+    RequestClass,
+    ServerEntry,
+    ServerList,
+    ServerState,
+    Settings,
+    Status,
+)
+from brackenloft.policy.attempts import Flight
+
+# Figures
+FIRST_LATENCY = 0.2  # of a class's aim: its latency until answers have been seen
+LATENCY_STEP = 0.03  # weight of one answer in a class's mean latency: some thirty answers of memory
+SERVER_STEP = 0.15  # weight of one answer in a server's relative latency: some seven answers of memory
+FADE_MS = 4000.0  # time constant with which figures fade, so that a server is tried again; but see _fade
+QUEUE_WEIGHT = 1.0  # requests out that one reported as waiting stands for
+CROSS_WEIGHT = 10.0  # how many times its price a zone crossing weighs against a mean latency
+SPREAD = 0.1  # share of a cost drawn at random, so that gateways with the same reports do not choose alike
+
+# Pressure: how much may be out from here at all servers together, found by what answers show
+FIRST_LIMIT = 6.0  # attempts out at a server, over all gateways, before anything is known of it
+POOL_GROWTH = 0.035  # attempts by which a quick answer lifts a pool that is used up: thirty lift it by one
+POOL_CUT = 0.3  # attempts that a slow answer takes off: one slow answer in ten holds the pool level
+LEAST_POOL = 0.3  # attempts out, a share of requests below one: the pool must see answers to recover
+QUICK = 0.3  # of the aim: answers faster than this lift the pool
+SLOW = 0.5  # of the aim: answers slower than this cut the pool, and attempts out so long are doubtful
+
+# Health: the share of failures that a server shows, apart for its class and for its plan
+DOUBT_COST = 6.0  # mean latencies that a failure costs beside a wait: most of a request's worth is lost
+DOUBT_PRIOR = 1.0  # answers that the share seen at all servers weighs against a server's own
+LOST = 8.0  # mean latencies after which an answer hardly comes: three in ten thousand, if exponential
+FORGIVEN = 0.001  # failures, faded, that count as none: nothing is left to be weighed
+DOUBTED = 0.5  # share of failures from which a slow attempt is taken elsewhere, and a line is logged
+SAMPLE = 10  # servers compared for a request, drawn at random, beside as many that answered it quickly last
+
+# Cold servers
+COLD_SAFETY = 0.33  # of the tipping budget that a full fleet's even share may use: chance and heavy requests
+
+Moment = tuple[float, int]  # the time, and how many attempts had been sent from here
+Mark = tuple[float, float, Moment]  # failures and all outcomes, both faded, and when they were noted
+NEVER: Moment = (-inf, 0)
+UNKNOWN: Mark = (0.0, 0.0, NEVER)
+
+
+class Server:
+    """What this gateway knows of one server."""
+
+    __slots__ = ("id", "zone", "cell", "ready", "started", "out", "ratio", "ratio_at", "queue", "queue_at",
+                 "marks", "phase")
+
+    def __init__(self, entry: ServerEntry, phase: float) -> None:
+        self.phase = phase
+        self.id = entry.server
+        self.out: set[tuple[str, int]] = set()  # attempts out
+        self.reset()
+        self.update(entry)
+
+    def reset(self) -> None:
+        """Forget what a process that is gone has shown."""
+        self.ratio, self.ratio_at, self.queue, self.queue_at = 1.0, NEVER, 0.0, NEVER
+        self.marks: dict[str, Mark] = {}
+
+    def update(self, entry: ServerEntry) -> None:
+        """Take over what discovery says."""
+        self.zone, self.cell, self.started = entry.zone, entry.cell, entry.started_ms
+        self.ready = entry.state is ServerState.READY
+
+
+class Fleet:
+    """The servers, their figures and the choice. ``note`` takes lines for the people on call."""
+
+    def __init__(self, settings: Settings, draw: random.Random, note: Callable[[str], None]) -> None:
+        self.settings, self.random, self.note, self.now = settings, draw, note, -inf
+        self.servers: dict[int, Server] = {}
+        self.here = Server(ServerEntry(HERE, settings.zone), 0.0)  # the host that serves the work itself
+        self.ready: list[Server] = []
+        self.cold: list[Server] = []
+        self.warm_at = -inf
+        self.zone, self.crossing = settings.zone, 1.0 + CROSS_WEIGHT * settings.cross_zone_price
+        self.latency = {item.name: item.aim_ms * FIRST_LATENCY for item in settings.classes}
+        self.young: set[tuple[str, int]] = set()  # attempts out that are not slow yet: what the pool counts
+        self.pool = inf  # until the first list
+        self.marks: dict[str, Mark] = {}  # of all servers together, those of no class by zone
+        self.quick: dict[str, dict[int, Server]] = {item.name: {} for item in settings.classes}
+        self.sends = 0
+        fields = settings.load_fields
+        self.queue_field = fields.index("queue") if "queue" in fields else -1
+
+    # ---- The list
+
+    def take_list(self, event: ServerList) -> None:
+        """Discovery's news."""
+        if event.kind in (ListKind.FULL, ListKind.CACHED):
+            listed = {entry.server for entry in event.entries}
+            self._remove(id for id in list(self.servers) if id not in listed)
+        for entry in event.entries:
+            self._take_entry(entry)
+        self.ready = [server for server in self.servers.values() if server.ready]
+        self.cold = [server for server in self.ready if self.warmth(server) < 1.0]
+        started = max((server.started for server in self.cold), default=-inf)
+        self.warm_at = started + self.settings.contract.warm_up_ms  # all of them are warm from then on
+        if event.kind is ListKind.CACHED:
+            self.pool = FIRST_LIMIT * len(self.servers) / self.settings.gateways
+
+    def _take_entry(self, entry: ServerEntry) -> None:
+        server = self.servers.get(entry.server)
+        if entry.state is ServerState.GONE:
+            self._remove([entry.server])
+        elif server is None:
+            self.servers[entry.server] = Server(entry, self.random.random())
+        else:
+            if entry.started_ms > server.started:
+                server.reset()
+            server.update(entry)
+
+    def _remove(self, ids: Iterable[int]) -> None:
+        for server_id in list(ids):
+            server = self.servers.pop(server_id, None)
+            if server:
+                server.ready = False
+
+    # ---- Attempts out
+
+    def sent(self, server: Server, key: tuple[str, int]) -> None:
+        """An attempt goes out."""
+        server.out.add(key)
+        self.sends += 1
+        self.young.add(key)
+
+    def back(self, server: Server, key: tuple[str, int]) -> None:
+        """It has ended."""
+        server.out.discard(key)
+        self.young.discard(key)
+
+    def full(self) -> bool:
+        """Whether as much is out as the servers take in time."""
+        return len(self.young) >= self.pool
+
+    def lost(self, kind: RequestClass, sent: float) -> bool:
+        """Whether an attempt has been out for so long that its answer will hardly come any more."""
+        return self.now - sent >= LOST * self.latency[kind.name]
+
+    # ---- Health
+
+    def _fade(self, then: Moment) -> float:
+        """What is left of a figure: it fades with time, but not before each server could be met again."""
+        age = min((self.now - then[0]) / FADE_MS, (self.sends - then[1]) / max(1, len(self.servers)))
+        return exp(-age)
+
+    def _note_in(self, marks: dict[str, Mark], name: str, failed: bool, at: Moment) -> None:
+        mark = marks.get(name)
+        if mark is None:
+            marks[name] = (float(failed), 1.0, at)
+            return
+        bad, seen, then = mark
+        fade = self._fade(then)
+        bad = bad * fade + failed
+        marks[name] = (bad if bad >= FORGIVEN else 0.0, seen * fade + 1.0, at)
+
+    def mark(self, server: Server, key: str, failed: bool, why: str = "") -> None:
+        """Note how an attempt went, for its server and for all."""
+        at = (self.now, self.sends)
+        self._note_in(server.marks, key, failed, at)
+        self._note_in(self.marks, key or server.zone, failed, at)
+        if failed and self.share_failed(server, key) >= DOUBTED:
+            self.note(f"server {server.id} doubted{' for ' if key else ''}{key}: {why}")
+
+    def share_failed(self, server: Server, key: str) -> float:
+        """The share of failures expected at a server: its own, and all servers' while it shows little."""
+        bad_all, seen_all, _ = self.marks.get(key or server.zone, UNKNOWN)
+        bad, seen, then = server.marks.get(key, UNKNOWN)
+        if not bad_all and not bad:
+            return 0.0  # as nearly always
+        prior = DOUBT_PRIOR * bad_all / (seen_all + 1.0)
+        fade = self._fade(then) if seen else 0.0
+        return (bad * fade + prior) / (seen * fade + DOUBT_PRIOR)
+
+    def judge(self, flight: Flight, server: Server, status: Status) -> None:
+        """Note an outcome; attempts that wait in vain are noted as they become slow.
+
+        A server that turns one away as full may do so to its class and plan alone, and others go on there.
+        """
+        whole, kind, both = flight.keys
+        if status is Status.OK:
+            for key in flight.keys:
+                self.mark(server, key, failed=False)
+        elif status is Status.ERROR:
+            self.mark(server, kind, failed=True, why=status.value)
+        elif status is Status.FULL:
+            self.mark(server, both, failed=True, why=status.value)
+        elif status in (Status.CONNECT_FAILED, Status.RESET):
+            self.mark(server, whole, failed=True, why=status.value)
+
+    # ---- What answers show
+
+    def press(self, server: Server, kind: RequestClass, event: Outcome) -> None:
+        """What may be out from here at all servers together, moved by every answer.
+
+        Guards against any cause that makes servers slower than the aim: overload, neighbours, costly
+        requests, queues that fill. It sums over all gateways, however many: a limit of one at each server
+        would be hundreds, and each gateway meets a server once in seconds. Silent attempts leave it as they
+        become slow, so that servers that hang don't stop the rest. Harm: few slow servers hold all back a
+        little; where single requests take most of the aim by nature, it keeps too little out.
+        """
+        if event.status is not Status.OK:
+            return
+        known = self.quick[kind.name]
+        known.pop(server.id, None)
+        if event.latency_ms > SLOW * kind.aim_ms:
+            self.pool = max(LEAST_POOL, self.pool - POOL_CUT * min(1.0, self.pool))
+        elif event.latency_ms < QUICK * kind.aim_ms:
+            known[server.id] = server
+            if len(known) > SAMPLE:
+                del known[next(iter(known))]
+            if len(self.young) + 2 >= self.pool:  # the one that ended and one more would not have fitted
+                self.pool += POOL_GROWTH
+
+    def learn(self, server: Server, kind: RequestClass, latency: float) -> None:
+        """Mean latency of the class and relative latency of the server, from one good answer."""
+        mean = self.latency[kind.name]
+        self.latency[kind.name] = mean + LATENCY_STEP * (latency - mean)
+        ratio = 1.0 + (server.ratio - 1.0) * self._fade(server.ratio_at)
+        server.ratio = ratio + SERVER_STEP * (latency / mean - ratio)
+        server.ratio_at = (self.now, self.sends)
+
+    def report(self, server: Server, load: tuple[float, ...] | None) -> None:
+        """A load report."""
+        if load:
+            queue = load[self.queue_field] if 0 <= self.queue_field < len(load) else 0.0
+            server.queue, server.queue_at = queue or 0.0, (self.now, self.sends)
+
+    # ---- Cold servers (a part of choice: who may be sent how much)
+
+    def warmth(self, server: Server) -> float:
+        """The share of its capacity that a server has at least, by the time since its start."""
+        rules = self.settings.contract
+        age = self.now - server.started
+        if server.started <= 0 or age >= rules.warm_up_ms:
+            return 1.0
+        return rules.cold_share + (1.0 - rules.cold_share) * max(0.0, age) / rules.warm_up_ms
+
+    def _cold_turn(self, flight: Flight, server: Server) -> bool:
+        """Whether this request may go to a cold server: only in its turn, drawn once for each request.
+
+        Guards against pushing a cold server over: of all requests at all gateways it is open to its even
+        share times its least warmth at most, however good it looks, however often a request asks again,
+        whatever the number of gateways. It also spreads the burst after a list change. Harm: where most
+        servers are cold at once, requests wait or are refused though the multiple would allow more.
+        """
+        warmth = self.warmth(server)
+        share = min(1.0, COLD_SAFETY * self.settings.contract.tip_multiple) * warmth / len(self.ready)
+        return warmth >= 1.0 or (flight.turn + server.phase) % 1.0 < share
+
+    # ---- Choice
+
+    def _doubt(self, flight: Flight, server: Server) -> float:
+        """How likely the request fails there.
+
+        Guards against silent, half-working and refusing servers, whether all requests suffer or those of
+        one class or plan: who was answered there goes there again, who was not goes elsewhere, and while
+        many fail, servers not tried yet come after those that answered. Nothing is closed: the best of bad
+        servers still gets work. Harm: slow answers by chance turn requests away from a good server.
+        """
+        whole, kind, both = flight.keys
+        share = self.share_failed
+        return max(share(server, whole), share(server, kind), share(server, both))
+
+    def cost(self, flight: Flight, server: Server) -> float:
+        """The wait expected at a server, in mean latencies."""
+        load = 1.0 + len(server.out)
+        if server.queue:
+            load += QUEUE_WEIGHT * server.queue * self._fade(server.queue_at)
+        cost = load * (1.0 + (server.ratio - 1.0) * self._fade(server.ratio_at))
+        if doubt := self._doubt(flight, server):
+            cost *= 1.0 + DOUBT_COST * doubt
+        if self.cold:
+            cost *= self.warmth(server)  # who comes in the turn of a cold server should take it
+        if server.zone != self.zone:
+            cost *= self.crossing
+        return cost * (1.0 + SPREAD * self.random.random())
+
+    def choose(self, flight: Flight) -> Server | None:
+        """The best of some servers: ready, in the request's group, cold only in its turn, not yet tried."""
+        if flight.request.served_here:
+            return None if flight.sends else self.here
+        few = self.ready
+        if not flight.sends:
+            if len(self.young) >= self.pool - flight.turn:
+                return None  # a pool of 1.4: one out for each request, a second for four in ten
+        else:
+            few = [s for s in few if s.id not in flight.tried and flight.in_group(s, self.now)]
+            if not few and flight.kind.effect is Effect.KEYED:
+                few = [s for s in self.ready if flight.in_group(s, self.now)]
+        if len(few) > 2 * SAMPLE:
+            quick = [s for s in self.quick[flight.kind.name].values() if not flight.sends or s in few]
+            few = self.random.sample(few, SAMPLE) + quick + (self.cold if not flight.sends else [])
+        if self.cold and self.now >= self.warm_at:
+            self.cold = []
+        best, least = None, inf
+        for server in few:
+            if server.ready and (not self.cold or self._cold_turn(flight, server)):
+                cost = self.cost(flight, server)
+                if cost < least:
+                    best, least = server, cost
+        return best
