Idle nodes are kept busy: parked in queues, room to wait by time, few connects at once

Cause: 200 pipelined reads with one idle node were refused but for 30, as no more might wait than go at once (a pool of 6), whatever the nodes took; every outcome sorted and tried all that was parked. Where all were let wait, 384 connects at once overflowed the node's accept queue. And eight connections coming up as their server drained aborted the process: uvloop closes a descriptor that its transport does not own yet, and Python's socket closes it once more. Change: parked requests stand in queues by worth; who waits for its customer's cap or the ceiling is woken by that alone. As many wait as the servers take up in 0.3 of the shortest aim (Little's law), any number before the first 20 answers; while answers take under 0.05 of it, each lifts the pool by one. At a server 8 connections come up at once, the others wait for those or for one that has rested; a connect that fails sends them elsewhere at once. A connection is closed only once the loop has taken it over.

--- a/brackenloft/net/servers.py
+++ b/brackenloft/net/servers.py
@@ -11,6 +11,8 @@
 import re
 import socket
 import time
+from bisect import bisect_right
+from collections import deque
 from collections.abc import Callable, Mapping
 from contextlib import suppress
 from dataclasses import dataclass
@@ -28,6 +30,8 @@
 log = logging.getLogger(__name__)
 
 IDLE_SHARE = 0.4  # of the servers' idle limit after which a connection is retired: well before they do
+COMING_UP = 8  # connections to a server that are coming up at once: its accept queue takes many times as many
+LEAST_WAIT_S = 0.001  # for one that rests: the loop's timers are no finer
 REST_S = 0.012  # after an answer, before its connection is used again: what comes right behind shows by then
 MOST_PERCENT = 100_000.0  # of a quota used: a thousand times
 MOST_LOAD = 1_000_000.0  # of any figure in a load report
@@ -64,7 +68,7 @@
 class Attempt:
     """A command on its way to a server; ``done`` is called once with what came of it."""
 
-    __slots__ = ("payload", "done", "connection", "due", "written", "began")
+    __slots__ = ("payload", "done", "connection", "due", "written", "began", "waits")
 
     def __init__(self, payload: bytes, done: Callable[[Reply], None], due: float = inf) -> None:
         self.payload = payload
@@ -72,6 +76,7 @@
         self.due, self.written, self.began = due, inf, time.monotonic()
         self.done: Callable[[Reply], None] | None = done
         self.connection: Connection | None = None
+        self.waits = False  # for a connection of its host
 
     def finish(self, reply: Reply) -> None:
         """Tell the outcome, the first only.
@@ -138,12 +143,15 @@
 class Host:
     """A server as discovery last told it. Each change that makes old connections useless is an epoch."""
 
-    __slots__ = ("address", "started", "ready", "idle", "epoch")
+    __slots__ = ("address", "started", "ready", "idle", "epoch", "coming_up", "waiting", "timer")
 
     def __init__(self) -> None:
         self.address: Address = ("", 0)
         self.started, self.ready, self.epoch = 0.0, False, 0
         self.idle: list[Connection] = []  # the most recently used last
+        self.coming_up = 0  # connections that are not up yet
+        self.waiting: deque[Attempt] = deque()  # for one of these or an idle one that has rested
+        self.timer: asyncio.TimerHandle | None = None  # for the latter
 
 
 class Connection(asyncio.Protocol):
@@ -161,6 +169,9 @@
         self.pace: Pace | None = None  # of a command or an answer that is under way for a while
         self.unsent = 0
         self.idle_since = 0.0
+        # The loop has taken over the socket. Guards against closing the transport before that: uvloop closes
+        # the descriptor then, and Python's socket does so once more, when it may be another connection's.
+        self.up = False
         self.closed = False
         attempt.connection = self
 
@@ -181,8 +192,12 @@
                     raise
             self.socket = sock
             await loop.create_connection(lambda: self, sock=sock)
+            self.up = True
+            if self.closed and self.transport:
+                self.transport.abort()
         except (OSError, TimeoutError):  # out of descriptors is an OSError too: an outcome, not a crash
             self.close(api.Status.CONNECT_FAILED)
+            self.servers.fail_waiting(self.host)
         finally:
             if sock and self.socket is None:
                 sock.close()
@@ -193,7 +208,7 @@
         # With a limit of 0 the loop tells when the last byte has gone to the kernel (resume_writing).
         self.transport.set_write_buffer_limits(0)
         if self.closed or self.attempt is None:
-            self.transport.abort()
+            self.close(api.Status.CANCELLED)
         elif self.epoch != self.host.epoch or not self.host.ready:
             # Guards against a first byte to a server that began to drain, left or moved meanwhile.
             self.close(api.Status.CONNECT_FAILED)
@@ -306,7 +321,8 @@
                 with suppress(OSError):
                     if self.socket:
                         self.socket.shutdown(socket.SHUT_RDWR)
-                self.transport.abort()
+                if self.up:
+                    self.transport.abort()
         if attempt:
             attempt.finish(Reply(status))
 
@@ -358,18 +374,59 @@
         host.epoch += 1
         for connection in list(host.idle):
             connection.close(api.Status.RESET)
+        self.fail_waiting(host)  # for one that drains, left or moved: nothing new goes there
+
+    def fail_waiting(self, host: Host) -> None:
+        """Who waits for a connection learns of one that did not come up: it goes elsewhere at once."""
+        waiting, host.waiting = host.waiting, deque()
+        for attempt in waiting:
+            attempt.waits = False
+            attempt.finish(Reply(api.Status.CONNECT_FAILED))
 
     def start(self, server: int, attempt: Attempt) -> None:
-        """Send on the connection used last, or on a new one."""
+        """Send on the connection used last, or on a new one, or as soon as there is one.
+
+        Guards against opening hundreds of connections at once to a server that answers at once: its accept
+        queue overflows, and the connects time out. Those that wait were never sent.
+        """
         host = self.hosts.get(server)
         if host is None or not host.ready:
             attempt.finish(Reply(api.Status.CONNECT_FAILED))
             return
-        connection = self._rested(host)
-        if connection:
-            connection.send(attempt)
-        else:
-            self._connect(host, attempt)
+        attempt.waits = True
+        host.waiting.append(attempt)
+        self.serve_waiting(host)
+
+    def serve_waiting(self, host: Host) -> None:
+        """Send what waits for a connection, as far as there are any."""
+        while host.waiting:
+            attempt = host.waiting[0]
+            if attempt.done is None:
+                host.waiting.popleft()  # stopped meanwhile
+                continue
+            if time.monotonic() >= attempt.due:
+                host.waiting.popleft().finish(Reply(api.Status.NOT_SENT))
+                continue
+            connection = self._rested(host)
+            short = host.idle and not self.budget.free(Side.SERVERS)  # no use to close one for another
+            if connection is None and (short or host.coming_up >= COMING_UP):
+                if host.idle and host.timer is None:
+                    wait = max(LEAST_WAIT_S, host.idle[0].idle_since + REST_S - self.loop.time())
+                    host.timer = self.loop.call_later(wait, self._have_rested, host)
+                return
+            host.waiting.popleft().waits = False
+            if connection:
+                connection.send(attempt)
+            else:
+                self._connect(host, attempt)
+
+    def _came_up(self, host: Host) -> None:
+        host.coming_up -= 1
+        self.serve_waiting(host)
+
+    def _have_rested(self, host: Host) -> None:
+        host.timer = None
+        self.serve_waiting(host)
 
     def _rested(self, host: Host) -> Connection | None:
         """The idle connection used last, but not just now.
@@ -377,12 +434,12 @@
         Guards against bytes right behind an answer that have not come yet: nothing tells them from the
         answer to what is written next.
         """
-        before = self.loop.time() - REST_S
-        for connection in reversed(list(host.idle)):
-            if connection.idle_since > before:
-                continue
+        idle, before = host.idle, self.loop.time() - REST_S
+        place = bisect_right(idle, before, key=lambda connection: connection.idle_since)
+        while place:
+            place -= 1
+            connection = idle.pop(place)
             if connection.alive():
-                host.idle.remove(connection)
                 return connection
             connection.close(api.Status.RESET)
         return None
@@ -392,8 +449,10 @@
             attempt.finish(Reply(api.Status.CONNECT_FAILED))
             return
         connection = Connection(self, host, attempt)
+        host.coming_up += 1
         self.connections.add(connection)
         connection.task = self.loop.create_task(connection.open())
+        connection.task.add_done_callback(lambda _: self._came_up(host))  # also where it never began
 
     def _evict(self) -> bool:
         """Close the connection that has been idle longest, to make room under the limit on descriptors."""
@@ -410,6 +469,9 @@
         connection = attempt.connection
         if attempt.done and connection:
             connection.close(status if connection.handed else not_up)
+        elif attempt.waits:
+            attempt.waits = False
+            attempt.finish(Reply(not_up))
 
     def close_idle(self, server: int) -> None:
         """Close the idle connections to a server."""
@@ -483,5 +545,10 @@
         self.sweeper.cancel()
         if self.looking:
             self.looking.cancel()
+        for host in self.hosts.values():
+            host.ready = False
+            self._renew(host)
+            if host.timer:
+                host.timer.cancel()
         for connection in list(self.connections):
             connection.close(api.Status.CANCELLED)
--- a/brackenloft/policy/attempts.py
+++ b/brackenloft/policy/attempts.py
@@ -79,7 +79,7 @@
     """A request in hand: held, parked or out, or answered with attempts still out."""
 
     __slots__ = ("request", "kind", "plan", "customer", "arrived", "deadline", "sends", "out", "tried",
-                 "state", "maybe_ran", "turn", "keys", "timers")
+                 "state", "maybe_ran", "turn", "keys", "timers", "parked_as")
 
     def __init__(self, request: Request, terms: Terms, customer: Customer, now: float, turn: float) -> None:
         self.request, self.customer = request, customer
@@ -89,6 +89,7 @@
         self.out: dict[int, tuple[Server, float]] = {}
         self.tried: set[int] = set()
         self.state = State.NEW
+        self.parked_as = 0  # its number among all that were parked; 0 while it is not
         self.timers: list[int] = []  # tokens of those that are for this request alone
         self.maybe_ran: tuple[Server, float] | None = None  # the first attempt that may have run
 
--- a/brackenloft/policy/gateway.py
+++ b/brackenloft/policy/gateway.py
@@ -47,13 +47,13 @@
 )
 from brackenloft.policy.attempts import Flight, State, Terms, Trigger
 from brackenloft.policy.crowd import Crowd
-from brackenloft.policy.meter import Meter
+from brackenloft.policy.meter import Customer, Meter
 from brackenloft.policy.parked import Parked
 from brackenloft.policy.servers import DOUBTED, SLOW, Fleet, Server
 
 ANSWER_TICKS = 2.0  # ticks before the client's deadline of the last answer: one to fire, one to spare
 ASK_SHARE = 0.5  # of the time in which discovery must be asked: room for one failed call
-MOST_PARKED = 1000  # while there is no server to tell how many may wait: some seconds of work at hand
+MOST_PARKED = 1000  # whatever the servers take up: some seconds of work at hand
 RETRY_SHARE = 0.2  # further attempts per first one, over time: bounds what failures can add to the load
 RETRY_STORE = 10.0  # further attempts saved up at most
 MOST_NOTES = 100  # different lines for the people on call
@@ -167,20 +167,19 @@
             self.parked.drop(flight)
             self._send(flight, server)
             return
-        self._park(flight, wait)
+        self._park(flight, wait, capped)
 
-    def _park(self, flight: Flight, wait: float) -> None:
-        """Hold what can't go now; the least worth for its work is refused when more wait than go at once.
+    def _park(self, flight: Flight, wait: float, capped: bool) -> None:
+        """Hold what can't go now; the least worth for its work is refused when more wait than may.
 
-        Guards against queues here that outlast the aim. Harm: a short burst over few servers is
-        refused though it would have been served in time.
+        Guards against queues here that outlast the aim: as many wait as the servers take up in a part of it.
         """
         if flight not in self.parked:
             last = flight.arrived + flight.kind.aim_ms - self.fleet.latency[flight.kind.name]
             self._arm(max(0.0, last - self.now), self._end_park, flight, flight)
         flight.move(State.PARKED)
-        self.parked.add(flight)
-        if len(self.parked) > (max(1.0, self.fleet.pool) if self.fleet.servers else MOST_PARKED):
+        self.parked.add(flight, capped, wait > 0.0)
+        if len(self.parked) > min(MOST_PARKED, self.fleet.may_wait()):
             self._answer(self.parked.least())
         if wait and not flight.closed:
             self._arm(wait + self.settings.tick_ms, self._end_hold, flight, flight)
@@ -194,8 +193,17 @@
         if flight.hears(Trigger.END_PARK) and (flight.request.served_here or self.fleet.ready):
             self._answer(flight)
 
-    def _retry_parked(self) -> None:
-        for flight in self.parked.in_order():
+    def _retry_parked(self, customer: Customer | None = None) -> None:
+        """Release who may go now: who waits for a place of this customer's, and as many as there is room."""
+        if customer:
+            for flight in self.parked.of(customer):
+                if customer.out >= self.meter.in_flight_cap(customer, flight.plan, self.now):
+                    break
+                if flight in self.parked:  # the one before may have taken its place among those that wait
+                    self._release(flight)
+        for flight in self.parked.in_order(turns=len(self.fleet.cold) == len(self.fleet.ready)):
+            if self.fleet.full():
+                break
             self._release(flight)
 
     # ---- Attempts
@@ -248,7 +256,8 @@
         if not flight.closed:
             self._again(flight, event.status, attempt)
         self._drop_if_done(flight)
-        self._retry_parked()
+        if self.parked:
+            self._retry_parked(flight.customer)
 
     def _again(self, flight: Flight, status: Status, attempt: tuple[Server, float]) -> None:
         """After a failed attempt: another one where class, budget and time allow it, else the answer."""
--- a/brackenloft/policy/servers.py
+++ b/brackenloft/policy/servers.py
@@ -24,6 +24,7 @@
 FIRST_LATENCY = 0.2  # of a class's aim: its latency until answers have been seen
 LATENCY_STEP = 0.03  # weight of one answer in a class's mean latency: some thirty answers of memory
 SERVER_STEP = 0.15  # weight of one answer in a server's relative latency: some seven answers of memory
+LEAST_MS = 0.1  # a latency below which nothing is told apart
 FADE_MS = 4000.0  # time constant with which figures fade, so that a server is tried again; but see _fade
 QUEUE_WEIGHT = 1.0  # requests out that one reported as waiting stands for
 CROSS_WEIGHT = 10.0  # how many times its price a zone crossing weighs against a mean latency
@@ -34,7 +35,11 @@
 POOL_GROWTH = 0.035  # attempts by which a quick answer lifts a pool that is used up: thirty lift it by one
 POOL_CUT = 0.3  # attempts that a slow answer takes off: one slow answer in ten holds the pool level
 LEAST_POOL = 0.3  # attempts out, a share of requests below one: the pool must see answers to recover
+INSTANT = 0.05  # of the shortest aim: while answers take less on the whole, nothing is near its limit, and
+# each lifts the pool by one
 QUICK = 0.3  # of the aim: answers faster than this lift the pool
+WAIT = 0.3  # of the shortest aim: as many wait here as the servers take up in that time
+TOLD = 20  # answers that tell how long they take on the whole; the first ones weigh alike
 SLOW = 0.5  # of the aim: answers slower than this cut the pool, and attempts out so long are doubtful
 
 # Health: the share of failures that a server shows, apart for its class and for its plan
@@ -92,6 +97,8 @@
         self.latency = {item.name: item.aim_ms * FIRST_LATENCY for item in settings.classes}
         self.young: set[tuple[str, int]] = set()  # attempts out that are not slow yet: what the pool counts
         self.pool = inf  # until the first list
+        self.answers, self.mean = 0, 0.0  # good ones so far, and their mean latency
+        self.shortest = min(item.aim_ms for item in settings.classes)
         self.marks: dict[str, Mark] = {}  # of all servers together, those of no class by zone
         self.quick: dict[str, dict[int, Server]] = {item.name: {} for item in settings.classes}
         self.sends = 0
@@ -148,6 +155,17 @@
         """Whether as much is out as the servers take in time."""
         return len(self.young) >= self.pool
 
+    def may_wait(self) -> float:
+        """How many may wait here for room: a pool, or what the servers take up in a part of the aim.
+
+        By Little's law, a pool's worth leaves in a mean latency. While nothing has been answered yet, nothing
+        tells, and any number: guards against refusing what idle servers would have done at once. Harm: where
+        servers are slow from the start, the first that came wait in vain for a part of their aim.
+        """
+        if not self.servers or self.answers < TOLD:
+            return inf
+        return max(1.0, self.pool, self.pool * WAIT * self.shortest / max(LEAST_MS, self.mean))
+
     def lost(self, kind: RequestClass, sent: float) -> bool:
         """Whether an attempt has been out for so long that its answer will hardly come any more."""
         return self.now - sent >= LOST * self.latency[kind.name]
@@ -225,10 +243,13 @@
             if len(known) > SAMPLE:
                 del known[next(iter(known))]
             if len(self.young) + 2 >= self.pool:  # the one that ended and one more would not have fitted
-                self.pool += POOL_GROWTH
+                instant = self.answers >= TOLD and self.mean < INSTANT * self.shortest
+                self.pool += 1.0 if instant else POOL_GROWTH
 
     def learn(self, server: Server, kind: RequestClass, latency: float) -> None:
         """Mean latency of the class and relative latency of the server, from one good answer."""
+        self.answers += 1
+        self.mean += max(LATENCY_STEP, 1.0 / self.answers) * (latency - self.mean)
         mean = self.latency[kind.name]
         self.latency[kind.name] = mean + LATENCY_STEP * (latency - mean)
         ratio = 1.0 + (server.ratio - 1.0) * self._fade(server.ratio_at)
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -13,7 +13,7 @@
 
 ROOT = Path(__file__).parent.parent
 POLICY = sorted((ROOT / "brackenloft" / "policy").glob("*.py"))
-PURE = {"__future__", "collections", "collections.abc", "enum", "math", "random", "typing",
+PURE = {"__future__", "collections", "collections.abc", "enum", "itertools", "math", "random", "typing",
         "brackenloft.interface"}
 
 
--- a/tests/test_net_servers.py
+++ b/tests/test_net_servers.py
@@ -389,3 +389,62 @@
             assert gateway.servers.held == 0
 
     run(test())
+
+
+def test_burst_waits_for_connections_and_few_come_up_at_once():
+    async def test():
+        server = FakeServer()
+        async with node(server) as gateway:
+            ends, host = Ends(), gateway.servers.hosts[1]
+            for _ in range(60):
+                gateway.servers.start(1, ends.attempt())
+            assert host.coming_up == module.COMING_UP and len(host.waiting) == 60 - module.COMING_UP
+            assert [await ends.status() for _ in range(60)] == [Status.OK] * 60
+            assert not host.coming_up and not host.waiting and max(map(server.by.count, server.by)) < 60
+
+    run(test())
+
+
+@pytest.mark.parametrize("change", ["drain", "gone", "refused", "stopped", "closed"])
+def test_who_waits_for_a_connection_was_never_sent_when_none_comes(change):
+    async def test():
+        server = FakeServer()
+        async with node(server) as gateway:
+            ends, host = Ends(), gateway.servers.hosts[1]
+            if change == "refused":
+                server.server.close()
+            attempts = [ends.attempt() for _ in range(20)]
+            for attempt in attempts:
+                gateway.servers.start(1, attempt)
+            waiting = len(host.waiting)
+            if change == "stopped":
+                for attempt in attempts:
+                    gateway.servers.stop(attempt, Status.TIMEOUT)
+            elif change == "closed":
+                gateway.servers.close()
+            elif change != "refused":
+                state = ServerState.DRAINING if change == "drain" else ServerState.GONE
+                gateway.told(server.entry(1, state=state), kind=ListKind.CHANGES)
+            statuses = [await ends.status() for _ in range(20)]
+            failed = (Status.CANCELLED, Status.CONNECT_FAILED)  # by the caller's word where it closes all
+            assert all(status in failed for status in statuses) and ends.empty()
+            await until(lambda: not host.coming_up)
+            assert waiting == 20 - module.COMING_UP and not server.commands
+            if change == "stopped":  # and those places are free again
+                gateway.servers.start(1, ends.attempt())
+                assert await ends.status() is Status.OK
+
+    run(test())
+
+
+def test_who_waits_while_descriptors_are_short_takes_a_connection_that_has_rested():
+    async def test():
+        server = FakeServer()
+        async with node(server, most_connections=2) as gateway:
+            ends = Ends()
+            for _ in range(12):
+                gateway.servers.start(1, ends.attempt())
+                assert await ends.status() is Status.OK
+            assert len(server.writers) <= 4 and len(server.commands) == 12
+
+    run(test())
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -218,10 +218,55 @@
 
 # Beyond the rules: pressure
 
+def test_who_waits_for_a_cap_and_is_shed_as_another_is_woken_stays_answered():
+    rig = rig_with(classes=(*CLASSES, DEAR))
+    rig.servers(entry(1), entry(2))
+    rig.gateway.fleet.pool = 3.0
+    rig.gateway.fleet.answers, rig.gateway.fleet.mean = 100, 600.0
+    out = [rig.ask("only-cap", "dear", width=1) for _ in range(2)]
+    capped = [rig.ask("only-cap", width=1) for _ in range(3)]
+    for _ in range(5):
+        rig.ask(class_name="dear")  # takes the rest of the pool, then waits and sheds
+    rig.finish(out[0])
+    rig.finish(out[1])
+    rig.run(5000.0)
+    assert set(capped) <= set(rig.answers) | set(rig.sent)
+
+
+def test_as_many_wait_as_the_servers_take_up_in_a_part_of_the_aim_and_any_before_the_first_answers():
+    rig = rig_with()
+    rig.servers(entry(1))
+    rig.gateway.fleet.pool = 4.0
+    first = [rig.ask() for _ in range(200)]
+    assert not rig.answers
+    while busy := [name for name in rig.sent if name not in rig.answers]:
+        for name in busy:
+            rig.finish(name, latency=2.0)  # each makes room for more
+    assert set(first) == set(rig.sent) and rig.gateway.fleet.may_wait() > 200
+    for _ in range(60):
+        rig.finish(rig.ask(), latency=900.0)
+    assert rig.gateway.fleet.may_wait() == max(1.0, rig.gateway.fleet.pool)
+
+
+def test_what_waits_for_a_cap_or_the_ceiling_does_not_keep_others_from_going():
+    rig = rig_with()
+    rig.servers(entry(1))
+    rig.gateway.fleet.pool = 3.0
+    holder = [rig.ask("only-cap", width=1) for _ in range(2)]
+    blocked = [rig.ask("only-cap", width=1) for _ in range(40)]
+    free = rig.ask()
+    behind = rig.ask()
+    rig.finish(free if free in rig.sent else holder[0])
+    assert behind in rig.sent and not set(blocked[1:]) & set(rig.sent)
+    rig.finish(holder[1])
+    assert len(set(blocked) & set(rig.sent)) >= 1
+
+
 def test_pool_parks_and_sheds_the_least_worth():
     rig = rig_with(classes=(*CLASSES, DEAR))
     rig.servers(entry(1), entry(2))
     rig.gateway.fleet.pool = 6.0
+    rig.gateway.fleet.answers, rig.gateway.fleet.mean = 100, 600.0  # known to be slow: a pool may wait
     names = [rig.ask() for _ in range(6)]
     full = [name for name in names if name in rig.sent]
     waiting = [rig.ask() for _ in range(6)]
