Timers are taken back with their request; commands read at an offset, long values joined once

Cause: each request left three timers in a heap until they were due, 5 s later; each command of a packet copied the rest of the packet, and each piece of a long value copied what had come before it.

--- a/brackenloft/interface.py
+++ b/brackenloft/interface.py
@@ -2,7 +2,7 @@
 
 All times are milliseconds. Event times come from the caller's clock, given to ``Gateway.handle``.
 Whoever drives a gateway owes it one ``Outcome`` for each ``Send`` and one ``TimerFired`` for each
-``SetTimer``; the gateway owes each ``Request`` exactly one final answer.
+``SetTimer`` of a request that is not done; the gateway owes each ``Request`` exactly one final answer.
 """
 
 from __future__ import annotations
@@ -378,10 +378,13 @@
 
 @dataclass(frozen=True, slots=True)
 class SetTimer:
-    """Deliver ``TimerFired(token)`` after this time; timers are not taken back."""
+    """Deliver ``TimerFired(token)`` after this time. Once the named request has had its answer and no attempt
+    of it is out, its timers mean nothing any more and need not be delivered.
+    """
 
     token: int
     delay_ms: float
+    request_id: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/brackenloft/net/clients.py
+++ b/brackenloft/net/clients.py
@@ -202,7 +202,7 @@
     def data_received(self, data: bytes) -> None:
         if self.ending:
             return
-        if not self.spoke and not self.reader.buffer:
+        if not self.spoke and not self.reader.left:
             self.clients.roll.stirs(self)
             self.age_s = _age_s(self.socket)
         if self.reads:
@@ -223,7 +223,7 @@
         """
         self.reading, self.within, took, within = True, False, 0, False
         while not self.ending and self.transport and not self._full() and took < MOST_AT_ONCE:
-            before = len(self.reader.buffer)
+            before = self.reader.left
             try:
                 command = self.reader.command()
             except ProtocolError as error:
@@ -234,7 +234,7 @@
                 break
             took += 1
             self.spoke = True
-            self._take(command, before - len(self.reader.buffer))
+            self._take(command, before - self.reader.left)
         self.reading = False
         self.within = within
         if within:
@@ -243,7 +243,7 @@
             self.tired = True
             self.clients.loop.call_soon(self._go_on)
         self._throttle()
-        self.clients.sort(self, bool(self.reader.buffer), took > 0)  # part of one, or some not taken yet
+        self.clients.sort(self, self.reader.left > 0, took > 0)  # part of one, or some not taken yet
         self._leave_if_done()
 
     def _go_on(self) -> None:
@@ -281,7 +281,7 @@
         """What can't be read is answered and the connection closed, after the replies before it."""
         log.info("a client is turned away: %s", why)
         self.ending = self.unread = True
-        self.hold(-len(self.reader.buffer), in_hand=False)
+        self.hold(-self.reader.left, in_hand=False)
         self.reader = Commands()
         self.clients.sort(self, within=True, took=False)
         self._reply(f"-ERR {why}\r\n".encode("ascii", "replace"))
--- a/brackenloft/net/driver.py
+++ b/brackenloft/net/driver.py
@@ -3,27 +3,24 @@
 from __future__ import annotations
 
 import asyncio
-import heapq
 import logging
 import time
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
-from itertools import count
-from math import ceil
 from typing import Any
 
 from brackenloft import interface as api
 from brackenloft.answers import FAILED, Answer, Granted, Refused, Served
 from brackenloft.net.lag import Lag
 from brackenloft.net.servers import Attempt, Reply, Servers
+from brackenloft.net.timers import Handle, Timers
 from brackenloft.policy import Gateway
 
 log = logging.getLogger(__name__)
 
 LATE_MS = 25.0  # a loop so late was held up: what has come meanwhile is read before any time is called up
 OWN_SHARE = 0.3  # of an attempt's time lost by the loop, from which a connect that failed is its doing
-READ_FIRST_S = 0.001  # for that: timers of no delay may run before the loop has looked at its sockets
 
 
 class Clock:
@@ -42,7 +39,7 @@
 class Call:
     """A client's request in hand, until it has been answered and no attempt is out."""
 
-    __slots__ = ("request_id", "encode", "on_answer", "deadline", "sends", "out", "answered")
+    __slots__ = ("request_id", "encode", "on_answer", "deadline", "sends", "out", "answered", "timers")
 
     def __init__(
         self, request_id: str, encode: Callable[[float], bytes], on_answer: Callable[[Answer], None],
@@ -50,6 +47,7 @@
         self.request_id, self.encode, self.on_answer = request_id, encode, on_answer
         self.deadline, self.sends, self.answered = 0.0, 0, False
         self.out: dict[int, Attempt | None] = {}  # None: at the host itself
+        self.timers: list[Handle] = []
 
 
 @dataclass(slots=True)
@@ -78,12 +76,9 @@
         self.counters = Counters()
         self.events: deque[api.Event] = deque()
         self.handling = False
-        self.timers: list[tuple[float, int, Callable[[Any], None], Any]] = []
-        self.order = count()
-        self.alarm: tuple[float, asyncio.TimerHandle] | None = None
         self.loop = asyncio.get_running_loop()
+        self.timers = Timers(self.loop, clock, LATE_MS)
         self.lag = Lag(self.loop, LATE_MS, self._stalled, lambda: bool(self.calls))
-        self.reading_first = False
         self.actions: dict[type, Callable[[Any], None]] = {
             api.Send: self._send, api.Refuse: self._refuse, api.Fail: self._fail, api.Cancel: self._cancel,
             api.SetTimer: self._set_timer, api.Log: lambda action: log.info("%s", action.text),
@@ -163,10 +158,7 @@
     def close(self) -> None:
         """No timer fires any more."""
         self.lag.stop()
-        self.timers.clear()
-        if self.alarm:
-            self.alarm[1].cancel()
-            self.alarm = None
+        self.timers.close()
 
     # ---- Actions out
 
@@ -199,7 +191,7 @@
         call.out[number] = attempt
         self.servers.start(action.server, attempt)
         if number in call.out:
-            self._at(now + wait, self._time_out, attempt)
+            call.timers.append(self.timers.at(now + wait, self._time_out, attempt))
 
     def _time_out(self, attempt: Attempt) -> None:
         self._stop(attempt, api.Status.TIMEOUT)
@@ -253,6 +245,9 @@
     def _drop_if_done(self, call: Call) -> None:
         if call.answered and not call.out:
             self.calls.pop(call.request_id, None)
+            for handle in call.timers:
+                self.timers.cancel(handle)
+            call.timers.clear()
 
     def _cancel(self, action: api.Cancel) -> None:
         call = self.calls.get(action.request_id)
@@ -267,41 +262,8 @@
     # ---- Timers
 
     def _set_timer(self, action: api.SetTimer) -> None:
-        self._at(self.clock() + action.delay_ms, self.post, api.TimerFired(action.token))
-
-    def _at(self, due: float, call: Callable[[Any], None], argument: Any) -> None:
-        heapq.heappush(self.timers, (due, next(self.order), call, argument))
-        self._arm()
-
-    def _arm(self) -> None:
-        """One timer of the loop stands for all of these: it is set for the first that falls due.
-
-        Whole milliseconds, rounded up. Guards against spinning: the loop rounds a shorter delay down to
-        nothing, and would come back again and again until the timer is due.
-        """
-        due = self.timers[0][0]
-        if self.alarm and self.alarm[0] <= due:
-            return
-        if self.alarm:
-            self.alarm[1].cancel()
-        delay_ms = max(1, ceil(due - self.clock()))
-        self.alarm = (due, self.loop.call_later(delay_ms / 1000.0, self._fire))
-
-    def _fire(self) -> None:
-        """Call up what is due.
-
-        Guards against a loop that was held up, by a slow handler of the host say: answers that have come
-        meanwhile are read first, or attempts would be taken for silent, and timed out, that are not.
-        """
-        self.alarm = None
-        now = self.clock()
-        if self.timers and now - self.timers[0][0] > LATE_MS and not self.reading_first:
-            self.reading_first = True
-            self.alarm = (self.timers[0][0], self.loop.call_later(READ_FIRST_S, self._fire))
-            return
-        self.reading_first = False
-        while self.timers and self.timers[0][0] <= now:
-            _, _, call, argument = heapq.heappop(self.timers)
-            call(argument)
-        if self.timers:
-            self._arm()
+        """A request's own timers are taken back with it: most fall due long after its end."""
+        handle = self.timers.at(self.clock() + action.delay_ms, self.post, api.TimerFired(action.token))
+        call = self.calls.get(action.request_id)
+        if call:
+            call.timers.append(handle)
--- a/brackenloft/net/resp.py
+++ b/brackenloft/net/resp.py
@@ -16,6 +16,10 @@
 LONGEST_LINE = 512  # bytes of an error line: some words, the figures on use, a load report
 LONGEST_FIGURES = 256  # bytes of the figures on use, and of a load report
 ARRAY = re.compile(rb"\*([0-9]{1,7})\r\n")
+USUAL = re.compile(  # a command but for its body; each word at most as long as Commands allows
+    rb"\*([45])\r\n\$([0-9]{1,2})\r\n([^\r\n]{1,64})\r\n\$([0-9]{1,2})\r\n([^\r\n]{1,64})\r\n"
+    rb"\$([0-9]{1,3})\r\n([^\r\n]{1,128})\r\n\$([0-9]{1,3})\r\n([^\r\n]{1,512})\r\n")
+MOST_PARTS = 64  # pieces that are kept apart
 BULK = re.compile(rb"\$([0-9]{1,7}|-1)\r\n")
 
 
@@ -29,20 +33,38 @@
     def __init__(self, longest: Sequence[int], least: int, nullable_from: int) -> None:
         self.longest, self.least, self.nullable_from = longest, least, nullable_from
         self.buffer = b""
-        self.place = 0  # of the next byte to be read; what lies before it is done with
+        self.start = self.place = 0  # of what is not done with, and of the next byte to be read
+        self.parts: list[bytes] = []  # what has come since, not yet joined
+        self.left = self.needed = 0  # bytes not done with, and how many there must be before it goes on
         self.count = 0  # elements of the array that is being read, 0 before its header
         self.length: int | None = None  # of the element whose header has been read
         self.words: list[bytes | None] = []
 
     def feed(self, data: bytes) -> None:
-        """Take in what has come."""
-        self.buffer = self.buffer + data if self.buffer else data
+        """Take in what has come.
+
+        A long value is joined once, when all of it is there. Guards against copying what has come of it with
+        each piece, and against a piece of a byte that takes fifty.
+        """
+        self.left += len(data)
+        if not self.buffer:
+            self.buffer, self.start, self.place = data, 0, 0
+            return
+        self.parts.append(data)
+        if len(self.parts) >= MOST_PARTS or self.left >= self.needed:
+            self.buffer = b"".join((self.buffer[self.start:], *self.parts))
+            self.place -= self.start
+            self.start = 0
+            self.parts.clear()
 
     def next(self) -> list[bytes | None] | None:
         """The next array, or None until it is whole; raises ProtocolError."""
+        if self.left < self.needed:
+            return None
         if not self.count:
-            head = ARRAY.match(self.buffer)
+            head = ARRAY.match(self.buffer, self.start)
             if head is None:
+                self.place = self.start
                 self._refuse_if_wrong(b"*")
                 return None
             self.count, self.place, self.words = int(head[1]), head.end(), []
@@ -50,9 +72,17 @@
                 raise ProtocolError("bad number of elements")
         if not self._elements():
             return None
-        self.buffer, self.place, self.count = self.buffer[self.place:], 0, 0
+        self.count = 0
+        self._done(self.place)
         return self.words
 
+    def _done(self, end: int) -> None:
+        """All before this place is done with."""
+        self.left, self.needed = self.left - (end - self.start), 0
+        self.start = self.place = end
+        if not self.left:
+            self.buffer, self.start, self.place = b"", 0, 0
+
     def _elements(self) -> bool:
         """Read elements as far as they are there; whether that is all of them."""
         buffer, place, words = self.buffer, self.place, self.words
@@ -72,6 +102,7 @@
             else:
                 end = place + length
                 if len(buffer) < end + 2:
+                    self.needed = end + 2 - self.start
                     return False
                 if not buffer.startswith(b"\r\n", end):
                     raise ProtocolError("longer than it says")
@@ -95,7 +126,27 @@
 
     def command(self) -> list[bytes] | None:
         """The next command, or None until it is whole."""
-        return cast("list[bytes] | None", self.next())  # nothing may be null
+        return self._usual() or cast("list[bytes] | None", self.next())  # nothing may be null
+
+    def _usual(self) -> list[bytes] | None:
+        """A whole command of the usual form at one go; all others are read step by step."""
+        head = None if self.count else USUAL.match(self.buffer, self.start)
+        if head is None:
+            return None
+        few, a, name, b, customer, c, request_id, d, listed = head.groups()
+        if (int(a), int(b), int(c), int(d)) != (len(name), len(customer), len(request_id), len(listed)):
+            return None
+        words, end = [name, customer, request_id, listed], head.end()
+        if few == b"5":
+            body = BULK.match(self.buffer, end)
+            if body is None or not 0 <= (length := int(body[1])) <= LONGEST_VALUE:
+                return None
+            first, end = body.end(), body.end() + length + 2
+            if len(self.buffer) < end or not self.buffer.startswith(b"\r\n", end - 2):
+                return None
+            words.append(self.buffer[first:end - 2])
+        self._done(end)
+        return words
 
 
 Answer = list[bytes | None] | str  # value, figures on use, load report; or an error line without its dash
@@ -109,14 +160,15 @@
 
     def answer(self) -> Answer | None:
         """The next answer, or None until it is whole."""
-        if self.count or not self.buffer.startswith(b"-"):
+        if self.count or not self.buffer.startswith(b"-", self.start):
             return self.next()
-        end = self.buffer.find(b"\r\n", 0, LONGEST_LINE)
+        end = self.buffer.find(b"\r\n", self.start, self.start + LONGEST_LINE)
         if end < 0:
-            if len(self.buffer) >= LONGEST_LINE:
+            if self.left >= LONGEST_LINE:
                 raise ProtocolError("a line without end")
             return None
-        line, self.buffer = self.buffer[1:end], self.buffer[end + 2:]
+        line = self.buffer[self.start + 1:end]
+        self._done(end + 2)
         if not line.isascii():
             raise ProtocolError("a line that is no text")
         return line.decode("ascii")
--- a/brackenloft/net/servers.py
+++ b/brackenloft/net/servers.py
@@ -263,7 +263,7 @@
         try:
             answer = self.reader.answer()
             if answer is None:
-                self.servers.hold(len(self.reader.buffer) - self.held, self)
+                self.servers.hold(self.reader.left - self.held, self)
                 if self.pace:
                     self.pace.moved(len(data), time.monotonic())
                 self.servers.look_at(self)
@@ -276,7 +276,7 @@
             self.close(api.Status.ERROR)  # it may have run
             return
         attempt, self.attempt = self.attempt, None
-        if self.reader.buffer:
+        if self.reader.left:
             self.close(api.Status.RESET)
         else:
             self.servers.give_back(self)
@@ -513,7 +513,7 @@
         late = max(0.0, now - self.looked - LOOK_S)
         late, self.looked, self.looking = late if late > LATE_S else 0.0, now, None
         for connection in list(self.under_way):
-            if connection.closed or (connection.handed and not connection.reader.buffer):
+            if connection.closed or (connection.handed and not connection.reader.left):
                 self.under_way.discard(connection)
             elif connection.pace is None:
                 connection.pace = Pace(Least(SLOW_RATE, SLOW_S, SLOW_S), now)
--- a/brackenloft/policy/gateway.py
+++ b/brackenloft/policy/gateway.py
@@ -397,7 +397,7 @@
         self.timers[self.tokens] = (call, argument)
         if flight:
             flight.timers.append(self.tokens)
-        self.actions.append(SetTimer(self.tokens, delay))
+        self.actions.append(SetTimer(self.tokens, delay, flight.request.request_id if flight else ""))
 
     def _log(self, text: str) -> None:
         self.actions.append(Log(text))
