--- a/brackenloft/admission/budget.py
+++ b/brackenloft/admission/budget.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from enum import Enum
+from enum import StrEnum
 
 
-class Side(Enum):
+class Side(StrEnum):
     """Who holds a descriptor: the clients of a front, or the servers."""
 
     CLIENTS = "clients"
@@ -28,8 +28,10 @@
 
     def limit(self, side: Side) -> int:
         """How many a side may hold now, at least its floor."""
-        kept = sum(max(floor, self.taken[other] + self.spare)
-                   for other, floor in self.floors.items() if other is not side)
+        kept = 0
+        for other, floor in self.floors.items():
+            if other is not side:
+                kept += max(floor, self.taken[other] + self.spare)
         return max(self.floors[side], self.total - kept)
 
     def free(self, side: Side) -> int:
--- a/brackenloft/admission/roll.py
+++ b/brackenloft/admission/roll.py
@@ -15,14 +15,14 @@
 
 from collections import OrderedDict
 from collections.abc import Iterator
-from enum import Enum
+from enum import StrEnum
 from itertools import islice
 from typing import Generic, TypeVar
 
 P = TypeVar("P")
 
 
-class Standing(Enum):
+class Standing(StrEnum):
     """What a connection has shown; in the order in which room is made."""
 
     FRESH = "fresh"
@@ -35,16 +35,19 @@
 
     def __init__(self) -> None:
         self.rows: dict[Standing, OrderedDict[P, float]] = {standing: OrderedDict() for standing in Standing}
+        self.at: dict[P, Standing] = {}
 
     def rests(self, peer: P, standing: Standing, since: float) -> None:
         """It does nothing, since then."""
         self.stirs(peer)
         self.rows[standing][peer] = since
+        self.at[peer] = standing
 
     def stirs(self, peer: P) -> None:
         """It is busy, or has gone."""
-        for row in self.rows.values():
-            row.pop(peer, None)
+        standing = self.at.pop(peer, None)
+        if standing:
+            del self.rows[standing][peer]
 
     def closable(self, now: float, fresh_s: float, idle_s: float, most: int) -> Iterator[P]:
         """Who may be closed now, so many at most, the least valuable first."""
@@ -58,9 +61,8 @@
 
     def later(self, peer: P) -> None:
         """It could not be closed after all: the others of its standing come before it."""
-        for row in self.rows.values():
-            if peer in row:
-                row.move_to_end(peer)
+        if peer in self.at:
+            self.rows[self.at[peer]].move_to_end(peer)
 
     def __contains__(self, peer: P) -> bool:
-        return any(peer in row for row in self.rows.values())
+        return peer in self.at
--- a/brackenloft/net/clients.py
+++ b/brackenloft/net/clients.py
@@ -12,7 +12,7 @@
 from contextlib import suppress
 from dataclasses import replace
 from itertools import islice
-from typing import cast
+from typing import Any, cast
 
 from brackenloft import interface as api
 from brackenloft.admission.budget import Budget, Side
@@ -52,6 +52,9 @@
 ID = re.compile(rb"[0-9A-Za-z]{1,64}")  # of a request, and an idempotency key
 WHOLE = re.compile(rb"[0-9]{1,6}")
 DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
+USUAL = re.compile(  # the list of names and values as most write it; the forms of each are the same
+    rb"c=([^,=]+),t=([^,=]+),d=([0-9]{1,9}(?:\.[0-9]{1,9})?),(?:k=([0-9A-Za-z]{1,64}),)?"
+    rb"units=([0-9]{1,9}(?:\.[0-9]{1,9})?),spread=([0-9]{1,6}),first=([0-9]{1,6})(?:,r=([01]))?")
 
 
 def _age_s(sock: socket.socket) -> float:
@@ -97,42 +100,44 @@
         if len(command) != (5 if posts else 4):
             raise CommandError(f"wrong number of arguments for {name.decode()}")
         _, customer, request_id, listed = command[:4]
-        fields = self._fields(listed)
-        kind, plan = self.classes.get(fields.get(b"c", b"")), self.plans.get(fields.get(b"t", b""))
+        usual = USUAL.fullmatch(listed)
+        c, t, wait, key, units, spread, first, again = usual.groups() if usual else self._fields(listed)
+        kind, plan = self.classes.get(c), self.plans.get(t)
         if kind is None or plan is None:
             raise CommandError("unknown class or plan")
         if posts == (kind.effect is api.Effect.SAFE):
             raise CommandError("the class does not go with the command")
-        if kind.effect is api.Effect.KEYED:
-            _field(fields, b"k", ID)
-        if fields.get(b"r", b"1") not in (b"0", b"1"):
-            raise CommandError("bad value of r")
+        if kind.effect is api.Effect.KEYED and key is None:
+            raise CommandError("bad or missing value of k")
         if not ID.fullmatch(request_id):
             raise CommandError("bad request id")
+        checks = self.checks
         request = api.Request(
             request_id=request_id.decode("ascii"), class_name=kind.name, plan=plan,
-            customer=self.checks.customer(customer.decode("latin-1")),
-            patience_ms=self.checks.patience(self._decimal(fields, b"d"), kind),
-            units=self.checks.units(self._decimal(fields, b"units")), width=self._place(fields, b"spread", 1),
-            first_gateway=self._place(fields, b"first", 0),
-            is_retry=fields.get(b"r") == b"1", is_write=posts,
+            customer=checks.customer(customer.decode("latin-1")),
+            patience_ms=checks.patience(float(wait), kind), units=checks.units(float(units)),
+            width=checks.place("spread", int(spread), 1), first_gateway=checks.place("first", int(first), 0),
+            is_retry=again == b"1", is_write=posts,
         )
         return request, wire.forwarded(name, command, listed)
 
-    def _fields(self, listed: bytes) -> dict[bytes, bytes]:
-        fields = {}
+    def _fields(self, listed: bytes) -> tuple[Any, ...]:
+        """The list in any other order, or with other names in it; checked alike."""
+        fields: dict[bytes, bytes] = {}
         for part in listed.split(b","):
             name, equals, value = part.partition(b"=")
             if not equals or not name or name in fields:
                 raise CommandError("bad list of names and values")
             fields[name] = value
-        return fields
-
-    def _decimal(self, fields: dict[bytes, bytes], name: bytes) -> float:
-        return float(_field(fields, name, DECIMAL))
-
-    def _place(self, fields: dict[bytes, bytes], name: bytes, low: int) -> int:
-        return self.checks.place(name.decode(), int(_field(fields, name, WHOLE)), low)
+        if fields.get(b"r", b"1") not in (b"0", b"1"):
+            raise CommandError("bad value of r")
+        if self.classes.get(fields.get(b"c", b"")) is None or self.plans.get(fields.get(b"t", b"")) is None:
+            raise CommandError("unknown class or plan")
+        key = fields.get(b"k")
+        return (
+            fields[b"c"], fields[b"t"], _field(fields, b"d", DECIMAL),
+            key if key and ID.fullmatch(key) else None, _field(fields, b"units", DECIMAL),
+            _field(fields, b"spread", WHOLE), _field(fields, b"first", WHOLE), fields.get(b"r"))
 
 
 class Slot:
--- a/brackenloft/net/lag.py
+++ b/brackenloft/net/lag.py
@@ -30,7 +30,12 @@
 
     def within(self, start: float, end: float) -> float:
         """Seconds of ``start`` to ``end`` in which the loop was held up."""
-        return sum(max(0.0, min(end, last) - max(start, first)) for first, last in self.spans)
+        total = 0.0
+        for first, last in reversed(self.spans):
+            if last <= start:
+                break  # and all before it
+            total += max(0.0, min(end, last) - max(start, first))
+        return total
 
     def excuse(self, began: float, written: float, ended: float, last: tuple[float, float]) -> float:
         """Seconds of an attempt that are the loop's own.
--- a/brackenloft/net/servers.py
+++ b/brackenloft/net/servers.py
@@ -16,6 +16,7 @@
 from collections.abc import Callable, Mapping
 from contextlib import suppress
 from dataclasses import dataclass
+from functools import lru_cache
 from math import inf
 from typing import cast
 
@@ -42,6 +43,7 @@
 LOOK_S = 0.1  # between two looks at those under way
 LATE_S = 0.025  # a look so late says that the loop was held up: no server is too slow for that
 SWEEP_S = 1.0  # between two looks at idle connections
+MOST_FIGURES = 1000  # texts that are remembered as read: the same come again and again
 Address = tuple[str, int]
 
 
@@ -89,7 +91,8 @@
             done(reply)
 
 
-def _pairs(text: str) -> dict[str, float]:
+@lru_cache(MOST_FIGURES)
+def _pairs(text: str) -> Mapping[str, float]:
     """``a=1,b=2`` as numbers; nothing at all if any of it is not of that form, negative or no number."""
     parts = text.split(",")
     if not all(FIGURE.fullmatch(part) for part in parts):
@@ -408,8 +411,7 @@
                 host.waiting.popleft().finish(Reply(api.Status.NOT_SENT))
                 continue
             connection = self._rested(host)
-            short = host.idle and not self.budget.free(Side.SERVERS)  # no use to close one for another
-            if connection is None and (short or host.coming_up >= COMING_UP):
+            if connection is None and (host.coming_up >= COMING_UP or self._short(host)):
                 if host.idle and host.timer is None:
                     wait = max(LEAST_WAIT_S, host.idle[0].idle_since + REST_S - self.loop.time())
                     host.timer = self.loop.call_later(wait, self._have_rested, host)
@@ -420,6 +422,10 @@
             else:
                 self._connect(host, attempt)
 
+    def _short(self, host: Host) -> bool:
+        """Whether descriptors are short, and it has one that rests: no use to close that for another."""
+        return bool(host.idle) and not self.budget.free(Side.SERVERS)
+
     def _came_up(self, host: Host) -> None:
         host.coming_up -= 1
         self.serve_waiting(host)
--- a/brackenloft/net/wire.py
+++ b/brackenloft/net/wire.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Callable, Sequence
 
 from brackenloft import interface as api
 from brackenloft.answers import Answer, Refused, Served
 
+WAIT = re.compile(rb"(?:^|,)d=")
 Encoder = Callable[[float], bytes]  # from the milliseconds that the gateway waits
 
 
@@ -26,12 +28,15 @@
 
 def forwarded(name: bytes, words: list[bytes], listed: bytes) -> Encoder:
     """A client's command: everything goes on unchanged but ``d``, which tells how long the gateway waits."""
-    parts = listed.split(b",")
-    place = next(number for number, part in enumerate(parts) if part.startswith(b"d="))
+    place = WAIT.search(listed)
+    assert place, "it has been checked"
+    before, after = listed[:place.end()], listed[listed.find(b",", place.end()):]
+    if b"," not in listed[place.end():]:
+        after = b""
 
     def encode(wait_ms: float) -> bytes:
-        parts[place] = b"d=%d" % max(1, int(wait_ms))
-        return command([name, words[1], words[2], b",".join(parts), *words[4:]])
+        text = b"%b%d%b" % (before, max(1, int(wait_ms)), after)
+        return command([name, words[1], words[2], text, *words[4:]])
 
     return encode
 
--- a/brackenloft/policy/servers.py
+++ b/brackenloft/policy/servers.py
@@ -63,7 +63,7 @@
     """What this gateway knows of one server."""
 
     __slots__ = ("id", "zone", "cell", "ready", "started", "out", "ratio", "ratio_at", "queue", "queue_at",
-                 "marks", "phase")
+                 "marks", "bad", "phase")
 
     def __init__(self, entry: ServerEntry, phase: float) -> None:
         self.phase = phase
@@ -76,6 +76,7 @@
         """Forget what a process that is gone has shown."""
         self.ratio, self.ratio_at, self.queue, self.queue_at = 1.0, NEVER, 0.0, NEVER
         self.marks: dict[str, Mark] = {}
+        self.bad: set[str] = set()  # those of them with failures
 
     def update(self, entry: ServerEntry) -> None:
         """Take over what discovery says."""
@@ -100,6 +101,7 @@
         self.answers, self.mean = 0, 0.0  # good ones so far, and their mean latency
         self.shortest = min(item.aim_ms for item in settings.classes)
         self.marks: dict[str, Mark] = {}  # of all servers together, those of no class by zone
+        self.bad: set[str] = set()  # those of them with failures
         self.quick: dict[str, dict[int, Server]] = {item.name: {} for item in settings.classes}
         self.sends = 0
         fields = settings.load_fields
@@ -177,21 +179,26 @@
         age = min((self.now - then[0]) / FADE_MS, (self.sends - then[1]) / max(1, len(self.servers)))
         return exp(-age)
 
-    def _note_in(self, marks: dict[str, Mark], name: str, failed: bool, at: Moment) -> None:
-        mark = marks.get(name)
-        if mark is None:
-            marks[name] = (float(failed), 1.0, at)
-            return
-        bad, seen, then = mark
-        fade = self._fade(then)
-        bad = bad * fade + failed
-        marks[name] = (bad if bad >= FORGIVEN else 0.0, seen * fade + 1.0, at)
+    def _note_in(
+        self, marks: dict[str, Mark], troubled: set[str], name: str, failed: bool, at: Moment,
+    ) -> None:
+        bad, seen, then = marks.get(name, UNKNOWN)
+        fade = self._fade(then) if seen else 0.0
+        if failed:
+            bad = bad * fade + 1.0
+            troubled.add(name)
+        elif bad:
+            bad *= fade
+            if bad < FORGIVEN:
+                bad = 0.0
+                troubled.discard(name)
+        marks[name] = (bad, seen * fade + 1.0, at)
 
     def mark(self, server: Server, key: str, failed: bool, why: str = "") -> None:
         """Note how an attempt went, for its server and for all."""
         at = (self.now, self.sends)
-        self._note_in(server.marks, key, failed, at)
-        self._note_in(self.marks, key or server.zone, failed, at)
+        self._note_in(server.marks, server.bad, key, failed, at)
+        self._note_in(self.marks, self.bad, key or server.zone, failed, at)
         if failed and self.share_failed(server, key) >= DOUBTED:
             self.note(f"server {server.id} doubted{' for ' if key else ''}{key}: {why}")
 
@@ -200,7 +207,7 @@
         bad_all, seen_all, _ = self.marks.get(key or server.zone, UNKNOWN)
         bad, seen, then = server.marks.get(key, UNKNOWN)
         if not bad_all and not bad:
-            return 0.0  # as nearly always
+            return 0.0
         prior = DOUBT_PRIOR * bad_all / (seen_all + 1.0)
         fade = self._fade(then) if seen else 0.0
         return (bad * fade + prior) / (seen * fade + DOUBT_PRIOR)
@@ -294,6 +301,8 @@
         many fail, servers not tried yet come after those that answered. Nothing is closed: the best of bad
         servers still gets work. Harm: slow answers by chance turn requests away from a good server.
         """
+        if not self.bad and not server.bad:
+            return 0.0  # as nearly always
         whole, kind, both = flight.keys
         share = self.share_failed
         return max(share(server, whole), share(server, kind), share(server, both))
