--- a/benchmarks/ordinary.py
+++ b/benchmarks/ordinary.py
@@ -60,7 +60,7 @@
     "net/clients.py": "clients", "net/resp.py": "parse", "net/wire.py": "encode", "checks.py": "parse",
     "net/driver.py": "driver", "net/lag.py": "driver", "net/timers.py": "timers", "answers.py": "encode",
     "net/servers.py": "servers", "policy/": "decisions",
-    "logic.py": "decisions", "interface.py": "decisions", "admission/": "clients", "edge/": "driver"}
+    "interface.py": "decisions", "admission/": "clients", "edge/": "driver"}
 # These and what they call go by the time that passes, not by the requests: a layer of its own, not compared.
 BY_CLOCK = {"_fire", "_arm", "_on_beat", "_next", "_note", "_sweep", "_look", "_have_rested"}
 SOCKET_CALLS = {
@@ -127,9 +127,6 @@
         self.counts.clear()
         if self.kind == "opcodes":
             sys.settrace(self._call)
-            frame = sys._getframe()
-            while frame := frame.f_back:
-                frame.f_trace = None
         elif self.kind == "calls":
             sys.setprofile(self._profile)
         elif self.kind == "allocations":
