Slices go by the part of a customer's use seen here, as freely as overuse is cheap

Checked: counts by cause in the log show all of the refusals as the bucket's (band), none for parking, the ceiling, crowds or age; the pool was used to a third. Change: a mean of the readings; a slice of rate and burst that follows what is seen of the use here while the quota is shown to be unused; growth, and the worthier classes' burst, by what overuse costs (settings).

--- a/brackenloft/policy/gateway.py
+++ b/brackenloft/policy/gateway.py
@@ -245,7 +245,7 @@
             fleet.press(server, flight.kind, event)
             fleet.report(server, event.load)
         if event.used_percent is not None:
-            flight.customer.used, flight.customer.used_at = event.used_percent / 100.0, self.now
+            self.meter.read(flight.customer, event.used_percent / 100.0, self.now)
         if event.status is Status.OK:
             if server is not fleet.here:
                 fleet.learn(server, flight.kind, event.latency_ms)
--- a/brackenloft/policy/meter.py
+++ b/brackenloft/policy/meter.py
@@ -2,13 +2,18 @@
 
 from __future__ import annotations
 
-from math import inf
+from math import exp, inf
 
 from brackenloft.interface import Allowance, Plan, Request, RequestClass, Settings
 
 THOUSANDTHS = 1000.0  # of a unit, the unit of the excess
-GROWTH = 0.1  # share of the room given out: the meter is late, and all gateways rise on one figure
+GROWTH = 0.1  # share of the room given out evenly: the meter is late, and all gateways rise on one figure
+MEMORY_MS = 10_000.0  # time constant of a customer's mean use and of its part here: shifts take as long
+KEEN = 3.0  # a third of the quota unused, on the mean, and a slice is all that the part here calls for
+DEAR = 1.3  # what sending on beyond the quota costs, in worths, from which slices hardly grow
+SUDDEN = 0.5  # of the last reading that counts as the mean at once, should it be more
 WORTH_BURST = 0.25  # by which the burst grows for a class of endless worth, to have what others leave
+MORE_BURST = 0.5  # and by how much more, where what is sent on beyond the quota costs nothing
 CHEAP_HOLD = 0.1  # of the shortest aim, for which the least worthy class is held: the worthier wait longer
 THIN_BURST = 2.0  # requests by which an unused thin slice's burst grows: two by chance are no abuse
 NEWS_PERIODS = 4.0  # meter periods a reading stays news: the period, its lateness, a gap in traffic
@@ -17,12 +22,14 @@
 class Customer:
     """What this gateway knows of one customer: its excess, its late metered use, what it has out."""
 
-    __slots__ = ("excess", "touched", "largest", "width", "used", "used_at", "out", "ceiling", "ceiling_at",
-                 "asked", "asked_at")
+    __slots__ = ("excess", "touched", "largest", "width", "used", "used_at", "mean", "own", "own_at", "out",
+                 "ceiling", "ceiling_at", "asked", "asked_at")
 
     def __init__(self, now: float, ceiling: float) -> None:
         self.excess, self.touched, self.largest, self.width = 0.0, now, 0.0, 1
-        self.used, self.used_at = 0.0, -inf
+        self.used, self.used_at = 0.0, -inf  # the last reading, as a share of the quota
+        self.mean = 1.0  # of the readings: all of the quota, as far as is known
+        self.own, self.own_at = 0.0, now  # units let in here, faded
         self.asked, self.asked_at = 0.0, now  # an excess that counts what was refused as well
         self.out = 0
         self.ceiling, self.ceiling_at = ceiling, now
@@ -32,6 +39,7 @@
     """The customers, and what each may have now. Times in milliseconds; ``now`` never goes back."""
 
     def __init__(self, settings: Settings) -> None:
+        self.meter_period_ms = settings.meter_period_ms
         self.limits, self.gateways = settings.limits, settings.gateways
         self.news_ms = NEWS_PERIODS * settings.meter_period_ms
         self.plans = {item.name: item for item in settings.plans}
@@ -100,43 +108,89 @@
         thin = plan.burst < customer.largest * customer.width
         return thin and self._drain_ms(customer, plan) > self.news_ms
 
+    def read(self, customer: Customer, used: float, now: float) -> None:
+        """A late reading of the meter: the share of its quota that the customer used, at all gateways.
+
+        Readings of one period go up and down by chance, the more the fewer requests there are. Their mean
+        starts at the whole quota, so that room has to be shown before any is given out.
+        """
+        since = self.meter_period_ms if customer.used_at == -inf else now - customer.used_at
+        customer.mean += (1.0 - exp(-since / MEMORY_MS)) * (used - customer.mean)
+        customer.used, customer.used_at = used, now
+
     def _room(self, customer: Customer, lasts_ms: float, now: float) -> float:
         """The room that the late reading leaves; none at or over quota, or when it is no news any more."""
         return max(0.0, 1.0 - customer.used) if now - customer.used_at <= lasts_ms else 0.0
 
+    def _ease(self, plan: Plan) -> float:
+        """How freely slices may grow: by what it costs when more is sent on than the quota has (0 to 1).
+
+        Guards against one rule for all: where that costs little, what is refused within the quota by
+        mistake is the greater loss, and where it costs more than an answer earns, the smaller one.
+        """
+        return min(1.0, max(0.0, 1.0 - (plan.over_cost - plan.over_worth) / DEAR))
+
+    def _own(self, customer: Customer, now: float) -> float:
+        """What was let in here of late: units, faded."""
+        return customer.own * exp((customer.own_at - now) / MEMORY_MS)
+
+    def _part(self, customer: Customer, plan: Plan, now: float) -> float:
+        """The part of the quota for this gateway: the even one, or what it sees of the customer's use.
+
+        Guards against refusing at the gateway that a customer's requests come through just then what the
+        others leave: fronts deal them out unevenly, and the busiest one changes. The parts by use add up
+        to one over the gateways; only the even ones of the others come on top. Harm: after a shift the one
+        that was busy keeps its part for a while.
+        """
+        even, own = 1.0 / customer.width, self._own(customer, now)
+        if now - customer.used_at > self.news_ms or not own:
+            return even
+        room = max(0.0, 1.0 - max(customer.mean, SUDDEN * customer.used))
+        keen = min(1.0, KEEN * room * self._ease(plan))
+        used = customer.mean * plan.rate / 1000.0 * MEMORY_MS  # by all, faded alike
+        return even + keen * max(0.0, own / max(own, used) - even)
+
     def share(self, customer: Customer, now: float) -> float:
-        """The slice of the quota: the even floor, and the even part of the room that fresh news leaves."""
+        """The even floor, and the even part of the room that fresh news leaves."""
         return min(1.0, (1.0 + GROWTH * self._room(customer, self.news_ms, now)) / customer.width)
 
-    def _worthier(self, kind: RequestClass) -> float:
+    def slice(self, customer: Customer, plan: Plan, now: float) -> float:
+        """The slice of the rate: by its part here, and the even part of the room that is left."""
+        even = GROWTH * self._room(customer, self.news_ms, now) / customer.width
+        return min(1.0, self._part(customer, plan, now) + even)
+
+    def _worthier(self, kind: RequestClass, plan: Plan) -> float:
         """By how much the burst is larger for a class: nothing for the least worthy.
 
         Guards against a customer beyond its quota who fills it with what is worth least: an excess near the
         burst is open to the worthier classes alone. Harm: it passes the quota by that much at first.
         """
-        return 1.0 + WORTH_BURST * (1.0 - self.cheap / kind.worth) if self.cheap else 1.0
+        if not self.cheap:
+            return 1.0
+        return 1.0 + (WORTH_BURST + MORE_BURST * self._ease(plan)) * (1.0 - self.cheap / kind.worth)
 
     # ---- The bucket
 
-    def _burst(self, customer: Customer, plan: Plan) -> float:
-        return max(plan.burst / customer.width, customer.largest) * THOUSANDTHS
+    def _burst(self, customer: Customer, plan: Plan, now: float) -> float:
+        return max(plan.burst * self._part(customer, plan, now), customer.largest) * THOUSANDTHS
 
     def hold_ms(self, customer: Customer, plan: Plan, kind: RequestClass, units: float, now: float) -> float:
         """Milliseconds to hold the request, inf to refuse it; the excess is stored unless it is refused."""
         if not plan.rate:
             return 0.0
-        rate = plan.rate * self.share(customer, now)
-        burst = self._burst(customer, plan)
+        rate = plan.rate * self.slice(customer, plan, now)
+        burst = self._burst(customer, plan, now)
         drained = self._drained(customer, plan, now)
         customer.asked, customer.asked_at = max(0.0, customer.asked - drained) + units, now
         if self.thin(customer, plan) and customer.asked <= THIN_BURST * customer.largest:
             burst *= 1.0 + THIN_BURST * self._room(customer, self._drain_ms(customer, plan), now)
-        burst *= self._worthier(kind)
+        burst *= self._worthier(kind, plan)
         elapsed = now - customer.touched
         excess = max(0.0, customer.excess - rate * elapsed + THOUSANDTHS * units)
         if excess > 2.0 * burst:
             return inf
         customer.excess, customer.touched = excess, now
+        customer.own, customer.own_at = self._own(customer, now) + units, now
         return max(0.0, excess - burst) / rate
 
     def useful_ms(self, kind: RequestClass, latency_ms: float) -> float:
@@ -155,9 +209,9 @@
         """When a request refused for the quota may come again: when the bucket has drained for it."""
         if not self.limits.can_advise_retry:
             return 0.0
-        rate = plan.rate * self.share(customer, now)
+        rate = plan.rate * self.slice(customer, plan, now)
         excess = customer.excess - rate * (now - customer.touched) + THOUSANDTHS * units
-        return min(self.limits.max_retry_after_ms, max(0.0, excess - self._burst(customer, plan)) / rate)
+        return min(self.limits.max_retry_after_ms, max(0.0, excess - self._burst(customer, plan, now)) / rate)
 
     def allowance(self, plan_name: str, customer_name: str, width: int, now: float) -> Allowance:
         """What a customer could have now; changes nothing. KeyError: there is no such plan."""
@@ -167,9 +221,9 @@
         customer = self.customers.get((plan_name, customer_name))
         if customer is None:
             return Allowance(plan.burst / width, plan.burst, plan.rate, 0.0)
-        rate = plan.rate * self.share(customer, now)
+        rate = plan.rate * self.slice(customer, plan, now)
         excess = max(0.0, customer.excess - rate * (now - customer.touched))
-        left = max(0.0, self._burst(customer, plan) - excess) / THOUSANDTHS
+        left = max(0.0, self._burst(customer, plan, now) - excess) / THOUSANDTHS
         return Allowance(left, plan.burst, plan.rate, excess / rate)
 
     def settle(self, customer: Customer, guess: float, true: float) -> None:
--- a/tests/test_meter.py
+++ b/tests/test_meter.py
@@ -156,8 +156,9 @@
     assert rig.ask("metered", "brief", units=1) not in rig.answers
 
 
-def dear_rig() -> Rig:
-    rig = rig_with(classes=(*CLASSES, DEAR))
+def dear_rig(over_cost: float = 1.3) -> Rig:
+    plans = (replace(SETTINGS.plans[0], over_cost=over_cost), *SETTINGS.plans[1:])
+    rig = rig_with(classes=(*CLASSES, DEAR), plans=plans)
     rig.servers(entry(1), entry(2))
     return rig
 
@@ -173,6 +174,54 @@
     assert dear in rig.sent
 
 
+def test_the_worthier_have_more_where_it_costs_nothing_beyond_the_quota():
+    # 4 x (1 + (0.25 + 0.5) x 3 / 4) = 6.25
+    rig = dear_rig(over_cost=0.0)
+    assert all(rig.ask("metered", "dear") in rig.sent for _ in range(6))
+    assert rig.ask("metered", "dear") not in rig.sent
+
+
+# A customer's part of its quota by what is seen of its use here: width 4, rate 10, burst 8. Even parts hold 2,
+# and one more as the bucket has drained below it since the last.
+
+def busy_rig(seconds: int, used: float, over_cost: float = 0.0) -> Rig:
+    """After so many seconds of two units each, all of them here, and readings of so many percent."""
+    rig = rig_with(gateways=4, plans=(replace(SETTINGS.plans[0], over_cost=over_cost), *SETTINGS.plans[1:]))
+    rig.servers(entry(1), entry(2))
+    for _ in range(2 * seconds):
+        name = rig.ask("metered", width=4)
+        rig.finish(name, used=used)
+        rig.run(500.0)
+    return rig
+
+
+def at_once(rig: Rig) -> int:
+    """How many more are sent at once."""
+    names = [rig.ask("metered", width=4) for _ in range(12)]
+    return sum(name in rig.sent for name in names)
+
+
+@pytest.mark.parametrize("seconds, used, over_cost, quiet_ms, sent", [
+    (60, 20.0, 0.0, 0.0, 9),  # all of its use is seen here: all of the quota
+    (60, 20.0, 1.3, 0.0, 3),  # where it is dear beyond the quota, the even part
+    (1, 20.0, 0.0, 0.0, 2),  # not yet shown for long
+    (60, 100.0, 0.0, 0.0, 3),  # no room
+    (60, 20.0, 0.0, 4100.0, 3),  # no news
+    (60, 80.0, 0.0, 0.0, 3),  # most of its use is seen elsewhere
+])
+def test_a_slice_is_the_part_of_the_use_that_is_seen_here(seconds, used, over_cost, quiet_ms, sent):
+    rig = busy_rig(seconds, used, over_cost)
+    rig.run(quiet_ms)
+    assert at_once(rig) == sent
+
+
+def test_a_sudden_reading_ends_the_growth_at_once():
+    rig = busy_rig(60, 20.0)
+    rig.finish(rig.ask("metered", width=4), used=300.0)
+    rig.run(500.0)
+    assert at_once(rig) == 3
+
+
 def test_what_is_beyond_the_burst_is_left_to_the_worthier():
     # the shortest aim is 1000 ms: the least worthy is held for 100 ms, half a unit at 5 a second
     rig = dear_rig()
