--- a/tests/test_meter.py
+++ b/tests/test_meter.py
@@ -181,8 +181,8 @@
     assert rig.ask("metered", "dear") not in rig.sent
 
 
-# A customer's part of its quota by what is seen of its use here: width 4, rate 10, burst 8. Even parts hold 2,
-# and one more as the bucket has drained below it since the last.
+# A customer's part of its quota, by what is seen of its use here: width 4, rate 10, burst 8. Even parts hold
+# 2, and one more as the bucket has drained below it since the last.
 
 def busy_rig(seconds: int, used: float, over_cost: float = 0.0) -> Rig:
     """After so many seconds of two units each, all of them here, and readings of so many percent."""
