--- a/brackenloft/lab/cli.py
+++ b/brackenloft/lab/cli.py
@@ -12,12 +12,15 @@
 from rich.progress import track
 from rich.table import Table
 
+from brackenloft import interface as api
 from brackenloft.lab import compare as comparing
+from brackenloft.lab import explore as searching
 from brackenloft.lab import report as reporting
 from brackenloft.lab import runner, spec
 from brackenloft.lab import shrink as shrinking
 from brackenloft.lab.spec import Experiment, ExperimentError
 from brackenloft.lab.world import World
+from brackenloft.policy import Gateway
 
 app = typer.Typer(help=__doc__, no_args_is_help=True, add_completion=True, pretty_exceptions_enable=False)
 BROKEN, WRONG = 1, 2  # exit codes: a rule was broken; what was asked for can't be done
@@ -35,6 +38,7 @@
 )
 File = Annotated[Path, typer.Argument(help="a TOML file, or a name on the shelf")]
 Json = Annotated[bool, typer.Option("--json", help="one JSON line a result, for scripts")]
+MOST_PATHS = 5  # printed: the others say the same
 PLAIN_WIDTH = 170  # of tables that go to a file or a pipe: no column is cut
 Workers = Annotated[int, typer.Option(help="processes; 0 for one a core")]
 
@@ -210,6 +214,21 @@
     print(out)
 
 
+@app.command()
+def explore(
+    effects: Annotated[list[api.Effect], typer.Argument(help="of each request of the small world, in order")],
+    depth: Annotated[int, typer.Option(min=1, help="events of a path")] = searching.DEPTH,
+    most: Annotated[int, typer.Option(min=1, help="states after which it ends")] = searching.MOST_STATES,
+) -> None:
+    """Every legal order of events in a small world; prints the shortest paths that break a rule."""
+    found = searching.explore(Gateway, tuple(effects), depth, most)
+    whole = "all of them" if found.whole else "ended there"
+    print(f"{found.states} states to depth {found.depth}, {whole}; {len(found.broken)} paths break a rule")
+    for wrong, path in found.broken[:MOST_PATHS]:
+        print(f"{wrong}: {' > '.join(' '.join(map(str, step)) for step in path)}")
+    raise typer.Exit(BROKEN if found.broken else 0)
+
+
 @app.command("list")
 def list_shelf() -> None:
     """The experiments that come with the program."""
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -130,6 +130,28 @@
     assert compare.difference("net", pairs).seen() is seen
 
 
+def test_the_commands_of_the_lab_go_together(tmp_path, capsys):
+    out, page = tmp_path / "out.jsonl", tmp_path / "lab.html"
+    path = tmp_path / "brief.toml"
+    path.write_text(
+        'extends = "room_lost"\nname = "brief"\nlength_ms = 7000\n[grid]\n"clients.retries" = [0, 2]\n'
+    )
+    assert main(["lab", "run", str(path), "--seeds", "1", "--workers", "1", "--out", str(out)]) == 0
+    assert main(["lab", "report", str(out), "--out", str(page)]) == 0
+    text = page.read_text()
+    assert text.count("<tr><td>brief clients.retries=") == 2
+    assert "cut" in text
+    assert "<svg" in text
+    assert "http-equiv" not in text
+    assert "src=" not in text, "one page, nothing fetched"
+    assert main(["lab", "compare", "calm", "let_all", "nobody", "--seeds", "1", "--workers", "1"]) == 2
+    assert main(["lab", "explore", "unsafe", "--depth", "3"]) == 0
+    assert main(["lab", "list"]) == 0
+    said = capsys.readouterr()
+    assert "nobody" in said.err
+    assert "metastable" in said.out
+
+
 def test_streams_are_independent():
     """More work at the nodes leaves who asks when as it was."""
     slower = msgspec.structs.replace(
