--- a/brackenloft/lab/cli.py
+++ b/brackenloft/lab/cli.py
@@ -24,18 +24,7 @@
 
 app = typer.Typer(help=__doc__, no_args_is_help=True, add_completion=True, pretty_exceptions_enable=False)
 BROKEN, WRONG = 1, 2  # exit codes: a rule was broken; what was asked for can't be done
-SHOWN = (
-    "net",
-    "service",
-    "worst_plan",
-    "served_share",
-    "refused_share",
-    "failed_share",
-    "refused_with_room",
-    "beyond_quota",
-    "median_ms",
-    "p99_ms",
-)
+SHOWN = reporting.COLUMNS[:-1]  # all but the rules broken, which are counted and not averaged
 File = Annotated[Path, typer.Argument(help="a TOML file, or a name on the shelf")]
 Json = Annotated[bool, typer.Option("--json", help="one JSON line a result, for scripts")]
 MOST_PATHS = 5  # printed: the others say the same
