Cold servers have their part, one slow attempt is no doubt, room lifts thin slices

Change: the turns of cold servers lie side by side and add up to their part of the fleet's capacity by least warmth; the server must have been doubted before the slow attempt, unless a second copy is allowed; a reading of room lifts the even part of many gateways to a quarter at most, nothing changes for four and fewer.

--- a/brackenloft/policy/gateway.py
+++ b/brackenloft/policy/gateway.py
@@ -272,16 +272,24 @@
         self._answer(flight)
 
     def _on_slow(self, which: tuple[Flight, int]) -> None:
-        """An attempt still out when it is slow tells so before its answer does; it may be taken elsewhere."""
+        """An attempt still out when it is slow tells so before its answer does; it may be taken elsewhere.
+
+        One that must be withdrawn for that, only if its server was doubted before. Guards against a fleet in
+        which a gateway meets a server once in seconds, so that one slow attempt is half of what it knows:
+        forty gateways withdrew what ran and sent it anew, and overran servers that were only busy. Harm: the
+        first silent attempts at a server wait until they are lost. A second copy throws nothing away.
+        """
         flight, number = which
         self.fleet.young.discard((flight.request.request_id, number))
         if number not in flight.out or not flight.hears(Trigger.SLOW):
             return
         server, sent = flight.out[number]
-        self.fleet.mark(server, flight.keys[1], failed=True, why="silent")
+        fleet, twice = self.fleet, self.settings.limits.may_duplicate
+        doubted = fleet.share_failed(server, flight.keys[1]) >= DOUBTED
+        fleet.mark(server, flight.keys[1], failed=True, why="silent")
         self._arm((1.0 - SLOW) * flight.kind.aim_ms, self._on_late, which, flight)
-        doubted = (self.fleet.lost(flight.kind, sent)
-                   or self.fleet.share_failed(server, flight.keys[1]) >= DOUBTED)
+        doubted = (doubted or fleet.lost(flight.kind, sent)
+                   or (twice and fleet.share_failed(server, flight.keys[1]) >= DOUBTED))
         if flight.kind.effect is Effect.UNSAFE or flight.closed or len(flight.out) > 1 or not doubted:
             return
         if flight.maybe_ran is None:
--- a/brackenloft/policy/meter.py
+++ b/brackenloft/policy/meter.py
@@ -9,6 +9,8 @@
 THOUSANDTHS = 1000.0  # of a unit, the unit of the excess
 GROWTH = 0.1  # share of the room given out evenly: the meter is late, and all gateways rise on one figure
 MEMORY_MS = 10_000.0  # time constant of a customer's mean use and of its part here: shifts take as long
+FEW = 0.25  # the part that many gateways rise to: a customer's requests come through few at a time
+UNEVEN = 4.0  # a quarter of the quota unused, on the mean, and it is all of that
 KEEN = 3.0  # a third of the quota unused, on the mean, and a slice is all that the part here calls for
 DEAR = 1.3  # what sending on beyond the quota costs, in worths, from which slices hardly grow
 RUSH_MS = 1000.0  # time constant of what a customer asks here: quicker than any reading comes
@@ -149,12 +151,21 @@
         to one over the gateways; only the even ones of the others come on top. Who asks for more than the
         whole quota here has the even part at once: the meter would tell seconds later. Harm: after a shift
         the one that was busy keeps its part for a while.
+
+        Where a reading shows room, the even part of many gateways rises to that of a few. Guards against a
+        part that, at thirty gateways, is less than the next request, while nearly all that is refused would
+        have been within the quota. A reading is news here until the even slice has drained a request: a
+        gateway hears no sooner again.
         """
         even, own = 1.0 / customer.width, self._own(customer, now)
         rush = self._rush(customer, now) > plan.rate / 1000.0 * RUSH_MS + RUSH * customer.largest
-        if now - customer.used_at > self.news_ms or not own or rush:
+        age = now - customer.used_at
+        if age > max(self.news_ms, self._drain_ms(customer, plan)):
             return even
         room = max(0.0, 1.0 - max(customer.mean, SUDDEN * customer.used))
+        even += min(1.0, UNEVEN * room) * max(0.0, FEW - even)
+        if age > self.news_ms or not own or rush:
+            return even
         keen = min(1.0, KEEN * room * self._ease(plan))
         used = customer.mean * plan.rate / 1000.0 * MEMORY_MS  # by all, faded alike
         return even + keen * max(0.0, own / max(own, used) - even)
--- a/brackenloft/policy/servers.py
+++ b/brackenloft/policy/servers.py
@@ -51,7 +51,12 @@
 SAMPLE = 10  # servers compared for a request, drawn at random, beside as many that answered it quickly last
 
 # Cold servers
-COLD_SAFETY = 0.33  # of the tipping budget that a full fleet's even share may use: chance and heavy requests
+COLD_SAFETY = 0.4  # of the tipping budget that its part may use on the mean: chance and heavy requests
+COLD_EARLY = 0.2  # with its warmth, the part of that while it is coldest: one request is much of its budget
+COLD_LEAST = 0.6  # of the fleet, which counts as warm at least: where nearly all are cold, all can't take all
+COLD_PULL = 0.2  # of its cost in its turn: it is one among twenty, and its turn would pass unused else
+TURNS = 64.0  # the turn also says who goes to a pool that is nearly full: its finer part is free of that
+SHARE_MS = 100.0  # between two reckonings of the shares: warmth changes in seconds
 
 Moment = tuple[float, int]  # the time, and how many attempts had been sent from here
 Mark = tuple[float, float, Moment]  # failures and all outcomes, both faded, and when they were noted
@@ -63,10 +68,10 @@
     """What this gateway knows of one server."""
 
     __slots__ = ("id", "zone", "cell", "ready", "started", "out", "ratio", "ratio_at", "queue", "queue_at",
-                 "marks", "bad", "phase")
+                 "marks", "bad", "phase", "share")
 
-    def __init__(self, entry: ServerEntry, phase: float) -> None:
-        self.phase = phase
+    def __init__(self, entry: ServerEntry) -> None:
+        self.phase, self.share = 0.0, 1.0  # of all requests, those whose turns it is open to, from where on
         self.id = entry.server
         self.out: set[tuple[str, int]] = set()  # attempts out
         self.reset()
@@ -90,10 +95,10 @@
     def __init__(self, settings: Settings, draw: random.Random, note: Callable[[str], None]) -> None:
         self.settings, self.random, self.note, self.now = settings, draw, note, -inf
         self.servers: dict[int, Server] = {}
-        self.here = Server(ServerEntry(HERE, settings.zone), 0.0)  # the host that serves the work itself
+        self.here = Server(ServerEntry(HERE, settings.zone))  # the host that serves the work itself
         self.ready: list[Server] = []
         self.cold: list[Server] = []
-        self.warm_at = -inf
+        self.shared_at = -inf
         self.zone, self.crossing = settings.zone, 1.0 + CROSS_WEIGHT * settings.cross_zone_price
         self.latency = {item.name: item.aim_ms * FIRST_LATENCY for item in settings.classes}
         self.young: set[tuple[str, int]] = set()  # attempts out that are not slow yet: what the pool counts
@@ -117,9 +122,7 @@
         for entry in event.entries:
             self._take_entry(entry)
         self.ready = [server for server in self.servers.values() if server.ready]
-        self.cold = [server for server in self.ready if self.warmth(server) < 1.0]
-        started = max((server.started for server in self.cold), default=-inf)
-        self.warm_at = started + self.settings.contract.warm_up_ms  # all of them are warm from then on
+        self._share_out()
         if event.kind is ListKind.CACHED:
             self.pool = FIRST_LIMIT * len(self.servers) / self.settings.gateways
 
@@ -128,7 +131,7 @@
         if entry.state is ServerState.GONE:
             self._remove([entry.server])
         elif server is None:
-            self.servers[entry.server] = Server(entry, self.random.random())
+            self.servers[entry.server] = Server(entry)
         else:
             if entry.started_ms > server.started:
                 server.reset()
@@ -279,17 +282,34 @@
             return 1.0
         return rules.cold_share + (1.0 - rules.cold_share) * max(0.0, age) / rules.warm_up_ms
 
-    def _cold_turn(self, flight: Flight, server: Server) -> bool:
-        """Whether this request may go to a cold server: only in its turn, drawn once for each request.
+    def _share_out(self) -> None:
+        """The share of all requests, at all gateways, that each cold server is open to.
 
-        Guards against pushing a cold server over: of all requests at all gateways it is open to its even
-        share times its least warmth at most, however good it looks, however often a request asks again,
-        whatever the number of gateways. It also spreads the burst after a list change. Harm: where most
-        servers are cold at once, requests wait or are refused though the multiple would allow more.
+        Guards against pushing it over: it has its part of the fleet's capacity by its least warmth, less
+        while it is coldest. However good it looks, however often a request asks again, at however many
+        gateways, no more comes. It also spreads the burst after a list change. Guards as well against cold
+        servers at rest beside warm ones that are overrun. Harm: where most servers are cold at once, requests
+        wait or are refused though the multiple would allow more.
         """
-        warmth = self.warmth(server)
-        share = min(1.0, COLD_SAFETY * self.settings.contract.tip_multiple) * warmth / len(self.ready)
-        return warmth >= 1.0 or (flight.turn + server.phase) % 1.0 < share
+        self.cold = [server for server in self.ready if self.warmth(server) < 1.0]
+        for server in self.ready:
+            server.share = 1.0
+        safety = min(1.0, COLD_SAFETY * self.settings.contract.tip_multiple)
+        weights = []
+        for server in self.cold:
+            warmth = self.warmth(server)
+            weights.append(safety * warmth * min(1.0, COLD_EARLY + warmth))
+        fleet = max(len(self.ready) - len(weights) + sum(weights), COLD_LEAST * len(self.ready))
+        phase = 0.0
+        for server, weight in zip(self.cold, weights, strict=True):
+            server.phase, server.share = phase, weight / fleet
+            phase += server.share
+        self.shared_at = self.now
+
+    def _cold_turn(self, flight: Flight, server: Server) -> bool:
+        """Whether this request may go to a cold server: only in its turn, drawn once for each request."""
+        turn = flight.turn * TURNS % 1.0
+        return server.share >= 1.0 or server.phase <= turn < server.phase + server.share
 
     # ---- Choice
 
@@ -315,8 +335,8 @@
         cost = load * (1.0 + (server.ratio - 1.0) * self._fade(server.ratio_at))
         if doubt := self._doubt(flight, server):
             cost *= 1.0 + DOUBT_COST * doubt
-        if self.cold:
-            cost *= self.warmth(server)  # who comes in the turn of a cold server should take it
+        if server.share < 1.0:
+            cost *= COLD_PULL  # who comes in the turn of a cold server should take it
         if server.zone != self.zone:
             cost *= self.crossing
         return cost * (1.0 + SPREAD * self.random.random())
@@ -336,8 +356,8 @@
         if len(few) > 2 * SAMPLE:
             quick = [s for s in self.quick[flight.kind.name].values() if not flight.sends or s in few]
             few = self.random.sample(few, SAMPLE) + quick + (self.cold if not flight.sends else [])
-        if self.cold and self.now >= self.warm_at:
-            self.cold = []
+        if self.cold and self.now >= self.shared_at + SHARE_MS:
+            self._share_out()
         best, least = None, inf
         for server in few:
             if server.ready and (not self.cold or self._cold_turn(flight, server)):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -5,7 +5,7 @@
 import pytest
 from conftest import CLASSES, DEAR, SETTINGS, Rig, entry, rig_with
 
-from brackenloft import Limits, ListKind, Log, ServerState, Status
+from brackenloft import Cancel, Limits, ListKind, Log, ServerState, Status
 
 RAN_NOT = [Status.FULL, Status.CONNECT_FAILED]
 MAY_HAVE_RUN = [Status.ERROR, Status.TIMEOUT, Status.RESET]
@@ -162,6 +162,18 @@
     assert 0 < sent < 0.0198 * 6000 * 1.35
 
 
+@pytest.mark.parametrize("age, part", [(2000.0, 0.17), (7000.0, 0.42)])
+def test_half_a_fleet_that_is_cold_has_its_part_of_the_work(age, part):
+    # warmth 0.36 and 0.76, less while it is coldest: 0.2 and 0.73 of a warm one's, of a fleet of 0.6 at least
+    rig = Rig(replace(SETTINGS, gateways=40))
+    rig.run(20_000.0)
+    rig.servers(*(entry(n, started_ms=rig.now - age if n % 2 else 0.0) for n in range(60)))
+    for _ in range(2000):
+        rig.finish(rig.ask())
+    cold = sum(sent[0] % 2 for sent in rig.sent.values()) / len(rig.sent)
+    assert 0.8 * part < cold < 1.2 * part
+
+
 def test_asking_again_gives_no_second_turn_at_a_cold_server():
     rig = Rig()
     rig.servers(entry(1, started_ms=rig.now))
@@ -414,6 +426,21 @@
     assert len(set(rig.sent[name])) == 2
 
 
+@pytest.mark.parametrize("slow_before, withdrawn", [(0, 0), (2, 1)])
+def test_a_slow_attempt_is_withdrawn_only_where_others_were_slow_before(slow_before, withdrawn):
+    rig = rig_with(gateways=40)
+    rig.servers(*(entry(n) for n in range(2)))
+    for _ in range(slow_before):  # one at each server, still out
+        rig.ask()
+    rig.run(1000.0)
+    rig.ask()
+    cancels = []
+    do = rig.do
+    rig.do = lambda event: cancels.extend(a for a in do(event) if isinstance(a, Cancel))
+    rig.run(1000.0)  # half of the aim
+    assert len(cancels) == withdrawn
+
+
 def test_a_server_in_doubt_is_logged_once():
     rig = Rig()
     rig.servers(entry(7))
