The pool starts at four a server, follows the capacity told, and is cut by slow attempts

At fault in servers.py: FIRST_LIMIT, six out at a server of three cores; press(), which cut the pool only by answers that came, 160 of 430 attempts a 2.5 s were withdrawn and told it nothing; take_list(), which left the pool as it was when servers left or came back cold. Change: four; an attempt cuts as it becomes slow, once; the pool is scaled as the capacity by least warmth changes.

--- a/brackenloft/policy/gateway.py
+++ b/brackenloft/policy/gateway.py
@@ -287,6 +287,8 @@
         fleet, twice = self.fleet, self.settings.limits.may_duplicate
         doubted = fleet.share_failed(server, flight.keys[1]) >= DOUBTED
         fleet.mark(server, flight.keys[1], failed=True, why="silent")
+        if not doubted:
+            fleet.cut()
         self._arm((1.0 - SLOW) * flight.kind.aim_ms, self._on_late, which, flight)
         doubted = (doubted or fleet.lost(flight.kind, sent)
                    or (twice and fleet.share_failed(server, flight.keys[1]) >= DOUBTED))
--- a/brackenloft/policy/servers.py
+++ b/brackenloft/policy/servers.py
@@ -31,7 +31,7 @@
 SPREAD = 0.1  # share of a cost drawn at random, so that gateways with the same reports do not choose alike
 
 # Pressure: how much may be out from here at all servers together, found by what answers show
-FIRST_LIMIT = 6.0  # attempts out at a server, over all gateways, before anything is known of it
+FIRST_LIMIT = 4.0  # attempts out at a server, over all gateways, before anything is known of it
 POOL_GROWTH = 0.035  # attempts by which a quick answer lifts a pool that is used up: thirty lift it by one
 POOL_CUT = 0.3  # attempts that a slow answer takes off: one slow answer in ten holds the pool level
 LEAST_POOL = 0.3  # attempts out, a share of requests below one: the pool must see answers to recover
@@ -98,7 +98,7 @@
         self.here = Server(ServerEntry(HERE, settings.zone))  # the host that serves the work itself
         self.ready: list[Server] = []
         self.cold: list[Server] = []
-        self.shared_at = -inf
+        self.shared_at, self.capacity = -inf, 0.0
         self.zone, self.crossing = settings.zone, 1.0 + CROSS_WEIGHT * settings.cross_zone_price
         self.latency = {item.name: item.aim_ms * FIRST_LATENCY for item in settings.classes}
         self.young: set[tuple[str, int]] = set()  # attempts out that are not slow yet: what the pool counts
@@ -246,9 +246,7 @@
             return
         known = self.quick[kind.name]
         known.pop(server.id, None)
-        if event.latency_ms > SLOW * kind.aim_ms:
-            self.pool = max(LEAST_POOL, self.pool - POOL_CUT * min(1.0, self.pool))
-        elif event.latency_ms < QUICK * kind.aim_ms:
+        if event.latency_ms < QUICK * kind.aim_ms:
             known[server.id] = server
             if len(known) > SAMPLE:
                 del known[next(iter(known))]
@@ -256,6 +254,10 @@
                 instant = self.answers >= TOLD and self.mean < INSTANT * self.shortest
                 self.pool += 1.0 if instant else POOL_GROWTH
 
+    def cut(self) -> None:
+        """An attempt is slow: less may be out. Told when it becomes so, as its answer may never come."""
+        self.pool = max(LEAST_POOL, self.pool - POOL_CUT * min(1.0, self.pool))
+
     def learn(self, server: Server, kind: RequestClass, latency: float) -> None:
         """Mean latency of the class and relative latency of the server, from one good answer."""
         self.answers += 1
@@ -304,7 +306,10 @@
         for server, weight in zip(self.cold, weights, strict=True):
             server.phase, server.share = phase, weight / fleet
             phase += server.share
-        self.shared_at = self.now
+        capacity = len(self.ready) - len(self.cold) + sum(map(self.warmth, self.cold))
+        if capacity and self.capacity:
+            self.pool = max(LEAST_POOL, self.pool * capacity / self.capacity)
+        self.shared_at, self.capacity = self.now, capacity or self.capacity
 
     def _cold_turn(self, flight: Flight, server: Server) -> bool:
         """Whether this request may go to a cold server: only in its turn, drawn once for each request."""
