A connect that failed charges no further attempt; full for two plans is full for all

Ruled out: the deadline (refused within 300 ms), no server to choose. At fault: _may_resend (gateway.py) charged the budget of further attempts, a fifth of a request, also for one that never came up; judge() (servers.py) marked a full server for that class and plan alone, nine findings for one that drains. Change: the attempt after a failed connect is free (four in all stay the most); two pairs turned away mark the server.

--- a/brackenloft/policy/attempts.py
+++ b/brackenloft/policy/attempts.py
@@ -62,6 +62,7 @@
     Trigger.DEADLINE: frozenset({State.NEW, State.HELD, State.PARKED, State.OUT}),
 }
 
+PAIR = " of plan "  # in the name of a class under a plan
 NEVER_RAN = (Status.FULL, Status.CONNECT_FAILED, Status.NOT_SENT)
 
 
@@ -72,7 +73,7 @@
 
     def __init__(self, kind: RequestClass, plan: Plan) -> None:
         self.kind, self.plan = kind, plan
-        self.keys = ("", f"class {kind.name}", f"class {kind.name} of plan {plan.name}")
+        self.keys = ("", f"class {kind.name}", f"class {kind.name}{PAIR}{plan.name}")
 
 
 class Flight:
--- a/brackenloft/policy/gateway.py
+++ b/brackenloft/policy/gateway.py
@@ -260,8 +260,14 @@
             self._retry_parked(flight.customer)
 
     def _again(self, flight: Flight, status: Status, attempt: tuple[Server, float]) -> None:
-        """After a failed attempt: another one where class, budget and time allow it, else the answer."""
+        """After a failed attempt: another one where class, budget and time allow it, else the answer.
+
+        One that did not come up put no load on a server, and the next is not charged. Guards against refusing
+        for want of budget while every gateway finds each of many dead servers by itself.
+        """
         flight.note_end(status, attempt)
+        if status is Status.CONNECT_FAILED:
+            self.retries += 1.0  # the next one is free
         if flight.out or flight.state is State.STREAMING:
             return
         if status is not Status.NOT_SENT and self.now < flight.deadline and self._may_resend(flight):
--- a/brackenloft/policy/servers.py
+++ b/brackenloft/policy/servers.py
@@ -18,7 +18,7 @@
     Settings,
     Status,
 )
-from brackenloft.policy.attempts import Flight
+from brackenloft.policy.attempts import PAIR, Flight
 
 # Figures
 FIRST_LATENCY = 0.2  # of a class's aim: its latency until answers have been seen
@@ -218,7 +218,9 @@
     def judge(self, flight: Flight, server: Server, status: Status) -> None:
         """Note an outcome; attempts that wait in vain are noted as they become slow.
 
-        A server that turns one away as full may do so to its class and plan alone, and others go on there.
+        A server that turns one away as full may do so to its class and plan alone, and others go on there; if
+        it did so to two of these, it does to all. Guards against one that drains before the list tells: each
+        gateway found out anew for each class and plan.
         """
         whole, kind, both = flight.keys
         if status is Status.OK:
@@ -228,6 +230,8 @@
             self.mark(server, kind, failed=True, why=status.value)
         elif status is Status.FULL:
             self.mark(server, both, failed=True, why=status.value)
+            if any(PAIR in name and name != both for name in server.bad):
+                self.mark(server, whole, failed=True, why=status.value)
         elif status in (Status.CONNECT_FAILED, Status.RESET):
             self.mark(server, whole, failed=True, why=status.value)
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -426,6 +426,27 @@
     assert at_server_0(doubted(full, plan="free"), plan="capped-wide") >= 3
 
 
+def test_a_server_full_for_two_plans_is_left_by_all():
+    rig = doubted(full, plan="free")
+    for _ in range(40):  # until one of the other plan was turned away there too
+        name = rig.ask(plan="capped-wide")
+        if rig.sent[name][0] == 0:
+            full(rig, name)
+            break
+        rig.finish(name)
+    assert at_server_0(rig, class_name="unsafe") <= 1
+
+
+@pytest.mark.parametrize("status, attempts", [(Status.CONNECT_FAILED, 90), (Status.FULL, 45)])
+def test_an_attempt_that_did_not_come_up_charges_no_budget(status, attempts):
+    rig = fleet(40)  # thirty requests, three attempts each; ten and a fifth a request are saved up
+    for _ in range(30):
+        name = rig.ask()
+        while name not in rig.answers:
+            rig.finish(name, status)
+    assert sum(map(len, rig.sent.values())) == attempts
+
+
 def test_a_server_that_drops_connections_is_left_by_all():
     def dropped(rig: Rig, name: str) -> None:
         rig.finish(name, Status.CONNECT_FAILED)
