--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -7,7 +7,70 @@
 attempt cuts, no free attempt after a failed connect, cold nodes at 0.825 of their even share times warmth.
 The doubt after a single slow attempt is not taken back here. Connects and lists are not modelled: the
 user's bench shows them.
-"""One run: its figures, failed answers, and the most that a cold node was sent of its tipping budget."""
+"""
+
+from __future__ import annotations
+
+import argparse
+import contextlib
+import json
+from collections import Counter
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+from unittest import mock
+
+from brackenloft import Gateway, Outcome, Status
+from brackenloft.lab import nodes, spec
+from brackenloft.lab.world import World
+from brackenloft.policy import attempts, meter, servers
+
+EVENTS = ("fleet_herd", "fleet_zone", "fleet_join")
+OLD_COLD = 0.33  # of the tipping budget that a full fleet's even share could use
+SHOWN = ("service", "net", "served_share", "refused_with_room", "beyond_quota", "cold", "errors")
+MEANS = SHOWN[:5]
+
+_again = Gateway._again
+
+
+def _old_shares(self: servers.Fleet) -> None:
+    self.cold = [server for server in self.ready if self.warmth(server) < 1.0]
+    most = min(1.0, OLD_COLD * self.settings.contract.tip_multiple)
+    for server in self.ready:
+        server.share = 1.0
+    for server in self.cold:
+        server.share = most * self.warmth(server) / len(self.ready)
+    self.shared_at = self.now
+
+
+def _old_turn(self: servers.Fleet, flight: attempts.Flight, server: servers.Server) -> bool:
+    spread = server.id * 0.6180339887498949  # each server's turns begin elsewhere
+    return server.share >= 1.0 or (flight.turn + spread) % 1.0 < server.share
+
+
+def _old_again(
+    self: Gateway, flight: attempts.Flight, status: Status, attempt: tuple[servers.Server, float],
+) -> None:
+    if status is Status.CONNECT_FAILED:
+        self.retries -= 1.0  # takes back what is given there
+    _again(self, flight, status, attempt)
+
+
+@contextlib.contextmanager
+def as_it_stood() -> Iterator[None]:
+    """The rules before the large fleet, within this block."""
+    with contextlib.ExitStack() as stack:
+        for place, name, value in (
+            (meter, "FEW", 0.0), (servers, "FIRST_LIMIT", 6.0), (servers, "COLD_PULL", 1.0),
+            (servers.Fleet, "cut", lambda self: None), (servers.Fleet, "_share_out", _old_shares),
+            (servers.Fleet, "_cold_turn", _old_turn), (Gateway, "_again", _old_again),
+        ):
+            stack.enter_context(mock.patch.object(place, name, value))
+        yield
+
+
+def play(name: str, seed: int) -> dict[str, float]:
+    """One run: its figures, failed answers, and the most that a cold node was sent of its tipping budget."""
     count: Counter[str] = Counter()
     worst = [0.0]
 
