--- a/tests/test_net_clients.py
+++ b/tests/test_net_clients.py
@@ -222,6 +222,7 @@
 def test_who_has_asked_once_makes_room_before_who_comes_again_though_idle_for_longer(monkeypatch):
     monkeypatch.setattr(module, "IDLE_S", 0.0)
     monkeypatch.setattr(module, "ROOM", 1)
+    monkeypatch.setattr(module, "SWEEP_S", 60.0)  # a look meanwhile would make room once more
 
     async def test():
         async with node(FakeServer(), most_connections=2) as gateway:
