--- a/brackenloft/__main__.py
+++ b/brackenloft/__main__.py
@@ -9,6 +9,7 @@
 import os
 import signal
 import sys
+from collections.abc import Callable
 from dataclasses import dataclass
 from math import inf
 from pathlib import Path
@@ -36,6 +37,8 @@
 ACCEPT_S = 0.45  # after SIGTERM: new connections go on coming for 0.4 s
 KILL_S = (3.0, 0.7)  # after SIGTERM comes SIGKILL: the longest deadline, this at most, and so much more
 SIGNALS = {signal.SIGTERM, signal.SIGINT, signal.SIGHUP}
+OPERATORS = 24  # descriptors that the second address has for itself: its callers, its listener, some to spare
+CANT_START = 2  # the exit code for what the environment or the configuration names and can't be had
 SPARE_S = 0.3  # of that time, in which all is answered but not yet killed
 
 
@@ -79,18 +82,23 @@
     memory: int  # bytes
     known: Any
     settings: api.Settings
+    admin: Address | None = None  # the second address, for operators
+    accept: int | None = None  # a descriptor of a socket that listens already, in place of our own
 
     @staticmethod
     def load(environment: dict[str, str]) -> Config:
         """From EDGE_CONFIG; EDGE_LISTEN and EDGE_DISCOVERY, where set, say the same or come first."""
         path = Path(environment["EDGE_CONFIG"])
         document = json.loads(path.read_text())
+        admin = environment.get("EDGE_ADMIN") or document.get("admin")
+        accept = environment.get("EDGE_ACCEPT_FD")
         return Config(
             path=path, listen=_address(environment.get("EDGE_LISTEN") or document["listen"]),
             discovery=_address(environment.get("EDGE_DISCOVERY") or document["discovery"]),
             seed=int(document["seed"], 16), descriptors=int(document["limits"]["sockets"]),
             memory=int(document["limits"]["memory_mb"]) * MEGABYTE,
             known=document["known"], settings=settings_from(document["settings"]),
+            admin=_address(admin) if admin else None, accept=int(accept) if accept else None,
         )
 
 
@@ -110,7 +118,7 @@
 
 def _room(config: Config) -> Room:
     """What the platform's limits leave for clients and servers."""
-    budget = max(2, config.descriptors - OTHER_DESCRIPTORS)
+    budget = max(2, config.descriptors - OTHER_DESCRIPTORS - (OPERATORS if config.admin else 0))
     for_servers, for_clients = max(1, int(budget * SERVERS_SHARE)), max(1, int(budget * CLIENTS_SHARE))
     held = max(LEAST_HELD, int((config.memory - PROGRAM) * HELD_SHARE))
     lent = budget - for_servers - for_clients
@@ -123,6 +131,29 @@
     return min(KILL_S[0], longest_s) + KILL_S[1] - SPARE_S
 
 
+def _listen(config: Config, edge: Edge) -> Callable[[], None]:
+    """Open the addresses that the configuration names; what closes the second one.
+
+    What it does not name is not imported either.
+    """
+    shut: Callable[[], None] = lambda: None  # noqa: E731
+    if config.admin:
+        from brackenloft.ops.station import Station
+        try:
+            shut = Station(edge, config.admin).close
+        except OSError as error:
+            raise SystemExit(f"the second address {config.admin[0]}:{config.admin[1]}: {error}") from error
+    try:
+        if config.accept is None:
+            edge.listen(*config.listen)
+        else:
+            edge.inherit(config.accept)
+    except OSError as error:
+        where = f"{config.listen[0]}:{config.listen[1]}" if config.accept is None else "EDGE_ACCEPT_FD"
+        raise SystemExit(f"can't accept clients at {where}: {error}") from error
+    return shut
+
+
 async def serve(config: Config) -> None:
     """Serve until SIGTERM, then see to what was taken and return."""
     loop = asyncio.get_running_loop()
@@ -132,6 +163,7 @@
     loop.add_signal_handler(signal.SIGHUP, again.set)
     signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
     edge = Edge(config.settings, _room(config), config.seed).open()
+    shut = _listen(config, edge)
     edge.known(config.known)
     edge.watch(config.discovery)
 
@@ -142,11 +174,11 @@
             _reload(config.path, edge)
 
     reloading = loop.create_task(reload())
-    edge.listen(*config.listen)
     log.info("listening")
     await stop.wait()
     log.info("stopping")
     await edge.close(_span_s(config.settings), ACCEPT_S)
+    shut()
     reloading.cancel()
 
 
@@ -161,9 +193,13 @@
         stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(name)s %(message)s")
     for handler in logging.getLogger().handlers:
         handler.addFilter(Ration())
-    config = Config.load(dict(os.environ))
-    gc.freeze()
-    uvloop.run(serve(config))
+    try:
+        config = Config.load(dict(os.environ))
+        gc.freeze()
+        uvloop.run(serve(config))
+    except SystemExit as error:
+        log.error("not started: %s", error)
+        return CANT_START
     return 0
 
 
--- a/brackenloft/answers.py
+++ b/brackenloft/answers.py
@@ -35,3 +35,37 @@
 
 Answer = Served | Granted | Refused | Failed
 FAILED = Failed()
+
+
+@dataclass(slots=True)
+class Tally:
+    """How many requests of one class have ended in which answer."""
+
+    served: int = 0
+    granted: int = 0  # to the host itself
+    refused_quota: int = 0
+    refused_busy: int = 0  # for want of servers, room or time
+    failed: int = 0
+
+    def count(self, answer: Answer) -> None:
+        """One more."""
+        if isinstance(answer, Served):
+            self.served += 1
+        elif isinstance(answer, Granted):
+            self.granted += 1
+        elif not isinstance(answer, Refused):
+            self.failed += 1
+        elif answer.over_quota:
+            self.refused_quota += 1
+        else:
+            self.refused_busy += 1
+
+    @property
+    def passed(self) -> int:
+        """Served, here or by a server."""
+        return self.served + self.granted
+
+    @property
+    def dropped(self) -> int:
+        """Refused, for whatever reason."""
+        return self.refused_quota + self.refused_busy
--- a/brackenloft/edge/edge.py
+++ b/brackenloft/edge/edge.py
@@ -11,15 +11,16 @@
 import logging
 import secrets
 from collections.abc import Iterable
-from dataclasses import asdict, dataclass, replace
+from dataclasses import asdict, dataclass, fields, replace
 from types import TracebackType
 from typing import Any
 
 from brackenloft import interface as api
 from brackenloft.admission.budget import Budget, Side
-from brackenloft.answers import Answer, Granted, Refused
+from brackenloft.answers import Answer, Granted, Tally
 from brackenloft.checks import CLIENT_MARGIN_MS, Checks, FieldError
 from brackenloft.edge.sources import Node, listing
+from brackenloft.lifecycle import FACTS, Event, Lifecycle, State
 from brackenloft.net import driver as driving
 from brackenloft.net import wire
 from brackenloft.net.clients import Clients
@@ -209,7 +210,10 @@
         self.budget = Budget(total, floors, spare)
         self.servers = Servers(self.settings, self.budget, room.held)
         self.driver = Driver(Gateway(self.settings, self.seed), self.servers, Clock())
-        self.clients = Clients(self.driver, self.settings, self.budget, room.held, room.asking or 0)
+        self.lifecycle = Lifecycle(self._turn)
+        self.clients = Clients(
+            self.driver, self.settings, self.budget, room.held, room.asking or 0, self.lifecycle)
+        self._emptier: asyncio.TimerHandle | None = None
         self.discovery = Discovery(self._news)
         self._listed = False
         self._ready = asyncio.Event()
@@ -235,7 +239,10 @@
         if not self.is_open:
             return
         end = self.loop.time() + within_s
+        if not FACTS[self.lifecycle.state].accepts:
+            accept_s = 0.0  # a successor accepts
         try:
+            self.lifecycle.happens(Event.LEAVE)
             self.driver.post(api.Stopping(within_s * 1000.0))
             await asyncio.sleep(accept_s)
             self.clients.stop_listening()
@@ -250,6 +257,7 @@
 
     def _end(self) -> None:
         self.is_open = False
+        self.lifecycle.happens(Event.ENDED)
         if self._first_list:
             self._first_list.cancel()
         self.driver.abandon()
@@ -295,9 +303,22 @@
             self.told(news, addresses)
 
     def _is_ready(self) -> None:
-        self.clients.ready = True
+        self.lifecycle.happens(Event.LISTED)
         self._ready.set()
 
+    def _turn(self, before: State, after: State) -> None:
+        """The lifecycle has moved on: accept and empty as it says."""
+        log.info("%s, after %s", after.value, before.value)
+        facts = FACTS[after]
+        if self._emptier:
+            self._emptier.cancel()
+            self._emptier = None
+        self.clients.accept_or_not()
+        if facts.empties_after_s is not None:
+            self._emptier = self.loop.call_later(facts.empties_after_s, self.clients.empty)
+        elif after is not State.LEAVING:
+            self.clients.keep()
+
     @property
     def ready(self) -> bool:
         """Whether it is known whom to send to."""
@@ -314,6 +335,11 @@
         self._check_open()
         return self.clients.listen(host, port)
 
+    def inherit(self, descriptor: int) -> Address:
+        """Take RESP2 clients from a socket that listens already; the address. OSError: it does not."""
+        self._check_open()
+        return self.clients.inherit(descriptor)
+
     async def call(self, call: Call) -> Answer:
         """Have a server do it; Served, Refused or Failed.
 
@@ -340,9 +366,7 @@
         encode = _nothing if local else self._encoder(call, request)
         pending = Pending(self, request.request_id)
         if len(self._own) >= self.room.in_hand:
-            self.driver.counters.requests += 1
-            self.driver.counters.refused_busy += 1
-            pending.value = Refused()
+            pending.value = self.driver.turn_away(request.class_name)
             return pending
         self._own[request.request_id] = pending
         driven = driving.Call(request.request_id, encode, pending.tell)
@@ -370,7 +394,9 @@
         }
         bites = {f"bit: {name}": count for part in (self.clients, self.servers)
                  for name, count in part.bites.counts.items()}
-        return asdict(self.driver.counters) | now | bites
+        tallies = self.driver.tallies.values()
+        ended = {field.name: sum(getattr(tally, field.name) for tally in tallies) for field in fields(Tally)}
+        return asdict(self.driver.counters) | ended | now | bites
 
     def _check_open(self) -> None:
         if not self.is_open:
--- a/brackenloft/lifecycle.py
+++ b/brackenloft/lifecycle.py
@@ -7,6 +7,7 @@
   HANDING    a successor accepts in its place; what it has taken it finishes
   HANDING_EMPTY  the same, out of a drain: if the successor dies it goes on draining
   LEAVING    it was told to end: it finishes what it has taken
+  LEAVING_HANDED  the same, and a successor accepts in its place
   GONE       nothing is owed any more
 
 ``PING``, ``/-/ready``, accepting and closing read FACTS; calls, signals, discovery and the handover are
@@ -20,8 +21,9 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-FRONT_SEES_S = 0.4  # from a first no until no new connection comes: it is asked for every 0.1 s, and they come
-# for another 0.2 s; the rest is for a busy loop
+# From a first no until no new connection comes: it is asked for every 0.1 s, and they come for another 0.2 s;
+# the rest is for a busy loop.
+FRONT_SEES_S = 0.4
 
 
 class State(StrEnum):
@@ -34,6 +36,7 @@
     HANDING = "handing over"
     HANDING_EMPTY = "handing over, drained"
     LEAVING = "leaving"
+    LEAVING_HANDED = "leaving, handed over"
     GONE = "gone"
 
 
@@ -67,7 +70,8 @@
     # The gateway is ready, though not this process of it: a no would tell the front to send nobody.
     State.HANDING: Facts(pong=True, ready=False, accepts=False, empties_after_s=0.0),
     State.HANDING_EMPTY: Facts(pong=False, ready=False, accepts=False, empties_after_s=0.0),
-    State.LEAVING: Facts(pong=True, ready=False, accepts=True),  # until its host says that it is time to empty
+    State.LEAVING: Facts(pong=True, ready=False, accepts=True),  # its host says when to empty
+    State.LEAVING_HANDED: Facts(pong=True, ready=False, accepts=False, empties_after_s=0.0),
     State.GONE: Facts(pong=False, ready=False, accepts=False, empties_after_s=0.0),
 }
 
@@ -87,13 +91,16 @@
         _E.KEEP: _S.DRAINING, _E.LEAVE: _S.LEAVING, _E.ENDED: _S.GONE},
     _S.HANDING: {
         _E.LISTED: _S.HANDING, _E.DRAIN: None, _E.RESUME: None, _E.HAND: None,
-        _E.KEEP: _S.READY, _E.LEAVE: _S.LEAVING, _E.ENDED: _S.GONE},
+        _E.KEEP: _S.READY, _E.LEAVE: _S.LEAVING_HANDED, _E.ENDED: _S.GONE},
     _S.HANDING_EMPTY: {
         _E.LISTED: _S.HANDING_EMPTY, _E.DRAIN: None, _E.RESUME: None, _E.HAND: None,
-        _E.KEEP: _S.DRAINING, _E.LEAVE: _S.LEAVING, _E.ENDED: _S.GONE},
+        _E.KEEP: _S.DRAINING, _E.LEAVE: _S.LEAVING_HANDED, _E.ENDED: _S.GONE},
     _S.LEAVING: {
         _E.LISTED: _S.LEAVING, _E.DRAIN: _S.LEAVING, _E.RESUME: None, _E.HAND: None,
         _E.KEEP: _S.LEAVING, _E.LEAVE: _S.LEAVING, _E.ENDED: _S.GONE},
+    _S.LEAVING_HANDED: {
+        _E.LISTED: _S.LEAVING_HANDED, _E.DRAIN: _S.LEAVING_HANDED, _E.RESUME: None, _E.HAND: None,
+        _E.KEEP: _S.LEAVING_HANDED, _E.LEAVE: _S.LEAVING_HANDED, _E.ENDED: _S.GONE},
     _S.GONE: {
         _E.LISTED: _S.GONE, _E.DRAIN: None, _E.RESUME: None, _E.HAND: None,
         _E.KEEP: _S.GONE, _E.LEAVE: _S.GONE, _E.ENDED: _S.GONE},
@@ -101,7 +108,7 @@
 
 
 class Lifecycle:
-    """One process's state. ``changed`` is called after each change, never for an event that changes nothing."""
+    """One process's state. ``changed`` is called after each change, not for an event that changes nothing."""
 
     def __init__(self, changed: Callable[[State, State], None] = lambda before, after: None) -> None:
         self.state, self.changed = State.STARTING, changed
--- a/brackenloft/net/clients.py
+++ b/brackenloft/net/clients.py
@@ -21,6 +21,7 @@
 from brackenloft.admission.room import relief
 from brackenloft.answers import FAILED, Answer
 from brackenloft.checks import Checks
+from brackenloft.lifecycle import Lifecycle
 from brackenloft.net import wire
 from brackenloft.net.bites import Bites
 from brackenloft.net.driver import Call, Driver
@@ -46,6 +47,8 @@
 IDLE_S = 2.0  # a connection on which no request is open may be closed after that
 SERVED_S = 0.1  # about what it is open for before
 SWEEP_S = 0.05  # between two looks at who is overdue
+FINISH_S = 1.5  # while the process empties: for who is within a command, and for commands without a gap: none
+# may be held after 4 s on which a request came within 2 s
 BACKLOG = 1024  # connections that wait in the kernel: all that come while there is no room
 ACCEPTS = 32  # connections accepted before the others have their turn
 ROOM = 16  # connections closed at once when there is no room for another
@@ -182,7 +185,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         # uvloop's transports are not asyncio.Transport by class: no isinstance here
-        self.transport = cast(asyncio.Transport, transport)
+        self.transport, self.came = cast(asyncio.Transport, transport), self.clients.loop.time()
         self.clients.opened(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -259,7 +262,7 @@
     def _throttle(self) -> None:
         if self.transport is None or self.transport.is_closing():
             return
-        pause = self.ending or self.tired or self._full()
+        pause = self.ending or self.tired or self._full() or self.clients.finishing()
         if pause != self.paused:
             self.paused = pause
             if self.reads:
@@ -318,7 +321,8 @@
         self.clients.asking += self.asked == 1
         if not self.clients.relieve():
             self.hold(-size, in_hand=False)
-            self._reply(b"-BUSY\r\n")  # guards against commands in hand that together outgrow the memory
+            # Guards against commands in hand that together outgrow the memory.
+            self._reply(wire.answer_line(driver.turn_away(request.class_name)))
             return
         self.in_hand += size
         slot = Slot(self, None, request.request_id, size)
@@ -362,7 +366,7 @@
             self._break("timeout")
         for slot in list(self.slots):
             if slot.answer is None:
-                self.clients.driver.client_gone(slot.request_id)
+                self.clients.driver.client_gone(slot.request_id, failed=True)
                 slot.fill(FAILED)
 
     # ---- Replies out
@@ -404,9 +408,26 @@
         if self.ending and self.unread:
             if self.timer is None:
                 self.timer = self.clients.loop.call_later(LINGER_S, self.abort)
-        elif self.ending or self.clients.leaving:
+        elif self.ending or (self.clients.emptying and self._may_go()):
             self.transport.close()
 
+    def _may_go(self) -> bool:
+        """Whether it may be closed between requests as the process empties.
+
+        Guards against turning back a command that crosses the close: who is within one, or has just come, is
+        waited for, but not without end; what has come unread is read first.
+        """
+        waited = self.clients.loop.time() - self.clients.emptying_since
+        if waited >= FINISH_S:
+            return True
+        fresh = not self.spoke and self.clients.loop.time() - self.came < FRESH_S
+        return not fresh and not self.reader.left and not self._unread()
+
+    def _unread(self) -> bool:
+        with suppress(OSError):
+            return bool(self.socket.recv(1, socket.MSG_PEEK))
+        return False
+
     def pause_writing(self) -> None:
         """The client does not take its answers: it is read no further, and given up after a while.
 
@@ -447,10 +468,8 @@
         """Close it to make room, unless a command has come that was not read yet."""
         if self.transport is None or self.transport.is_closing():
             return False
-        if not self.ending:
-            with suppress(OSError):
-                if self.socket.recv(1, socket.MSG_PEEK):
-                    return False
+        if not self.ending and self._unread():
+            return False
         self.ending = True
         self.transport.abort()
         return True
@@ -460,9 +479,10 @@
     """The listener and the connections it accepted, bounded in number and in what they hold."""
 
     def __init__(
-        self, driver: Driver, settings: api.Settings, budget: Budget, most_held: int, usual: int = 0,
+        self, driver: Driver, settings: api.Settings, budget: Budget, most_held: int, usual: int,
+        lifecycle: Lifecycle,
     ) -> None:
-        self.driver, self.requests = driver, Requests(settings)
+        self.driver, self.requests, self.lifecycle = driver, Requests(settings), lifecycle
         self.budget, self.most_held = budget, most_held
         self.bites = Bites()
         self.slow: dict[Client, None] = {}  # within a command for long, but not too slow so far
@@ -475,7 +495,8 @@
         self.asking = 0  # connections that have asked for something
         self.usual = usual  # connections that clients open for requests by themselves; 0 for any number
         self.loop = asyncio.get_running_loop()
-        self.ready = self.leaving = self.accepting = False
+        self.emptying = self.leaving = self.accepting = self.shared = False
+        self.emptying_since = 0.0
         self.listener: socket.socket | None = None
         self.tasks: set[asyncio.Task[None]] = set()
         self.sweeper = self.loop.call_later(SWEEP_S, self._sweep)
@@ -484,7 +505,21 @@
 
     def listen(self, host: str, port: int) -> tuple[str, int]:
         """Listen on this address only; the address."""
-        self.listener = socket.create_server((host, port), backlog=BACKLOG)
+        return self._listen_on(socket.create_server((host, port), backlog=BACKLOG))
+
+    def inherit(self, descriptor: int) -> tuple[str, int]:
+        """Accept from a socket that listens already, beside other processes; the address.
+
+        OSError: it is no listening socket.
+        """
+        listener = socket.socket(fileno=descriptor)
+        if not listener.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+            raise OSError("it does not listen")
+        self.shared = True
+        return self._listen_on(listener)
+
+    def _listen_on(self, listener: socket.socket) -> tuple[str, int]:
+        self.listener = listener
         self.listener.setblocking(False)
         self._accept_more()
         address: tuple[str, int] = self.listener.getsockname()
@@ -492,10 +527,12 @@
 
     def pong(self) -> bytes:
         """The front takes in a gateway that says PONG: not before it knows whom to send to."""
-        return b"+PONG\r\n" if self.ready else b"-LOADING the list of servers is not known yet\r\n"
+        if self.lifecycle.facts.pong:
+            return b"+PONG\r\n"
+        return b"-LOADING %b\r\n" % self.lifecycle.state.encode()
 
     def _accept_more(self) -> None:
-        if self.listener and not self.accepting:
+        if self.listener and not self.accepting and self.lifecycle.facts.accepts:
             self.accepting = True
             self.loop.add_reader(self.listener, self._accept)
 
@@ -648,6 +685,8 @@
             self._accept_more()
         if self.short():
             self._make_room()  # somebody waits, or will before long, here or at the clients
+        if self.emptying:
+            self._empty()
         self.sweeper = self.loop.call_later(SWEEP_S, self._sweep)
 
     def _cut_the_slow(self) -> None:
@@ -691,12 +730,37 @@
         when the listener closes. The places come free here, as who rests is closed.
         """
         self.leaving = True
-        for client in list(self.connections):
-            client.flush()
-        if self.listener:
+        self.empty()
+        if self.shared:
+            self._close_listener()  # others hold it: nobody is reset
+        elif self.listener:
             self._accept_more()
             self._accept()
 
+    def empty(self) -> None:
+        """From now on, close each connection once nothing is owed on it."""
+        if not self.emptying:
+            self.emptying, self.emptying_since = True, self.loop.time()
+        self._empty()
+
+    def _empty(self) -> None:
+        for client in list(self.connections):
+            client.flush()
+
+    def finishing(self) -> bool:
+        """Whether it is time that even those who never pause come to an end: no more is read."""
+        return self.emptying and self.loop.time() - self.emptying_since >= FINISH_S
+
+    def keep(self) -> None:
+        """Empty no more."""
+        self.emptying = False
+        for client in list(self.connections):
+            client.flush()  # and read on, where that had stopped
+
+    def accept_or_not(self) -> None:
+        """As the lifecycle has it."""
+        (self._accept_more if self.lifecycle.facts.accepts else self._accept_no_more)()
+
     def _close_listener(self) -> None:
         if self.listener:
             self._accept_no_more()
--- a/brackenloft/net/driver.py
+++ b/brackenloft/net/driver.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from brackenloft import interface as api
-from brackenloft.answers import FAILED, Answer, Granted, Refused, Served
+from brackenloft.answers import FAILED, Answer, Granted, Refused, Served, Tally
 from brackenloft.net.lag import Lag
 from brackenloft.net.servers import Attempt, Reply, Servers
 from brackenloft.net.timers import Handle, Timers
@@ -39,7 +39,8 @@
 class Call:
     """A client's request in hand, until it has been answered and no attempt is out."""
 
-    __slots__ = ("request_id", "encode", "on_answer", "deadline", "sends", "out", "answered", "timers")
+    __slots__ = (
+        "request_id", "encode", "on_answer", "deadline", "sends", "out", "answered", "timers", "tally")
 
     def __init__(
         self, request_id: str, encode: Callable[[float], bytes], on_answer: Callable[[Answer], None],
@@ -48,20 +49,16 @@
         self.deadline, self.sends, self.answered = 0.0, 0, False
         self.out: dict[int, Attempt | None] = {}  # None: at the host itself
         self.timers: list[Handle] = []
+        self.tally: Tally  # of its class, from when it is taken
 
 
 @dataclass(slots=True)
 class Counters:
-    """What became of the requests so far. Each ends in one of served, granted, refused, failed, gone."""
+    """What became of the requests so far, beside the tallies: each ends in one of these, or is gone."""
 
     requests: int = 0
     held: int = 0  # not sent on or answered at once
     attempts: int = 0  # sent on to servers
-    served: int = 0
-    granted: int = 0  # to the host itself
-    refused_quota: int = 0
-    refused_busy: int = 0  # for want of servers, room or time
-    failed: int = 0
     gone: int = 0  # the client left, or the host cancelled, before the answer
     stalls: int = 0  # times that the loop was held up by more than LATE_MS
     stalled_ms: float = 0.0
@@ -74,6 +71,7 @@
         self.gateway, self.servers, self.clock = gateway, servers, clock
         self.calls: dict[str, Call] = {}
         self.counters = Counters()
+        self.tallies = {kind.name: Tally() for kind in gateway.settings.classes}
         self.events: deque[api.Event] = deque()
         self.handling = False
         self.loop = asyncio.get_running_loop()
@@ -124,18 +122,35 @@
         """Take a client's request; it is answered through ``call.on_answer``, once."""
         call.deadline = self.clock() + waits_ms
         self.calls[call.request_id] = call
+        call.tally = self.tallies[request.class_name]
         self.counters.requests += 1
         self.lag.watch()
         self.post(request)
         if not call.answered and not call.out:
             self.counters.held += 1
 
-    def client_gone(self, request_id: str) -> None:
-        """The client closed its connection: nothing more is owed."""
+    def turn_away(self, class_name: str) -> Refused:
+        """Refuse a request that is not taken at all, for want of room; the answer."""
+        answer = Refused()
+        self.counters.requests += 1
+        self.tallies[class_name].count(answer)
+        return answer
+
+    @property
+    def in_progress(self) -> int:
+        """Requests taken and not ended."""
+        ended = sum(tally.passed + tally.dropped + tally.failed for tally in self.tallies.values())
+        return self.counters.requests - self.counters.gone - ended
+
+    def client_gone(self, request_id: str, failed: bool = False) -> None:
+        """The client closed its connection, or is told that its request ``failed``: nothing more is owed."""
         call = self.calls.get(request_id)
         if call and not call.answered:
             call.answered = True
-            self.counters.gone += 1
+            if failed:
+                call.tally.count(FAILED)
+            else:
+                self.counters.gone += 1
             self.post(api.ClientGone(request_id))
             self._drop_if_done(call)
 
@@ -226,22 +241,9 @@
 
     def _answer(self, call: Call, answer: Answer) -> None:
         call.answered = True
-        self._count(answer)
+        call.tally.count(answer)
         call.on_answer(answer)
 
-    def _count(self, answer: Answer) -> None:
-        counters = self.counters
-        if isinstance(answer, Served):
-            counters.served += 1
-        elif isinstance(answer, Granted):
-            counters.granted += 1
-        elif not isinstance(answer, Refused):
-            counters.failed += 1
-        elif answer.over_quota:
-            counters.refused_quota += 1
-        else:
-            counters.refused_busy += 1
-
     def _drop_if_done(self, call: Call) -> None:
         if call.answered and not call.out:
             self.calls.pop(call.request_id, None)
--- a/brackenloft/net/servers.py
+++ b/brackenloft/net/servers.py
@@ -234,10 +234,12 @@
         self.transport.write(attempt.payload)
         self.unsent = self.transport.get_write_buffer_size()
         self.handed = self.unsent == 0
+        self.servers.tries += self.handed
         if not self.handed:
             self.servers.look_at(self)
 
     def resume_writing(self) -> None:
+        self.servers.tries += not self.handed
         self.handed, self.pace = True, None
 
     def too_slow(self, now: float, late: float) -> bool:
@@ -340,6 +342,7 @@
         self.readings = Readings(settings.load_fields, settings.largest_units)
         self.budget, self.most_held = budget, most_held
         self.held = 0  # bytes of answers that are not whole yet
+        self.tries = 0  # attempts whose last byte has gone to the kernel
         self.bites = Bites()
         self.under_way: set[Connection] = set()  # whose pace is watched
         self.looking: asyncio.TimerHandle | None = None
--- /dev/null
+++ b/brackenloft/ops/station.py
@@ -0,0 +1,30 @@
+"""The second address of one gateway: its calls read and move the gateway's lifecycle and figures."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from brackenloft.edge.edge import Edge
+from brackenloft.net.servers import Address
+from brackenloft.ops.address import SecondAddress
+from brackenloft.ops.calls import Response, respond
+from brackenloft.ops.figures import Standing, document
+
+
+class Station:
+    """Where operators find this gateway; OSError where the address can't be had."""
+
+    def __init__(self, edge: Edge, address: Address) -> None:
+        self.edge = edge
+        self.address = SecondAddress(*address, self._answer)
+        self.close = self.address.close
+
+    def _answer(self, method: str, path: str) -> Response:
+        return respond(method, path, self.edge.lifecycle, self._figures)
+
+    def _figures(self) -> dict[str, Any]:
+        edge = self.edge
+        fleet = edge.driver.gateway.fleet
+        return document(edge.driver.tallies, Standing(
+            tries=edge.servers.tries, in_progress=edge.driver.in_progress,
+            known=len(fleet.servers), skipped=fleet.avoided()))
--- a/brackenloft/policy/servers.py
+++ b/brackenloft/policy/servers.py
@@ -215,6 +215,10 @@
         fade = self._fade(then) if seen else 0.0
         return (bad * fade + prior) / (seen * fade + DOUBT_PRIOR)
 
+    def avoided(self) -> int:
+        """How many of the list are avoided now: they drain, or are doubted for all."""
+        return sum(not s.ready or self.share_failed(s, "") >= DOUBTED for s in self.servers.values())
+
     def judge(self, flight: Flight, server: Server, status: Status) -> None:
         """Note an outcome; attempts that wait in vain are noted as they become slow.
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -24,6 +24,7 @@
     Settings,
 )
 from brackenloft.edge import Edge, Room
+from brackenloft.lifecycle import Event
 from brackenloft.standins import Line, Peer, array, chunk, listing, resp, row
 from brackenloft.standins import ScriptedDiscovery as FakeDiscovery
 from brackenloft.standins import ScriptedNode as FakeServer
@@ -74,7 +75,7 @@
 
     def __init__(self, edge: Edge) -> None:
         self.edge, self.servers, self.driver, self.clients = edge, edge.servers, edge.driver, edge.clients
-        self.clients.ready = True
+        edge.lifecycle.happens(Event.LISTED)
 
     def told(self, *rows: tuple[ServerEntry, tuple[str, int]], kind: ListKind = ListKind.FULL) -> None:
         listing = ServerList(kind, tuple(entry for entry, _ in rows))
--- a/tests/test_net_clients.py
+++ b/tests/test_net_clients.py
@@ -6,6 +6,7 @@
 import pytest
 from fakes import FakeServer, array, call, node, resp, run, until
 
+from brackenloft.lifecycle import Event, State
 from brackenloft.net import clients as module
 from brackenloft.net.clients import MOST_PIPELINED
 
@@ -389,10 +390,10 @@
 def test_no_pong_before_the_list_is_known():
     async def test():
         async with node() as gateway:
-            gateway.clients.ready = False
+            gateway.edge.lifecycle.state = State.STARTING
             peer = await gateway.peer()
             assert (await peer.ask(resp("PING"))).startswith("-LOADING")
-            gateway.clients.ready = True
+            gateway.edge.lifecycle.happens(Event.LISTED)
             assert await peer.ask(resp("PING")) == b"PONG"
 
     run(test())
