--- a/brackenloft/ops/address.py
+++ b/brackenloft/ops/address.py
@@ -19,7 +19,7 @@
 ACCEPTS = 8  # callers taken before others have their turn
 LONGEST_CALL = 8 * 1024  # bytes of a call with its headers and body: no call here needs any of the latter
 CALL_S = 10.0  # for a whole call: who holds a connection open does so for 4 s, and a poor link takes some
-LINGER_S = 0.5  # after an error, unread, so that it is not reset away
+LINGER_S = 0.5  # after the answer, unread, so that it is not reset away by what still comes
 
 Answerer = Callable[[str, str], Response]
 
@@ -72,7 +72,7 @@
             self.answer(self.address.answerer(self.parser.get_method().decode("latin-1"), path))
 
     def answer(self, response: Response) -> None:
-        """Write the one answer; the connection ends behind it, unread for a while after an error."""
+        """Write the one answer; the connection ends behind it, and is left to the caller for a while."""
         if self.answered or self.transport is None:
             return
         self.answered = True
@@ -80,10 +80,7 @@
         self.transport.write(encode(response))
         if self.timer:
             self.timer.cancel()
-        if response.status is HTTPStatus.OK:
-            self.transport.close()
-        else:
-            self.transport.write_eof()
+        self.transport.write_eof()
         self.timer = self.address.loop.call_later(LINGER_S, self.transport.abort)
 
     def connection_lost(self, exc: Exception | None) -> None:
