Long values of servers pass on in pieces through a window, up to 4 MiB

Ruled out: cutting slow ones off for memory (none were). Tests cut the value anywhere, break it half way and hold it back.

--- a/brackenloft/answers.py
+++ b/brackenloft/answers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import Any
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,7 +34,15 @@
     """It failed, and may have been done all the same."""
 
 
+@dataclass(frozen=True, slots=True)
+class Opened:
+    """A server has begun to answer; the value comes as a stream, for fronts that said they take one."""
+
+    stream: Any
+
+
 Answer = Served | Granted | Refused | Failed
+SERVED = Served(b"")  # where the value itself went by
 FAILED = Failed()
 
 
--- a/brackenloft/net/clients.py
+++ b/brackenloft/net/clients.py
@@ -19,13 +19,14 @@
 from brackenloft.admission.rate import Least, Pace
 from brackenloft.admission.roll import Roll, Standing
 from brackenloft.admission.room import relief
-from brackenloft.answers import FAILED, Answer
+from brackenloft.answers import FAILED, Answer, Opened
 from brackenloft.checks import Checks
 from brackenloft.lifecycle import Lifecycle
 from brackenloft.net import wire
 from brackenloft.net.bites import Bites
 from brackenloft.net.driver import Call, Driver
 from brackenloft.net.resp import Commands, ProtocolError
+from brackenloft.net.streams import Stream
 
 log = logging.getLogger(__name__)
 
@@ -146,7 +147,7 @@
 class Slot:
     """The place of a command's reply in the order of its connection."""
 
-    __slots__ = ("connection", "answer", "request_id", "size", "call")
+    __slots__ = ("connection", "answer", "request_id", "size", "call", "stream")
 
     def __init__(
         self, connection: Client, answer: bytes | None = None, request_id: str = "", size: int = 0,
@@ -154,6 +155,16 @@
         self.connection, self.answer, self.request_id = connection, answer, request_id
         self.size = size  # bytes that it holds: the command, later the answer
         self.call: Call | None = None
+        self.stream: Stream | None = None  # what comes behind the answer's header
+
+    def open(self, opened: Opened) -> None:
+        """The command's one answer has begun: its header, and the value behind it as it comes."""
+        self.stream = opened.stream
+        self.answer = wire.value_header(opened.stream.size)
+        self.connection.hold(len(self.answer) - self.size)
+        self.size = len(self.answer)
+        self.stream.sink = self.connection.flush
+        self.connection.flush()
 
     def fill(self, answer: Answer) -> None:
         """The command's one answer."""
@@ -195,7 +206,7 @@
         self.clients.closed(self)
         slots, self.slots = self.slots, deque()
         for slot in slots:
-            if slot.answer is None:
+            if slot.answer is None or slot.stream:
                 self.clients.driver.client_gone(slot.request_id)
 
     def hold(self, size: int, in_hand: bool = True) -> None:
@@ -273,6 +284,8 @@
         """Bytes that would be free if it were cut off: what it does not take, and a part of a command."""
         if self.transport is None or self.transport.is_closing() or not (self.stuck or self.within):
             return 0
+        if self.slots and self.slots[0].stream:
+            return 0  # a value passed on in part is never cut off for memory; it holds a window at most
         return max(0, self.held - self.in_hand)
 
     def cut_off(self) -> None:
@@ -327,7 +340,7 @@
         self.in_hand += size
         slot = Slot(self, None, request.request_id, size)
         self.slots.append(slot)
-        slot.call = Call(request.request_id, encode, slot.fill)
+        slot.call = Call(request.request_id, encode, slot.fill, slot.open)
         if self.asked == 1:
             age_ms = self.age_s * 1000.0 if self.age_s >= AGED_S else 0.0
             patience_ms = max(0.0, request.patience_ms - age_ms)
@@ -381,11 +394,12 @@
         if self.transport is None:
             return
         while self.slots and not self.stuck:
-            answer = self.slots[0].answer
-            if answer is None:
+            slot = self.slots[0]
+            if slot.answer is None or (slot.stream and not self._pass_on(slot, slot.stream)):
                 break
             self.hold(-self.slots.popleft().size)
-            self.transport.write(answer)
+            if slot.answer:
+                self.transport.write(slot.answer)
         if self.stuck:
             self._count_unsent()
         if self.reading:
@@ -396,6 +410,29 @@
             self.clients.rests(self)
         self._leave_if_done()
 
+    def _pass_on(self, slot: Slot, stream: Stream) -> bool:
+        """Write what has come of a long value whose turn it is; whether that was the last of it."""
+        assert self.transport
+        if stream.failed:
+            # The client can tell that it is not whole: the connection ends behind what was passed on.
+            slot.answer, slot.stream, self.ending, self.unread = b"", None, True, False
+            self.transport.close()
+            return False
+        if slot.answer:
+            self.transport.write(slot.answer)
+            self.hold(-slot.size)
+            slot.answer, slot.size = b"", 0
+        if stream.pieces:
+            self.transport.write(stream.take())
+        if self.stuck:
+            stream.wait()
+        elif stream.ended:
+            self.transport.write(b"\r\n")
+            return True
+        else:
+            stream.go_on()
+        return False
+
     def _leave_if_done(self) -> None:
         """Close between requests, when it is time to.
 
--- a/brackenloft/net/driver.py
+++ b/brackenloft/net/driver.py
@@ -11,9 +11,10 @@
 from typing import Any
 
 from brackenloft import interface as api
-from brackenloft.answers import FAILED, Answer, Granted, Refused, Served, Tally
+from brackenloft.answers import FAILED, SERVED, Answer, Granted, Opened, Refused, Served, Tally
 from brackenloft.net.lag import Lag
 from brackenloft.net.servers import Attempt, Reply, Servers
+from brackenloft.net.streams import Stream
 from brackenloft.net.timers import Handle, Timers
 from brackenloft.policy import Gateway
 
@@ -40,11 +41,16 @@
     """A client's request in hand, until it has been answered and no attempt is out."""
 
     __slots__ = (
-        "request_id", "encode", "on_answer", "deadline", "sends", "out", "answered", "timers", "tally")
+        "request_id", "encode", "on_answer", "deadline", "sends", "out", "answered", "timers", "tally",
+        "on_open", "stream", "first_ms")
 
     def __init__(
         self, request_id: str, encode: Callable[[float], bytes], on_answer: Callable[[Answer], None],
+        on_open: Callable[[Opened], None] | None = None,
     ) -> None:
+        self.on_open = on_open  # where a long value is taken as a stream, whose end is the answer
+        self.stream: Stream | None = None
+        self.first_ms = 0.0  # latency of its first bytes
         self.request_id, self.encode, self.on_answer = request_id, encode, on_answer
         self.deadline, self.sends, self.answered = 0.0, 0, False
         self.out: dict[int, Attempt | None] = {}  # None: at the host itself
@@ -152,6 +158,8 @@
             else:
                 self.counters.gone += 1
             self.post(api.ClientGone(request_id))
+            if call.stream:
+                call.stream.abandon()
             self._drop_if_done(call)
 
     def release(self, request_id: str, status: api.Status, units: float | None = None) -> None:
@@ -164,7 +172,9 @@
     def abandon(self) -> None:
         """At the very end: whatever is not answered has failed. Attempts still out are closed elsewhere."""
         for call in list(self.calls.values()):
-            if not call.answered:
+            if call.stream:
+                self.client_gone(call.request_id, failed=True)
+            elif not call.answered:
                 self._answer(call, FAILED)
                 self.post(api.ClientGone(call.request_id))
             call.out = {number: attempt for number, attempt in call.out.items() if attempt is not None}
@@ -199,9 +209,22 @@
             call.out.pop(number, None)
             ended = time.monotonic()
             ours = self.lag.excuse(attempt.began, attempt.written, ended)
-            self._outcome(call, number, action.server, reply, (ended - attempt.began - ours) * 1000.0)
-
-        attempt = Attempt(call.encode(wait), done, time.monotonic() + wait / 1000.0)
+            latency_ms = (ended - attempt.began - ours) * 1000.0
+            self._outcome(call, number, action.server, reply, latency_ms, attempt.streams)
+
+        def opened(stream: Stream) -> bool:
+            """A long value begins to come; False if the request has had its answer, or has another stream."""
+            if call.answered or call.stream or call.on_open is None:
+                return False
+            now = time.monotonic()
+            ours = self.lag.excuse(attempt.began, attempt.written, now)
+            call.stream, call.first_ms = stream, (now - attempt.began - ours) * 1000.0
+            self.post(api.StreamStarted(call.request_id, number, action.server, call.first_ms))
+            call.on_open(Opened(stream))
+            return True
+
+        attempt = Attempt(
+            call.encode(wait), done, time.monotonic() + wait / 1000.0, opened if call.on_open else None)
         self.counters.attempts += 1
         call.out[number] = attempt
         self.servers.start(action.server, attempt)
@@ -209,7 +232,8 @@
             call.timers.append(self.timers.at(now + wait, self._time_out, attempt))
 
     def _time_out(self, attempt: Attempt) -> None:
-        self._stop(attempt, api.Status.TIMEOUT)
+        if not attempt.streams:  # from its first bytes on it is the client's, without a deadline
+            self._stop(attempt, api.Status.TIMEOUT)
 
     def _stop(self, attempt: Attempt, status: api.Status) -> None:
         """Wait no more. What a held up loop kept from being sent is no failure of the server."""
@@ -218,9 +242,22 @@
         not_up = api.Status.NOT_SENT if ours else api.Status.CONNECT_FAILED
         self.servers.stop(attempt, status, not_up)
 
-    def _outcome(self, call: Call, number: int, server: int, reply: Reply, latency_ms: float) -> None:
+    def _end_stream(self, call: Call, stream: Stream, reply: Reply) -> None:
+        """A stream has ended, whole or not. What was passed on in part can't be tried again."""
+        good = reply.status is api.Status.OK
+        if not call.answered:
+            call.answered = True
+            call.tally.count(SERVED if good else FAILED)
+        (stream.end if good else stream.fail)()
+
+    def _outcome(
+        self, call: Call, number: int, server: int, reply: Reply, latency_ms: float, streamed: bool = False,
+    ) -> None:
         """The outcome of an attempt; a good answer goes to the client first, if it still waits."""
-        if reply.value is not None and not call.answered:
+        if call.stream and streamed:
+            latency_ms = call.first_ms
+            self._end_stream(call, call.stream, reply)
+        elif reply.value is not None and not call.answered and not call.stream:
             self._answer(call, Served(reply.value))
         self.post(api.Outcome(
             call.request_id, number, server, reply.status, latency_ms, call.answered,
@@ -235,7 +272,7 @@
 
     def _final(self, request_id: str, answer: Answer) -> None:
         call = self.calls.get(request_id)
-        if call and not call.answered:
+        if call and not call.answered and not call.stream:
             self._answer(call, answer)
             self._drop_if_done(call)
 
--- a/brackenloft/net/resp.py
+++ b/brackenloft/net/resp.py
@@ -11,7 +11,7 @@
 from collections.abc import Sequence
 from typing import cast
 
-LONGEST_VALUE = 1024 * 1024  # bytes of a body or a value: 64 KiB by the protocol, but 395 KB have been seen
+LONGEST_VALUE = 4 * 1024 * 1024  # bytes of a body or a value, by the operators' page
 LONGEST_HEADER = 16  # bytes of a header with its end: a type, up to seven digits, CR LF, some to spare
 LONGEST_LINE = 512  # bytes of an error line: some words, the figures on use, a load report
 LONGEST_FIGURES = 256  # bytes of the figures on use, and of a load report
@@ -157,6 +157,29 @@
 
     def __init__(self) -> None:
         super().__init__((LONGEST_VALUE, LONGEST_FIGURES, LONGEST_FIGURES), least=3, nullable_from=1)
+        self.value_left = 0  # bytes of a value that is passed on as it comes
+
+    def opening(self, least: int) -> tuple[int, bytes] | None:
+        """Of a value of more than ``least`` bytes that is not whole yet: its length, and what has come of it.
+
+        What comes from then on goes through ``piece`` until that has had all of it.
+        """
+        if not self.count or self.words or self.length is None or self.length <= least:
+            return None
+        length = self.length
+        come = b"".join((self.buffer[self.place:], *self.parts))
+        self.parts.clear()
+        self.buffer, self.start, self.place, self.left, self.needed = b"", 0, 0, 0, 0
+        self.value_left, self.length = length, 0  # an empty value is left for the reader, and its end
+        return length, self.piece(come)
+
+    def piece(self, data: bytes) -> bytes:
+        """Of what has come, the part that belongs to the value; the rest is fed."""
+        part = data[:self.value_left] if len(data) > self.value_left else data
+        self.value_left -= len(part)
+        if len(part) < len(data):
+            self.feed(data[len(part):])
+        return part
 
     def answer(self) -> Answer | None:
         """The next answer, or None until it is whole."""
--- a/brackenloft/net/servers.py
+++ b/brackenloft/net/servers.py
@@ -26,6 +26,7 @@
 from brackenloft.admission.room import relief
 from brackenloft.net.bites import Bites
 from brackenloft.net.resp import Answer, Answers, ProtocolError
+from brackenloft.net.streams import STREAM_FROM, WINDOW, Stream
 from brackenloft.settings import REPORT_FIELD
 
 log = logging.getLogger(__name__)
@@ -42,6 +43,7 @@
 SLOW_S = 1.0  # before that counts, and what a burst may save up: a small part of any aim
 LOOK_S = 0.1  # between two looks at those under way
 LATE_S = 0.025  # a look so late says that the loop was held up: no server is too slow for that
+STALLED_S = 15.0  # a server that sends nothing of a stream for so long has died
 SWEEP_S = 1.0  # between two looks at idle connections
 MOST_FIGURES = 1000  # texts that are remembered as read: the same come again and again
 Address = tuple[str, int]
@@ -70,10 +72,15 @@
 class Attempt:
     """A command on its way to a server; ``done`` is called once with what came of it."""
 
-    __slots__ = ("payload", "done", "connection", "due", "written", "began", "waits")
+    __slots__ = ("payload", "done", "connection", "due", "written", "began", "waits", "opened", "streams")
 
-    def __init__(self, payload: bytes, done: Callable[[Reply], None], due: float = inf) -> None:
+    def __init__(
+        self, payload: bytes, done: Callable[[Reply], None], due: float = inf,
+        opened: Callable[[Stream], bool] | None = None,
+    ) -> None:
         self.payload = payload
+        self.opened = opened  # takes a long value as a stream, unless nobody wants it any more
+        self.streams = False  # it has been taken
         # All by time.monotonic(): not written from ``due`` on, when it was written, when it was asked for.
         self.due, self.written, self.began = due, inf, time.monotonic()
         self.done: Callable[[Reply], None] | None = done
@@ -170,6 +177,8 @@
         self.held = 0  # bytes of an answer that is not whole yet
         self.handed = False  # the attempt's last byte to the kernel: written whole; never, while it is not
         self.pace: Pace | None = None  # of a command or an answer that is under way for a while
+        self.stream: Stream | None = None  # the value of its answer, passed on as it comes
+        self.reading = True
         self.unsent = 0
         self.idle_since = 0.0
         # The loop has taken over the socket. Guards against closing the transport before that: uvloop closes
@@ -264,14 +273,14 @@
         if self.attempt is None:
             self.close(api.Status.RESET)
             return
-        self.reader.feed(data)
+        if self.stream is None:
+            self.reader.feed(data)
+        elif self._pass_on(data):
+            return
         try:
             answer = self.reader.answer()
             if answer is None:
-                self.servers.hold(self.reader.left - self.held, self)
-                if self.pace:
-                    self.pace.moved(len(data), time.monotonic())
-                self.servers.look_at(self)
+                self._more(data)
                 return
             self.pace = None
             self.servers.hold(-self.held, self)
@@ -281,12 +290,74 @@
             self.close(api.Status.ERROR)  # it may have run
             return
         attempt, self.attempt = self.attempt, None
+        if self.stream:
+            self.stream, reply.value = None, None
+            self.resume()
         if self.reader.left:
             self.close(api.Status.RESET)
         else:
             self.servers.give_back(self)
         attempt.finish(reply)
 
+    # ---- A long value, passed on as it comes
+
+    def _more(self, data: bytes) -> None:
+        """An answer is not whole yet: a long value is passed on from here, others are held."""
+        attempt = self.attempt
+        if attempt and attempt.opened and self.stream is None and self.socket:
+            opening = self.reader.opening(STREAM_FROM)
+            if opening:
+                self._open(attempt, *opening)
+                return
+        self.servers.hold(self.reader.left - self.held, self)
+        if self.pace:
+            self.pace.moved(len(data), time.monotonic())
+        self.servers.look_at(self)
+
+    def _open(self, attempt: Attempt, size: int, piece: bytes) -> None:
+        assert attempt.opened and self.socket
+        self.servers.hold(-self.held, self)
+        # Guards against reads of a quarter of a megabyte for each stream: so much would be held of each.
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, WINDOW)
+        self.stream = Stream(size, self)
+        attempt.streams = True
+        self.pace = Pace(Least(1.0, STALLED_S, STALLED_S), time.monotonic())
+        if not attempt.opened(self.stream):
+            self.close(api.Status.CANCELLED)
+            return
+        self.servers.look_at(self)
+        self.stream.came(piece)
+
+    def _pass_on(self, data: bytes) -> bool:
+        """Pass on what belongs to the value; whether that is all there is."""
+        assert self.stream
+        if self.pace:
+            self.pace.moved(len(data), time.monotonic())
+        piece = self.reader.piece(data)
+        if piece:
+            self.stream.came(piece)
+        return self.closed or not self.reader.left
+
+    def pause(self) -> None:
+        """The client takes no more now: read no further, which stops the server in time."""
+        if self.reading and self.transport and not self.closed:
+            self.reading = False
+            self.transport.pause_reading()
+            if self.pace:
+                self.pace.pause(time.monotonic())
+
+    def resume(self) -> None:
+        """Read on."""
+        if not self.reading and self.transport and not self.closed:
+            self.reading = True
+            self.transport.resume_reading()
+            if self.pace:
+                self.pace.resume(time.monotonic())
+
+    def abandon(self) -> None:
+        """Nobody wants the rest."""
+        self.close(api.Status.CANCELLED)
+
     def alive(self) -> bool:
         """Whether the server has not closed it, or written out of turn, while it was idle.
 
@@ -502,7 +573,7 @@
         self.held += size
         if size <= 0 or self.held <= self.most_held:
             return
-        holders = {one: one.held for one in self.connections if one.held}
+        holders = {one: one.held for one in self.connections if one.held and not one.stream}
         for one in relief(self.held, self.most_held, holders):
             self.bites.bite("memory of answers", "the answer that holds most is given up")
             if one is connection:
@@ -522,7 +593,8 @@
         late = max(0.0, now - self.looked - LOOK_S)
         late, self.looked, self.looking = late if late > LATE_S else 0.0, now, None
         for connection in list(self.under_way):
-            if connection.closed or (connection.handed and not connection.reader.left):
+            busy = connection.reader.left or connection.stream
+            if connection.closed or (connection.handed and not busy):
                 self.under_way.discard(connection)
             elif connection.pace is None:
                 connection.pace = Pace(Least(SLOW_RATE, SLOW_S, SLOW_S), now)
--- a/brackenloft/net/wire.py
+++ b/brackenloft/net/wire.py
@@ -17,6 +17,11 @@
     return b"*%d\r\n" % len(words) + b"".join(b"$%d\r\n%b\r\n" % (len(word), word) for word in words)
 
 
+def value_header(size: int) -> bytes:
+    """What stands before a value of this size; behind it stands an end of line."""
+    return b"$%d\r\n" % size
+
+
 def answer_line(answer: Answer) -> bytes:
     """The one answer of a request, for a client."""
     if isinstance(answer, Served):
--- /dev/null
+++ b/tests/test_net_streams.py
@@ -0,0 +1,191 @@
+"""Long values: passed on as they come, in order, within a window, whole or seen to be cut."""
+
+import asyncio
+import socket
+
+import pytest
+from fakes import FakeServer, array, call, node, run, until
+from hypothesis import given
+from hypothesis import strategies as st
+
+from brackenloft.edge import Call
+from brackenloft.net.resp import Answers
+from brackenloft.net.streams import STREAM_FROM
+
+LONG = bytes(range(256)) * 8192  # 2 MiB
+HEAD = b"*3\r\n$%d\r\n" % len(LONG)
+TAIL = b"\r\n$9\r\nused=37.0\r\n$-1\r\n"
+
+
+def quiet() -> FakeServer:
+    return FakeServer(lambda words: None)
+
+
+async def asked(gateway, server, *commands):
+    peer = await gateway.peer()
+    peer.send(*commands)
+    await server.until(lambda: len(server.commands) == len(commands))
+    return peer
+
+
+@given(st.integers(1, 5000), st.lists(st.integers(1, 400), max_size=40), st.booleans())
+def test_a_value_read_in_pieces_cut_anywhere_is_the_value(size, cuts, twice):
+    """In pieces of any sizes: the value, what stands behind it, and the next answer on the connection."""
+    value = bytes(number % 251 for number in range(size))
+    answer = array(value, b"used=3", None)
+    reader, text, values = Answers(), answer * (1 + twice), []
+    got, length, place = b"", None, 0
+    for cut in [*cuts, len(text)]:
+        data, place = text[place:place + cut], place + cut
+        if length is None or not reader.value_left:
+            reader.feed(data)
+        else:
+            got += reader.piece(data)
+        while (whole := reader.answer()) is not None:
+            assert whole[1:] == [b"used=3", None]
+            values.append(got if length else whole[0])
+            got, length = b"", None
+        if length is None and (opening := reader.opening(0)):
+            length, got = opening
+            assert length == size
+    assert values == [value] * (1 + twice) and not reader.left
+
+
+def test_first_bytes_pass_before_the_last_have_come_and_figures_behind_them_count():
+    async def test():
+        server = quiet()
+        async with node(server) as gateway:
+            peer = await asked(gateway, server, call(1))
+            writer = server.writers[0]
+            writer.write(HEAD + LONG[:1000])
+            assert await peer.reader.readexactly(10 + 1000) == b"$%d\r\n" % len(LONG) + LONG[:1000]
+            assert gateway.driver.in_progress == 1 and not gateway.driver.tallies["read"].passed
+            writer.write(LONG[1000:] + TAIL)
+            assert await peer.reader.readexactly(len(LONG) - 1000 + 2) == LONG[1000:] + b"\r\n"
+            await until(lambda: not gateway.driver.calls)
+            assert gateway.driver.tallies["read"].passed == 1 and not gateway.driver.in_progress
+            (customer,) = gateway.driver.gateway.meter.customers.values()
+            assert customer.used == pytest.approx(0.37)
+            server.answer = lambda words: array(b"next")  # the connections live on
+            assert await peer.ask(call(2)) == b"next" and not server.ended
+
+    run(test())
+
+
+def test_pipelined_answers_keep_their_order_round_a_stream():
+    async def test():
+        server = quiet()
+        async with node(server) as gateway:
+            peer = await asked(gateway, server, call(1), call(2), call(3))
+            by = {int(words[2], 16): server.writers[number]
+                  for number, words in zip(server.by, server.commands, strict=True)}
+            by[2].write(HEAD + LONG + TAIL)
+            by[3].write(array(b"third"))
+            await until(lambda: sum(bool(one.stream) for one in gateway.servers.connections) == 1)
+            by[1].write(array(b"first"))
+            assert [await peer.reply() for _ in range(3)] == [b"first", LONG, b"third"]
+
+    run(test())
+
+
+def test_server_that_ends_half_way_is_seen_and_nothing_is_tried_again():
+    async def test():
+        server = quiet()
+        async with node(server) as gateway:
+            peer = await asked(gateway, server, call(1))
+            server.writers[0].write(HEAD + LONG[:5000])
+            await peer.reader.readexactly(5000)
+            server.writers[0].close()
+            assert len(await peer.reader.read()) < len(LONG)
+            await until(lambda: not gateway.driver.calls)
+            assert len(server.commands) == 1 and gateway.driver.tallies["read"].failed == 1
+
+    run(test())
+
+
+@pytest.mark.parametrize("tail", [b"xx$-1\r\n$-1\r\n", b"\r\n$-1\r\n$-1\r\nmore", b"\r\n$3000000000\r\n"])
+def test_server_that_sends_more_than_it_said_serves_no_other_request_on_that_connection(tail):
+    async def test():
+        server = quiet()
+        async with node(server) as gateway:
+            peer = await asked(gateway, server, call(1))
+            server.writers[0].write(HEAD + LONG)
+            got = await peer.reader.readexactly(10 + len(LONG))
+            assert got.endswith(LONG)
+            server.writers[0].write(tail)
+            await server.until(lambda: server.ended == 1)
+            assert not gateway.servers.connections
+
+    run(test())
+
+
+def test_slow_client_holds_the_server_back_and_no_more_than_a_window_is_held():
+    async def test():
+        server = quiet()
+        async with node(server) as gateway:
+            gateway.clients.listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            sock, loop = socket.socket(), asyncio.get_running_loop()
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            sock.setblocking(False)
+            await loop.sock_connect(sock, gateway.clients.listener.getsockname())
+            await loop.sock_sendall(sock, call(1))
+            await server.until(lambda: server.commands)
+            server.writers[0].write(HEAD + LONG + TAIL)
+            await until(lambda: any(not one.reading for one in gateway.servers.connections))
+            (client,) = gateway.clients.connections
+            held = client.transport.get_write_buffer_size() + sum(map(len, client.slots[0].stream.pieces))
+            assert held < len(LONG) / 2
+            got = b""
+            while len(got) < 10 + len(LONG) + 2:
+                got += await loop.sock_recv(sock, 1 << 20)
+            assert got.endswith(LONG + b"\r\n")
+            sock.close()
+
+    run(test())
+
+
+def test_client_that_goes_away_ends_its_stream_at_the_server_too():
+    async def test():
+        server = quiet()
+        async with node(server) as gateway:
+            peer = await asked(gateway, server, call(1))
+            server.writers[0].write(HEAD + LONG[:1000])
+            await peer.reader.readexactly(1000)
+            peer.writer.transport.abort()
+            await server.until(lambda: server.ended == 1)
+            await until(lambda: not gateway.driver.calls)
+            assert gateway.driver.counters.gone == 1 and not gateway.driver.in_progress
+            assert not gateway.driver.gateway.flights
+
+    run(test())
+
+
+def test_many_streams_are_never_cut_for_memory_and_a_stopped_gateway_ends_them(monkeypatch):
+    async def test():
+        server = FakeServer(lambda words: HEAD + LONG + TAIL)
+        async with node(server) as gateway:
+            gateway.servers.most_held = gateway.clients.most_held = 3 * STREAM_FROM
+            peers = [await gateway.peer() for _ in range(12)]
+            for number, peer in enumerate(peers):
+                peer.send(call(number))
+            assert [await peer.reply() for peer in peers] == [LONG] * 12
+            assert not gateway.edge.counters().get("bit: memory of answers")
+            server.answer = lambda words: HEAD + LONG[:9000]
+            peers[0].send(call(50))
+            await peers[0].reader.readexactly(9000)
+            gateway.driver.abandon()
+            assert await peers[0].reader.read() is not None
+            assert not gateway.driver.calls and gateway.driver.tallies["read"].failed == 1
+
+    run(test())
+
+
+def test_the_library_s_own_calls_get_a_long_value_whole():
+    async def test():
+        server = FakeServer(lambda words: array(LONG))
+        async with node(server) as gateway:
+            answer = await gateway.edge.call(Call("read", "free", "00000000b4d65521"))
+            assert answer.value == LONG
+            assert gateway.servers.held == 0
+
+    run(test())
