A process takes over from another: state, then charges; one accepts at any time

Long values share one budget of windows: with a window of a piece each a slow client kept the server, and with it the customer's place; bulk seed 7 0.82 gathered, 0.86 then, 0.92 now.

--- a/brackenloft/__main__.py
+++ b/brackenloft/__main__.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass
 from math import inf
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import uvloop
 
@@ -22,6 +22,9 @@
 from brackenloft.net.servers import Address
 from brackenloft.settings import settings_from
 
+if TYPE_CHECKING:
+    from brackenloft.handover.channel import Succession
+
 log = logging.getLogger("brackenloft")
 
 OTHER_DESCRIPTORS = 32  # beside clients and servers: the log, the loop, discovery, the listener, a margin
@@ -84,6 +87,7 @@
     settings: api.Settings
     admin: Address | None = None  # the second address, for operators
     accept: int | None = None  # a descriptor of a socket that listens already, in place of our own
+    shared: Path | None = None  # a directory that a successor of this process finds it by
 
     @staticmethod
     def load(environment: dict[str, str]) -> Config:
@@ -99,6 +103,7 @@
             memory=int(document["limits"]["memory_mb"]) * MEGABYTE,
             known=document["known"], settings=settings_from(document["settings"]),
             admin=_address(admin) if admin else None, accept=int(accept) if accept else None,
+            shared=Path(environment["TMPDIR"]) if accept and environment.get("TMPDIR") else None,
         )
 
 
@@ -120,7 +125,10 @@
     """What the platform's limits leave for clients and servers."""
     budget = max(2, config.descriptors - OTHER_DESCRIPTORS - (OPERATORS if config.admin else 0))
     for_servers, for_clients = max(1, int(budget * SERVERS_SHARE)), max(1, int(budget * CLIENTS_SHARE))
-    held = max(LEAST_HELD, int((config.memory - PROGRAM) * HELD_SHARE))
+    ours = config.memory - PROGRAM
+    if config.accept is not None:
+        ours = (ours - PROGRAM) // 2  # a successor runs beside it for a while, and they count together
+    held = max(LEAST_HELD, int(ours * HELD_SHARE))
     lent = budget - for_servers - for_clients
     return Room(for_servers, for_clients, held, asking=max(1, config.descriptors // ASKING), lent=lent)
 
@@ -131,8 +139,8 @@
     return min(KILL_S[0], longest_s) + KILL_S[1] - SPARE_S
 
 
-def _listen(config: Config, edge: Edge) -> Callable[[], None]:
-    """Open the addresses that the configuration names; what closes the second one.
+def _open(config: Config, edge: Edge) -> tuple[Callable[[], None], Succession | None]:
+    """Open the addresses that the configuration names; what closes the second one, and the succession.
 
     What it does not name is not imported either.
     """
@@ -143,6 +151,16 @@
             shut = Station(edge, config.admin).close
         except OSError as error:
             raise SystemExit(f"the second address {config.admin[0]}:{config.admin[1]}: {error}") from error
+    if config.shared:
+        from brackenloft.handover.channel import Succession
+        edge.expects = True
+        return shut, Succession(edge, config.shared, f"{config.listen[0]}:{config.listen[1]}")
+    _accept(config, edge)
+    return shut, None
+
+
+def _accept(config: Config, edge: Edge) -> None:
+    """Take clients from now on, from a listener of our own or one that was inherited."""
     try:
         if config.accept is None:
             edge.listen(*config.listen)
@@ -151,7 +169,6 @@
     except OSError as error:
         where = f"{config.listen[0]}:{config.listen[1]}" if config.accept is None else "EDGE_ACCEPT_FD"
         raise SystemExit(f"can't accept clients at {where}: {error}") from error
-    return shut
 
 
 async def serve(config: Config) -> None:
@@ -163,9 +180,11 @@
     loop.add_signal_handler(signal.SIGHUP, again.set)
     signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
     edge = Edge(config.settings, _room(config), config.seed).open()
-    shut = _listen(config, edge)
+    shut, succession = _open(config, edge)
     edge.known(config.known)
     edge.watch(config.discovery)
+    if succession:
+        await succession.begin(lambda: _accept(config, edge))
 
     async def reload() -> None:
         while True:
@@ -179,6 +198,8 @@
     log.info("stopping")
     await edge.close(_span_s(config.settings), ACCEPT_S)
     shut()
+    if succession:
+        await succession.close()
     reloading.cancel()
 
 
--- a/brackenloft/admission/budget.py
+++ b/brackenloft/admission/budget.py
@@ -24,6 +24,7 @@
         if min(floors.values()) < 1 or sum(floors.values()) > total:
             raise ValueError(f"floors of {', '.join(map(str, floors.values()))} do not go into {total}")
         self.total, self.spare, self.floors = total, spare, dict(floors)
+        self.full, self.told = total, -1  # with nobody beside it; what was told to somebody beside it
         self.taken = dict.fromkeys(floors, 0)
 
     def limit(self, side: Side) -> int:
@@ -52,6 +53,27 @@
             raise ValueError(f"{side.value} hold none")
         self.taken[side] -= 1
 
+    # ---- Shared with another process, the two being one gateway
+
+    def keep(self, spare: int) -> int | None:
+        """Leave all but what is held and some to spare to the other; how many that keeps, None as before."""
+        held = min(self.full, sum(self.taken.values()) + spare)
+        self.total = held
+        changed, self.told = held != self.told, held
+        return held if changed else None
+
+    def leave(self, held: int) -> None:
+        """The other one keeps so many."""
+        self.total = max(len(self.floors), self.full - held)
+
+    def lend_out(self, share: float) -> None:
+        """Leave this share to one that can't be asked."""
+        self.leave(int(share * self.full))
+
+    def whole(self) -> None:
+        """Nobody is beside it any more."""
+        self.total, self.told = self.full, -1
+
     def owed(self, side: Side) -> int:
         """How many a side has beyond its limit: to be given back as soon as may be."""
         return max(0, self.taken[side] - self.limit(side))
--- a/brackenloft/edge/edge.py
+++ b/brackenloft/edge/edge.py
@@ -215,7 +215,8 @@
             self.driver, self.settings, self.budget, room.held, room.asking or 0, self.lifecycle)
         self._emptier: asyncio.TimerHandle | None = None
         self.discovery = Discovery(self._news)
-        self._listed = False
+        self._listed = self.heard = False  # any list; one that is no old one
+        self.expects = False  # it does not serve before it is told to, though it may know whom to send to
         self._ready = asyncio.Event()
         self._first_list: asyncio.TimerHandle | None = None
         self._own: dict[str, Pending] = {}
@@ -273,6 +274,7 @@
         self.servers.update(news, addresses)
         self.driver.post(news)
         if news.kind is not api.ListKind.CACHED:
+            self.heard = True
             self._is_ready()
 
     def known(self, document: Any) -> None:
@@ -303,8 +305,28 @@
             self.told(news, addresses)
 
     def _is_ready(self) -> None:
-        self.lifecycle.happens(Event.LISTED)
         self._ready.set()
+        if not self.expects:
+            self.lifecycle.happens(Event.LISTED)
+
+    def take_up(self) -> None:
+        """Serve from now on, where ``expects`` kept it back."""
+        self.expects = False
+        if self._ready.is_set():
+            self.lifecycle.happens(Event.LISTED)
+
+    def listed(self) -> dict[str, Any]:
+        """The list as it is here now, in discovery's form."""
+        names = {number: name for name, number in self.discovery.roster.numbers.items()}
+        rows = []
+        for number, server in self.driver.gateway.fleet.servers.items():
+            host = self.servers.hosts.get(number)
+            if host and number in names:
+                rows.append({
+                    "instanceId": names[number], "hostPort": f"{host.address[0]}:{host.address[1]}",
+                    "zone": server.zone, "cell": server.cell, "startedAtMs": server.started,
+                    "lifecycle": "Ready" if server.ready else "Terminating"})
+        return {"generation": 0, "reset": True, "instances": rows}
 
     def _turn(self, before: State, after: State) -> None:
         """The lifecycle has moved on: accept and empty as it says."""
--- a/brackenloft/net/clients.py
+++ b/brackenloft/net/clients.py
@@ -208,6 +208,8 @@
         for slot in slots:
             if slot.answer is None or slot.stream:
                 self.clients.driver.client_gone(slot.request_id)
+            if slot.stream:
+                slot.stream.abandon()  # it may have ended at the server already
 
     def hold(self, size: int, in_hand: bool = True) -> None:
         """Count bytes that are held for this connection, or less of them."""
@@ -285,7 +287,7 @@
         if self.transport is None or self.transport.is_closing() or not (self.stuck or self.within):
             return 0
         if self.slots and self.slots[0].stream:
-            return 0  # a value passed on in part is never cut off for memory; it holds a window at most
+            return 0  # a value passed on in part is never cut off for memory; the streams have a budget
         return max(0, self.held - self.in_hand)
 
     def cut_off(self) -> None:
@@ -415,6 +417,7 @@
         assert self.transport
         if stream.failed:
             # The client can tell that it is not whole: the connection ends behind what was passed on.
+            stream.abandon()
             slot.answer, slot.stream, self.ending, self.unread = b"", None, True, False
             self.transport.close()
             return False
@@ -422,16 +425,13 @@
             self.transport.write(slot.answer)
             self.hold(-slot.size)
             slot.answer, slot.size = b"", 0
-        if stream.pieces:
+        while stream.pieces and not self.stuck:
             self.transport.write(stream.take())
-        if self.stuck:
-            stream.wait()
-        elif stream.ended:
-            self.transport.write(b"\r\n")
-            return True
-        else:
-            stream.go_on()
-        return False
+        if stream.pieces or not stream.ended:
+            return False
+        stream.streams.open.discard(stream)
+        self.transport.write(b"\r\n")
+        return True
 
     def _leave_if_done(self) -> None:
         """Close between requests, when it is time to.
--- a/brackenloft/net/discovery.py
+++ b/brackenloft/net/discovery.py
@@ -193,6 +193,13 @@
         except (ValueError, KeyError, TypeError, AttributeError) as error:
             log.error("malformed known list: %r", error)
 
+    def told(self, document: Any) -> None:
+        """The list as another process of this gateway has it now."""
+        try:
+            self.news(*self.roster.read(document))
+        except (ValueError, KeyError, TypeError, AttributeError) as error:
+            log.error("malformed list: %r", error)
+
     def watch(self, address: Address) -> None:
         """Watch at this address from now on.
 
--- a/brackenloft/net/driver.py
+++ b/brackenloft/net/driver.py
@@ -8,7 +8,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, Protocol
 
 from brackenloft import interface as api
 from brackenloft.answers import FAILED, SERVED, Answer, Granted, Opened, Refused, Served, Tally
@@ -37,12 +37,22 @@
         return (time.monotonic() + self._offset) * 1000.0
 
 
+class Tap(Protocol):
+    """Who is told of attempts, as another process counts them too."""
+
+    def sent(self, call: Call) -> None:
+        """An attempt goes out."""
+
+    def ended(self, call: Call) -> None:
+        """It has ended."""
+
+
 class Call:
     """A client's request in hand, until it has been answered and no attempt is out."""
 
     __slots__ = (
         "request_id", "encode", "on_answer", "deadline", "sends", "out", "answered", "timers", "tally",
-        "on_open", "stream", "first_ms")
+        "request", "on_open", "stream", "first_ms")
 
     def __init__(
         self, request_id: str, encode: Callable[[float], bytes], on_answer: Callable[[Answer], None],
@@ -56,6 +66,7 @@
         self.out: dict[int, Attempt | None] = {}  # None: at the host itself
         self.timers: list[Handle] = []
         self.tally: Tally  # of its class, from when it is taken
+        self.request: api.Request
 
 
 @dataclass(slots=True)
@@ -77,6 +88,7 @@
         self.gateway, self.servers, self.clock = gateway, servers, clock
         self.calls: dict[str, Call] = {}
         self.counters = Counters()
+        self.tap: Tap | None = None
         self.tallies = {kind.name: Tally() for kind in gateway.settings.classes}
         self.events: deque[api.Event] = deque()
         self.handling = False
@@ -128,7 +140,7 @@
         """Take a client's request; it is answered through ``call.on_answer``, once."""
         call.deadline = self.clock() + waits_ms
         self.calls[call.request_id] = call
-        call.tally = self.tallies[request.class_name]
+        call.request, call.tally = request, self.tallies[request.class_name]
         self.counters.requests += 1
         self.lag.watch()
         self.post(request)
@@ -205,31 +217,39 @@
             self._answer(call, Granted())
             return
 
+        self._start(call, number, action.server, wait)
+        if number in call.out:
+            call.timers.append(self.timers.at(now + wait, self._time_out, call.out[number]))
+
+    def _start(self, call: Call, number: int, server: int, wait_ms: float) -> None:
         def done(reply: Reply) -> None:
             call.out.pop(number, None)
-            ended = time.monotonic()
-            ours = self.lag.excuse(attempt.began, attempt.written, ended)
-            latency_ms = (ended - attempt.began - ours) * 1000.0
-            self._outcome(call, number, action.server, reply, latency_ms, attempt.streams)
+            latency_ms = self._taken_ms(attempt)
+            if self.tap:
+                self.tap.ended(call)
+            self._outcome(call, number, server, reply, latency_ms, attempt.streams)
 
         def opened(stream: Stream) -> bool:
             """A long value begins to come; False if the request has had its answer, or has another stream."""
             if call.answered or call.stream or call.on_open is None:
                 return False
-            now = time.monotonic()
-            ours = self.lag.excuse(attempt.began, attempt.written, now)
-            call.stream, call.first_ms = stream, (now - attempt.began - ours) * 1000.0
-            self.post(api.StreamStarted(call.request_id, number, action.server, call.first_ms))
+            call.stream, call.first_ms = stream, self._taken_ms(attempt)
+            self.post(api.StreamStarted(call.request_id, number, server, call.first_ms))
             call.on_open(Opened(stream))
             return True
 
-        attempt = Attempt(
-            call.encode(wait), done, time.monotonic() + wait / 1000.0, opened if call.on_open else None)
+        due = time.monotonic() + wait_ms / 1000.0
+        attempt = Attempt(call.encode(wait_ms), done, due, opened if call.on_open else None)
         self.counters.attempts += 1
         call.out[number] = attempt
-        self.servers.start(action.server, attempt)
-        if number in call.out:
-            call.timers.append(self.timers.at(now + wait, self._time_out, attempt))
+        if self.tap:
+            self.tap.sent(call)
+        self.servers.start(server, attempt)
+
+    def _taken_ms(self, attempt: Attempt) -> float:
+        """How long an attempt has taken until now, without what was the loop's doing."""
+        now = time.monotonic()
+        return (now - attempt.began - self.lag.excuse(attempt.began, attempt.written, now)) * 1000.0
 
     def _time_out(self, attempt: Attempt) -> None:
         if not attempt.streams:  # from its first bytes on it is the client's, without a deadline
--- a/brackenloft/net/servers.py
+++ b/brackenloft/net/servers.py
@@ -26,7 +26,7 @@
 from brackenloft.admission.room import relief
 from brackenloft.net.bites import Bites
 from brackenloft.net.resp import Answer, Answers, ProtocolError
-from brackenloft.net.streams import STREAM_FROM, WINDOW, Stream
+from brackenloft.net.streams import STREAM_FROM, Stream, Streams
 from brackenloft.settings import REPORT_FIELD
 
 log = logging.getLogger(__name__)
@@ -43,6 +43,7 @@
 SLOW_S = 1.0  # before that counts, and what a burst may save up: a small part of any aim
 LOOK_S = 0.1  # between two looks at those under way
 LATE_S = 0.025  # a look so late says that the loop was held up: no server is too slow for that
+STREAMS_SHARE = 0.5  # of what may be held of answers, for long values; the rest for those gathered whole
 STALLED_S = 15.0  # a server that sends nothing of a stream for so long has died
 SWEEP_S = 1.0  # between two looks at idle connections
 MOST_FIGURES = 1000  # texts that are remembered as read: the same come again and again
@@ -304,7 +305,7 @@
     def _more(self, data: bytes) -> None:
         """An answer is not whole yet: a long value is passed on from here, others are held."""
         attempt = self.attempt
-        if attempt and attempt.opened and self.stream is None and self.socket:
+        if attempt and attempt.opened and self.stream is None:
             opening = self.reader.opening(STREAM_FROM)
             if opening:
                 self._open(attempt, *opening)
@@ -315,11 +316,9 @@
         self.servers.look_at(self)
 
     def _open(self, attempt: Attempt, size: int, piece: bytes) -> None:
-        assert attempt.opened and self.socket
+        assert attempt.opened
         self.servers.hold(-self.held, self)
-        # Guards against reads of a quarter of a megabyte for each stream: so much would be held of each.
-        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, WINDOW)
-        self.stream = Stream(size, self)
+        self.stream = Stream(size, self, self.servers.streams)
         attempt.streams = True
         self.pace = Pace(Least(1.0, STALLED_S, STALLED_S), time.monotonic())
         if not attempt.opened(self.stream):
@@ -412,6 +411,7 @@
         self.idle_limit_s = settings.limits.connection_idle_ms / 1000.0 * IDLE_SHARE
         self.readings = Readings(settings.load_fields, settings.largest_units)
         self.budget, self.most_held = budget, most_held
+        self.streams = Streams(int(most_held * STREAMS_SHARE))
         self.held = 0  # bytes of answers that are not whole yet
         self.tries = 0  # attempts whose last byte has gone to the kernel
         self.bites = Bites()
--- a/brackenloft/net/streams.py
+++ b/brackenloft/net/streams.py
@@ -1,16 +1,18 @@
-"""A long value on its way from a server's connection to a client's, through a bounded window.
+"""Long values on their way from servers' connections to clients', through bounded windows.
 
-The source brings pieces and is paused while one waits here; the sink takes them when it is the value's turn
-and the client takes more. Nothing is decided here but who waits for whom.
+The source brings pieces and is paused while its window is full; the sink takes them when it is the value's
+turn and the client takes more. One budget of bytes is shared by all streams: each may hold its even part of
+it, and one piece in any case. Guards against values that fill the memory, and against servers that are kept
+at an answer, and customers' places with them, for as long as a slow client takes it.
 """
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable
 from typing import Protocol
 
 STREAM_FROM = 64 * 1024  # bytes of a value that is passed on as it comes: the protocol's usual longest
-WINDOW = 64 * 1024  # bytes that the kernel takes for us of a stream, and about what one piece holds
 
 
 class Source(Protocol):
@@ -26,24 +28,43 @@
         """Nobody wants the rest: end it."""
 
 
+class Streams:
+    """The budget of all streams: ``most`` bytes over all, in even parts."""
+
+    def __init__(self, most: int) -> None:
+        self.most, self.held = most, 0
+        self.open: set[Stream] = set()
+
+    def fits(self, held: int) -> bool:
+        """Whether a stream that holds so much may read on."""
+        return not held or (self.held < self.most and held < self.most // max(1, len(self.open)))
+
+
 class Stream:
     """One long value. ``sink`` is called when there is something to take, an end or a failure."""
 
-    __slots__ = ("size", "source", "sink", "pieces", "ended", "failed")
+    __slots__ = ("size", "streams", "source", "sink", "pieces", "held", "ended", "failed")
 
-    def __init__(self, size: int, source: Source) -> None:
-        self.size, self.source = size, source
+    def __init__(self, size: int, source: Source, streams: Streams) -> None:
+        self.size, self.source, self.streams = size, source, streams
         self.sink: Callable[[], None] = _nobody
-        self.pieces: list[bytes] = []
+        self.pieces: deque[bytes] = deque()
+        self.held = 0
         self.ended = self.failed = False
+        streams.open.add(self)
+
+    def _hold(self, size: int) -> None:
+        self.held += size
+        self.streams.held += size
 
     # ---- The server's side
 
     def came(self, piece: bytes) -> None:
-        """A piece of the value. Guards against pieces that pile up: nothing is read while one waits."""
+        """A piece of the value."""
         self.pieces.append(piece)
+        self._hold(len(piece))
         self.sink()
-        if self.pieces:
+        if not self.streams.fits(self.held):
             self.source.pause()
 
     def end(self) -> None:
@@ -59,26 +80,20 @@
     # ---- The client's side
 
     def take(self) -> bytes:
-        """What has come."""
-        taken = self.pieces[0] if len(self.pieces) == 1 else b"".join(self.pieces)
-        self.pieces.clear()
-        return taken
-
-    def wait(self) -> None:
-        """The client takes no more now."""
-        if not self.ended:
-            self.source.pause()
-
-    def go_on(self) -> None:
-        """It takes more."""
-        if not self.ended and not self.pieces:
+        """The next piece."""
+        taken = self.pieces.popleft()
+        self._hold(-len(taken))
+        if not self.ended and self.streams.fits(self.held):
             self.source.resume()
+        return taken
 
     def abandon(self) -> None:
-        """The client has gone."""
+        """The client has gone, or has been told that the rest is missing."""
         self.sink = _nobody
         self.pieces.clear()
-        if not self.ended:
+        self._hold(-self.held)
+        self.streams.open.discard(self)
+        if not self.ended and not self.failed:
             self.source.abandon()
 
 
--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,385 @@
+"""One process takes over from another: the state, the frames, and what goes wrong between the two."""
+
+import asyncio
+import json
+import os
+import socket
+import subprocess
+import sys
+from contextlib import asynccontextmanager, suppress
+from dataclasses import replace
+from types import SimpleNamespace
+
+import pytest
+from conftest import Rig, entry
+from fakes import SETTINGS, FakeServer, array, call, row, run, until
+from hypothesis import given
+from hypothesis import strategies as st
+from test_net_process import ROOT, command, free_port
+from test_net_process import SETTINGS as PROCESS_SETTINGS
+
+from brackenloft import Plan, Status
+from brackenloft.__main__ import CANT_START
+from brackenloft.edge import Edge, Room
+from brackenloft.handover import channel
+from brackenloft.handover.channel import Succession, Tap, socket_path
+from brackenloft.handover.frames import FrameError, Frames, encode
+from brackenloft.handover.state import Adopted, StateError, pending, tell
+from brackenloft.lifecycle import Event, State
+from brackenloft.standins import Peer
+
+NAMES = {1: "s-1", 2: "s-2"}
+NUMBERS = {"s-2": 4, "s-1": 3}  # another process numbers them by itself
+
+
+def worked(steps) -> Rig:
+    """A gateway that has had these requests and outcomes."""
+    rig, out = Rig(), []
+    rig.servers(entry(1), entry(2, started_ms=500.0))
+    for plan, customer, what in steps:
+        rig.run(37.0)
+        if what == "ask" or not out:
+            name = rig.ask(plan=plan, customer=customer)
+            out += [name] if name in rig.sent else []
+        else:
+            rig.finish(out.pop(), Status.OK if what == "ok" else Status.ERROR, attempt=0, used=80.0)
+    return rig
+
+
+STEPS = st.lists(st.tuples(
+    st.sampled_from(["metered", "capped", "ceiling", "only-cap"]), st.sampled_from("ab"),
+    st.sampled_from(["ask", "ask", "ok", "error"])), max_size=25)
+
+
+def successor(state, later=0.0, numbers=NUMBERS) -> tuple[Rig, Adopted]:
+    """A fresh gateway with a clock of its own that has adopted this."""
+    rig = Rig(seed=2)
+    rig.now = 9_000_000.0
+    rig.servers(entry(3), entry(4, started_ms=500.0))
+    document, = Frames().feed(encode(state))
+    return rig, Adopted(rig.gateway, document, numbers, rig.now + later)
+
+
+@given(STEPS)
+def test_what_is_told_is_what_is_known_afterwards(steps):
+    """Quotas, ceilings, marks and the pool: told once more by the successor, they are the same."""
+    rig = worked(steps)
+    state = tell(rig.gateway, NAMES, rig.now)
+    heir, _ = successor(state)
+    again = tell(heir.gateway, {number: name for name, number in NUMBERS.items()}, heir.now)
+    assert again["started"] == pytest.approx(state["started"], abs=0.01) and again["whole"] is True
+    assert set(again["servers"]) == set(state["servers"])
+    for key in ("pool", "answers", "mean", "sends", "latency", "retries"):
+        assert again["fleet"][key] == state["fleet"][key]
+    for mine, theirs in zip(state["customers"], again["customers"], strict=True):
+        assert mine[:2] == theirs[:2] and mine[2] == pytest.approx(theirs[2])
+        assert mine[3] == pytest.approx(theirs[3], abs=0.01)
+    for name, server in state["servers"].items():
+        assert set(again["servers"][name][5]) == set(server[5])
+
+
+@given(st.integers(1, 40), st.integers(0, 40), st.integers(0, 5))
+def test_both_processes_together_stay_below_a_ceiling(before, after, told):
+    """At one moment: what the old one has sent, owes and still tells, and what the new one sends."""
+    old = worked([("ceiling", "a", "ask")] * before)
+    plan = old.gateway.meter.plans["ceiling"]
+    customer = old.gateway.meter.customers["ceiling", "a"]
+    level = old.gateway.meter._ceiling_level(customer, plan, old.now)
+    new, adopted = successor(tell(old.gateway, NAMES, old.now))
+    adopted.charged([["ceiling", "a", 1, 1.0]] * told, new.now)
+    customer = new.gateway.meter.customers["ceiling", "a"]
+    assert customer.out == sum(len(flight.out) for flight in old.gateway.flights.values()) + told
+    for _ in range(after):
+        new.ask(plan="ceiling", customer="a")
+    owed = told + len(pending(old.gateway))
+    assert owed + len(new.sent) <= max(level, owed) + 1e-6
+    adopted.ended()
+    assert customer.out == len(new.sent)
+    tap = Tap(pending(old.gateway))
+    for flight in old.gateway.flights.values():
+        tap.sent(SimpleNamespace(request=flight.request, sends=1))
+    charged = [row[3] for row in tap.take()]
+    assert charged.count(0.0) == len(pending(old.gateway)) and not tap.take()
+
+
+@given(STEPS, st.data())
+def test_a_state_cut_or_spoilt_anywhere_changes_nothing(steps, data):
+    rig = worked(steps)
+    frame = encode(tell(rig.gateway, NAMES, rig.now))
+    cut = data.draw(st.integers(0, len(frame) - 1))
+    assert Frames().feed(frame[:cut]) == []
+    place, bit = data.draw(st.integers(0, len(frame) - 1)), data.draw(st.integers(0, 7))
+    spoilt = bytearray(frame)
+    spoilt[place] ^= 1 << bit
+    with suppress(FrameError):
+        assert Frames().feed(bytes(spoilt)) == []  # a length that says more than there is
+
+
+PATHS = [
+    ("customers",), ("servers",), ("fleet",), ("customers", 0), ("customers", 0, 2), ("customers", 0, 2, 0),
+    ("customers", 0, 3, 0), ("servers", "s-1"), ("servers", "s-1", 0), ("fleet", "pool"), ("fleet", "mean"),
+    ("fleet", "latency"), ("fleet", "retries"), ("started",), ("customers", 0, 0)]
+
+
+@pytest.mark.parametrize("path", PATHS)
+@pytest.mark.parametrize("value", [None, "x", -1e30, 1e300, True, [], {}, [[]]])
+def test_a_state_of_another_shape_is_refused_whole(path, value):
+    rig = worked([("metered", "a", "ask"), ("capped", "b", "ask")])
+    state = json.loads(json.dumps(tell(rig.gateway, NAMES, rig.now)))
+    at = state
+    for key in path[:-1]:
+        at = at[key]
+    at[path[-1]] = value
+    heir = Rig(seed=2)
+    heir.servers(entry(3))
+    fine = (path, value) in [(("customers",), []), (("servers",), {}), (("fleet", "pool"), None)]
+    try:
+        Adopted(heir.gateway, state, NUMBERS, heir.now)
+        assert fine
+    except StateError:
+        assert not fine and not heir.gateway.meter.customers and heir.gateway.fleet.answers == 0
+
+
+# ---- Two gateways of one listener, over a real Unix socket
+
+
+@asynccontextmanager
+async def gateway(server, directory, held, known=True, plans=SETTINGS.plans):
+    """One process's gateway, at a descriptor of the shared listener."""
+    async with Edge(replace(SETTINGS, plans=plans), Room(50, 50), seed=1) as edge:
+        edge.expects = True
+        if known:
+            edge.discovery.told({"generation": 1, "reset": True, "instances": [row("s-1", server.port)]})
+        succession = Succession(edge, directory, "127.0.0.1:1")
+        try:
+            yield edge, succession, lambda: edge.inherit(held.dup().detach())
+        finally:
+            await succession.close()
+
+
+@asynccontextmanager
+async def world(tmp_path, plans=SETTINGS.plans):
+    server = await FakeServer(lambda words: None if words[2].endswith(b"9") else array(b"v")).start()
+    with socket.create_server(("127.0.0.1", 0)) as held:
+        async with gateway(server, tmp_path, held, plans=plans) as (edge, succession, accept):
+            await succession.begin(accept)
+            yield server, held, edge
+
+
+async def connected(held) -> Peer:
+    return await Peer().open(held.getsockname()[1])
+
+
+def test_the_successor_accepts_and_the_first_finishes_what_it_took(tmp_path):
+    plans = (*SETTINGS.plans, Plan("roof", rate=1000.0, burst=1000.0, ceiling_rate=0.001, ceiling_burst=8.0))
+
+    async def test():
+        async with world(tmp_path, plans) as (server, held, old):
+            old.driver.gateway.meter.started_at -= 1e9  # long ago: ceilings are full
+            kept, busy = await connected(held), await connected(held)
+            for number in (1, 2):
+                assert await kept.ask(call(number, plan="roof")) == b"v"
+            busy.send(call(9, plan="roof"))
+            await server.until(lambda: len(server.commands) == 3)
+            async with gateway(server, tmp_path, held, known=False, plans=plans) as (new, succession, accept):
+                new._ready.set()  # no list of its own: the first one's is the newest
+                await succession.begin(accept)
+                assert (old.lifecycle.state, new.lifecycle.state) == (State.HANDING, State.READY)
+                assert not old.clients.accepting and new.clients.accepting
+                assert await kept.reply() is None
+                late = await connected(held)
+                (customer,) = new.driver.gateway.meter.customers.values()
+                assert customer.out == 1
+                assert await late.ask(call(4, plan="roof")) == b"v"  # the last of four, half of eight
+                assert (await late.ask(call(5, plan="roof", wait=100))).startswith("-BUSY")
+                server.writers[server.by[2]].write(array(b"late"))
+                assert await busy.reply() == b"late" and await busy.reply() is None
+                await until(lambda: customer.out == 0)
+                assert len(server.commands) == 4
+
+    run(test())
+
+
+def test_a_successor_that_dies_before_or_after_its_yes_is_undone(tmp_path):
+    async def test():
+        async with world(tmp_path) as (server, held, old):
+            hello, took = encode({"kind": "hello"}), encode({"kind": "took"})
+            for dies in (b"", hello, hello + took):
+                reader, writer = await asyncio.open_unix_connection(str(socket_path(tmp_path, "127.0.0.1:1")))
+                writer.write(dies)
+                if dies:
+                    assert await reader.read(10)
+                if b"took" in dies:
+                    await until(lambda: old.lifecycle.state is State.HANDING)
+                writer.close()
+                await until(lambda: old.lifecycle.state is State.READY and old.driver.tap is None)
+                assert await (await connected(held)).ask(call(len(dies) * 10)) == b"v"
+            assert old.budget.total == old.budget.full
+
+    run(test())
+
+
+@pytest.mark.parametrize("left", ["nothing", "stale", "hung", "junk", "cut", "other version"])
+def test_a_successor_starts_cold_where_nobody_or_nobody_sensible_answers(tmp_path, monkeypatch, left):
+    async def test():
+        monkeypatch.setattr(channel, "STEP_S", 0.1)
+        directory = tmp_path / ("d" * 120)  # longer than an address of a socket may be
+        directory.mkdir()
+        path = socket_path(directory, "127.0.0.1:1")
+        answers = {"junk": b"HTTP/1.1 400", "cut": encode({"kind": "state", "customers": []})[:-3],
+                   "other version": encode({"kind": "state"}).replace(b"BLH\x01", b"BLH\x02")}
+        sockets = []
+        if left != "nothing":
+            sock = socket.socket(socket.AF_UNIX)
+            with channel.Short(path) as name:
+                sock.bind(name)
+            if left != "stale":
+                sock.listen()
+            sockets.append(sock)
+        if left in answers:
+            async def answer(reader, writer):
+                writer.write(answers[left])
+                writer.close()
+            sockets.append(await asyncio.start_unix_server(answer, sock=sock))
+        server = await FakeServer(lambda words: array(b"v")).start()
+        with socket.create_server(("127.0.0.1", 0)) as held:
+            async with gateway(server, directory, held) as (edge, succession, accept):
+                await succession.begin(accept)
+                assert edge.lifecycle.state is State.READY
+                assert await (await connected(held)).ask(call(1)) == b"v"
+                assert edge.budget.total == (edge.budget.full if left == "nothing" else edge.budget.full // 2)
+                heir = channel.TakeOver(edge, path)  # the path is this one's now
+                line = await heir._connect()
+                line.say({"kind": "hello"})
+                assert (await line.expect("state"))["kind"] == "state"
+                line.writer.close()
+        for sock in sockets:
+            sock.close()
+
+    run(test())
+
+
+def test_a_second_successor_and_one_that_asks_too_early_are_turned_away(tmp_path):
+    async def test():
+        async with world(tmp_path) as (_, _held, old):
+            old.lifecycle.state = State.STARTING
+            line = await channel.TakeOver(old, socket_path(tmp_path, "127.0.0.1:1"))._connect()
+            line.say({"kind": "hello"})
+            assert await line.hear() is None
+            old.lifecycle.happens(Event.LISTED)
+            first, second = [await channel.TakeOver(old, line_path)._connect()
+                             for line_path in [socket_path(tmp_path, "127.0.0.1:1")] * 2]
+            first.say({"kind": "hello"})
+            assert (await first.expect("state"))["kind"] == "state"
+            assert await second.hear() is None
+            first.writer.close()
+            await until(lambda: old.driver.tap is None)
+
+    run(test())
+
+
+# ---- Real processes
+
+
+class Process:
+    """One process of a gateway whose platform holds the listener."""
+
+    def __init__(self, tmp_path, held, server, number):
+        self.tmp_path, self.held, self.server, self.admin = tmp_path, held, server, free_port()
+        self.path = tmp_path / f"config-{number}.json"
+
+    async def start(self):
+        fd, listen = self.held.fileno(), f"127.0.0.1:{self.held.getsockname()[1]}"
+        self.path.write_text(json.dumps({
+            "name": "n0", "listen": listen, "discovery": "127.0.0.1:1", "seed": "8c1f30d27a5be964",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": PROCESS_SETTINGS,
+            "known": {"generation": 1, "reset": True, "instances": [row("s-1", self.server.port)]}}))
+        env = {**os.environ, "EDGE_CONFIG": str(self.path), "EDGE_LISTEN": listen,
+               "TMPDIR": str(self.tmp_path), "EDGE_ACCEPT_FD": str(fd), "EDGE_ADMIN": f"127.0.0.1:{self.admin}"}
+        self.process = await asyncio.create_subprocess_shell(command(), cwd=ROOT, env=env, pass_fds=(fd,))
+        while await self.ready() != 200:
+            assert self.process.returncode is None
+            await asyncio.sleep(0.01)
+        return self
+
+    async def ready(self) -> int:
+        try:
+            reader, writer = await asyncio.open_connection("127.0.0.1", self.admin)
+        except OSError:
+            return 0
+        writer.write(b"GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+        status = int((await reader.read()).split()[1])
+        writer.close()
+        return status
+
+
+async def traffic(held, answers, stop):
+    """Requests one after the other, on a connection for as long as it lasts; one that ends unread asks again."""
+    peer, turned_back = None, 0
+    while not stop.is_set():
+        number = len(answers) + 1
+        peer = peer or await connected(held)
+        try:
+            answer = await peer.ask(call(number, wait=30_000))
+        except (OSError, RuntimeError):  # the loop knows that it has ended, the client not yet
+            answer = None
+        if answer is None:
+            peer, turned_back = None, turned_back + 1
+        else:
+            answers.append(answer)
+    return turned_back
+
+
+def test_processes_replaced_under_traffic_lose_nothing_and_run_nothing_twice(tmp_path):
+    async def test():
+        server = await FakeServer(lambda words: array(words[2])).start()
+        stop, answers, started = asyncio.Event(), [], []
+        with socket.create_server(("127.0.0.1", 0)) as held:
+            try:
+                started.append(await Process(tmp_path, held, server, 0).start())
+                loaded = asyncio.ensure_future(traffic(held, answers, stop))
+                for number in (1, 2, 3):  # two in a row, then one after a kill, which leaves its file behind
+                    seen = len(answers)
+                    await until(lambda seen=seen: len(answers) > seen + 20)
+                    if number == 3:
+                        stop.set()
+                        await loaded
+                        started[-1].process.kill()
+                        await started[-1].process.wait()
+                    started.append(await Process(tmp_path, held, server, number).start())
+                    if number < 3:
+                        started[-2].process.terminate()
+                        assert await started[-2].process.wait() == 0
+                assert [int(answer, 16) for answer in answers] == list(range(1, len(answers) + 1))
+                ids = [words[2] for words in server.commands]
+                assert len(ids) == len(set(ids)) == len(answers)
+                assert await (await connected(held)).ask(call(999_999)) == b"%016x" % 999_999
+            finally:
+                stop.set()
+                for each in started:
+                    if each.process.returncode is None:
+                        each.process.kill()
+                    await each.process.wait()
+
+    run(test())
+
+
+def test_an_admin_address_that_is_taken_is_one_clear_line_and_an_exit(tmp_path):
+    async def test():
+        server = await FakeServer().start()
+        with socket.create_server(("127.0.0.1", 0)) as held, socket.create_server(("127.0.0.1", 0)) as taken:
+            process = Process(tmp_path, held, server, 0)
+            process.admin = taken.getsockname()[1]
+            process.ready = process.ended = lambda: process.process.wait()
+            with pytest.raises(AssertionError):
+                await process.start()
+            assert process.process.returncode == CANT_START
+
+    run(test())
+
+
+def test_without_admin_and_descriptor_nothing_of_it_is_imported():
+    code = ("import sys, brackenloft.__main__; "
+            "print([name for name in sys.modules if name.startswith(('brackenloft.ops', 'brackenloft.handover'))])")
+    out = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True).stdout
+    assert out.strip() == "[]"
--- a/tests/test_net_streams.py
+++ b/tests/test_net_streams.py
@@ -10,7 +10,7 @@
 
 from brackenloft.edge import Call
 from brackenloft.net.resp import Answers
-from brackenloft.net.streams import STREAM_FROM
+from brackenloft.net.streams import STREAM_FROM, Stream, Streams
 
 LONG = bytes(range(256)) * 8192  # 2 MiB
 HEAD = b"*3\r\n$%d\r\n" % len(LONG)
@@ -51,6 +51,40 @@
     assert values == [value] * (1 + twice) and not reader.left
 
 
+class Tap:
+    """A source that does as it is told, and no more than that."""
+
+    flows = True
+
+    def pause(self):
+        self.flows = False
+
+    def resume(self):
+        self.flows = True
+
+    abandon = pause
+
+
+@given(st.lists(st.tuples(st.integers(0, 5), st.integers(0, 60))), st.integers(1, 500))
+def test_streams_hold_no_more_than_their_budget_and_a_piece_each(steps, most):
+    """Whatever comes and is taken in which order: bounded over all, and who holds nothing may always read."""
+    streams, longest, taps = Streams(most), 60, [Tap() for _ in range(6)]
+    all_of = [Stream(10_000, tap, streams) for tap in taps]
+    for which, size in steps:
+        stream, tap = all_of[which], taps[which]
+        if not size:
+            if stream.pieces:
+                assert stream.take()
+        elif tap.flows:
+            stream.came(b"x" * size)
+        assert streams.held == sum(one.held for one in all_of)
+        assert streams.held <= most + longest * len(all_of)
+        assert all(tap.flows for tap, one in zip(taps, all_of, strict=True) if not one.held)
+    for stream in all_of:
+        stream.abandon()
+    assert not streams.held and not streams.open
+
+
 def test_first_bytes_pass_before_the_last_have_come_and_figures_behind_them_count():
     async def test():
         server = quiet()
@@ -131,14 +165,15 @@
             await loop.sock_sendall(sock, call(1))
             await server.until(lambda: server.commands)
             server.writers[0].write(HEAD + LONG + TAIL)
+            gateway.servers.streams.most = len(LONG) // 4
             await until(lambda: any(not one.reading for one in gateway.servers.connections))
             (client,) = gateway.clients.connections
-            held = client.transport.get_write_buffer_size() + sum(map(len, client.slots[0].stream.pieces))
-            assert held < len(LONG) / 2
+            assert client.transport.get_write_buffer_size() + gateway.servers.streams.held < len(LONG)
             got = b""
             while len(got) < 10 + len(LONG) + 2:
                 got += await loop.sock_recv(sock, 1 << 20)
             assert got.endswith(LONG + b"\r\n")
+            assert not gateway.servers.streams.held and not gateway.servers.streams.open
             sock.close()
 
     run(test())
