--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -295,7 +295,8 @@
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": PROCESS_SETTINGS,
             "known": {"generation": 1, "reset": True, "instances": [row("s-1", self.server.port)]}}))
         env = {**os.environ, "EDGE_CONFIG": str(self.path), "EDGE_LISTEN": listen,
-               "TMPDIR": str(self.tmp_path), "EDGE_ACCEPT_FD": str(fd), "EDGE_ADMIN": f"127.0.0.1:{self.admin}"}
+               "TMPDIR": str(self.tmp_path), "EDGE_ACCEPT_FD": str(fd),
+               "EDGE_ADMIN": f"127.0.0.1:{self.admin}"}
         self.process = await asyncio.create_subprocess_shell(command(), cwd=ROOT, env=env, pass_fds=(fd,))
         while await self.ready() != 200:
             assert self.process.returncode is None
@@ -314,7 +315,7 @@
 
 
 async def traffic(held, answers, stop):
-    """Requests one after the other, on a connection for as long as it lasts; one that ends unread asks again."""
+    """Requests one after the other, on a connection for as long as it lasts; one unread is asked again."""
     peer, turned_back = None, 0
     while not stop.is_set():
         number = len(answers) + 1
@@ -380,6 +381,6 @@
 
 def test_without_admin_and_descriptor_nothing_of_it_is_imported():
     code = ("import sys, brackenloft.__main__; "
-            "print([name for name in sys.modules if name.startswith(('brackenloft.ops', 'brackenloft.handover'))])")
+            "print([name for name in sys.modules if '.ops' in name or '.handover' in name])")
     out = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True).stdout
     assert out.strip() == "[]"
