--- a/brackenloft/cli.py
+++ b/brackenloft/cli.py
@@ -1,4 +1,4 @@
-"""``brackenloft SUBCOMMAND``: serve, check-config, demo, call, lab."""
+"""``brackenloft SUBCOMMAND``: serve, check-config, demo, call, ops, lab."""
 
 from __future__ import annotations
 
@@ -42,6 +42,9 @@
     call.add_argument("--patience-ms", type=int, default=2000)
     call.add_argument("--spread", type=int, default=1)
     call.add_argument("--first", type=int, default=0)
+    from brackenloft.ops import caller
+    caller.add_to(commands.add_parser(
+        "ops", help="call a gateway's second address: exits 0 yes, 1 no, 2 no answer"))
     commands.add_parser("lab", help="experiments in virtual time: brackenloft lab --help (extra [lab])")
     return parser
 
@@ -52,8 +55,8 @@
     if words[:1] == ["lab"]:
         return _lab(words[1:])
     options = _parser().parse_args(words)
-    run = {"serve": _serve, "check-config": _check, "demo": _demo, "call": _call}[options.command]
-    return run(options)
+    run = {"serve": _serve, "check-config": _check, "demo": _demo, "call": _call, "ops": _ops}
+    return run[options.command](options)
 
 
 def _lab(words: list[str]) -> int:
@@ -126,6 +129,9 @@
             servers(now)
 
     async with Edge(config.settings, config.room, config.seed) as edge:
+        if config.admin:
+            from brackenloft.ops.station import Station
+            Station(edge, config.admin)
         host, port = edge.listen(*config.listen)
         servers(config)
         loop.add_signal_handler(signal.SIGTERM, stop.set)
@@ -139,7 +145,12 @@
     return 0
 
 
-# ---- demo, call
+# ---- demo, call, ops
+
+
+def _ops(options: argparse.Namespace) -> int:
+    from brackenloft.ops import caller
+    return caller.run(options)
 
 
 def _demo(options: argparse.Namespace) -> int:
--- a/brackenloft/config.py
+++ b/brackenloft/config.py
@@ -49,6 +49,7 @@
     plans: tuple[api.Plan, ...]
     listen: str = "127.0.0.1:6379"
     discovery: str | None = None
+    admin: str | None = None  # the second address, for operators
     nodes: tuple[Node, ...] = ()
     seed: int | None = None
     site: Site = field(default_factory=Site)
@@ -67,6 +68,7 @@
     nodes: tuple[Node, ...]
     room: Room
     seed: int | None
+    admin: Address | None = None
 
 
 def load(path: Path) -> Config:
@@ -104,8 +106,9 @@
     if len(set(names)) != len(names):
         raise ConfigError("nodes: names one twice")
     discovery = None if document.discovery is None else address(document.discovery, "discovery")
+    admin = None if document.admin is None else address(document.admin, "admin")
     return Config(settings, address(document.listen, "listen"), discovery, document.nodes, document.room,
-                  document.seed)
+                  document.seed, admin)
 
 
 def address(text: str, where: str) -> Address:
--- a/tests/test_net_ops.py
+++ b/tests/test_net_ops.py
@@ -10,6 +10,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from brackenloft.cli import main
 from brackenloft.lifecycle import Event, Lifecycle, State
 from brackenloft.net import clients
 from brackenloft.ops import address as module
@@ -235,3 +236,25 @@
         place.close()
 
     asyncio.run(test())
+
+
+def test_the_command_line_calls_it_and_its_exit_code_says_yes_or_no(capsys):
+    async def test():
+        async with manned(FakeServer()) as (gateway, ask):
+            def ops(*words):
+                return asyncio.to_thread(main, ["ops", *words, "--at", f"127.0.0.1:{ask.port}"])
+            assert await ops("ready") == 0
+            assert await ops("drain") == 0 and await ops("ready") == 1
+            waits = asyncio.ensure_future(ops("ready", "--wait", "60"))
+            assert await ops("metrics", "--json") == 0
+            assert await ops("resume") == 0 and await waits == 0
+            assert await ops("metrics") == 0
+            gateway.edge.lifecycle.happens(Event.HAND)
+            assert await ops("drain") == 1
+            gateway.edge.lifecycle.happens(Event.KEEP)
+        assert await ops("ready") == 2
+
+    run(test())
+    out, err = capsys.readouterr()
+    assert '"known_servers": 1' in out and "no drain while handing over" in out and "post " in out
+    assert "no answer from" in err
