--- a/brackenloft/admission/roll.py
+++ b/brackenloft/admission/roll.py
@@ -17,6 +17,7 @@
 from collections.abc import Iterator
 from enum import StrEnum
 from itertools import islice
+from math import inf
 from typing import Generic, TypeVar
 
 P = TypeVar("P")
@@ -43,6 +44,10 @@
         self.rows[standing][peer] = since
         self.at[peer] = standing
 
+    def since(self, peer: P) -> float:
+        """Since when it does nothing; infinity while it is busy."""
+        return self.rows[self.at[peer]][peer] if peer in self.at else inf
+
     def stirs(self, peer: P) -> None:
         """It is busy, or has gone."""
         standing = self.at.pop(peer, None)
--- a/brackenloft/net/clients.py
+++ b/brackenloft/net/clients.py
@@ -48,6 +48,9 @@
 IDLE_S = 2.0  # a connection on which no request is open may be closed after that
 SERVED_S = 0.1  # about what it is open for before
 SWEEP_S = 0.05  # between two looks at who is overdue
+# After an answer, before its connection is closed as the process empties: who asks again at once has done so.
+# A request that crosses the close would be turned back.
+QUIET_S = 0.02
 FINISH_S = 1.5  # while the process empties: for who is within a command, and for commands without a gap: none
 # may be held after 4 s on which a request came within 2 s
 BACKLOG = 1024  # connections that wait in the kernel: all that come while there is no room
@@ -196,7 +199,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         # uvloop's transports are not asyncio.Transport by class: no isinstance here
-        self.transport, self.came = cast(asyncio.Transport, transport), self.clients.loop.time()
+        self.transport = cast(asyncio.Transport, transport)
         self.clients.opened(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -408,7 +411,7 @@
             return
         if self.paused and not self.ending:
             self._read()
-        elif not self.slots:
+        elif not self.slots and self not in self.clients.roll:
             self.clients.rests(self)
         self._leave_if_done()
 
@@ -454,11 +457,11 @@
         Guards against turning back a command that crosses the close: who is within one, or has just come, is
         waited for, but not without end; what has come unread is read first.
         """
-        waited = self.clients.loop.time() - self.clients.emptying_since
-        if waited >= FINISH_S:
+        if self.clients.finishing():
             return True
-        fresh = not self.spoke and self.clients.loop.time() - self.came < FRESH_S
-        return not fresh and not self.reader.left and not self._unread()
+        rested_s = self.clients.loop.time() - self.clients.roll.since(self)
+        quiet = rested_s >= (QUIET_S if self.spoke else FRESH_S)
+        return quiet and not self.reader.left and not self._unread()
 
     def _unread(self) -> bool:
         with suppress(OSError):
--- a/brackenloft/net/driver.py
+++ b/brackenloft/net/driver.py
@@ -229,23 +229,25 @@
                 self.tap.ended(call)
             self._outcome(call, number, server, reply, latency_ms, attempt.streams)
 
-        def opened(stream: Stream) -> bool:
-            """A long value begins to come; False if the request has had its answer, or has another stream."""
-            if call.answered or call.stream or call.on_open is None:
-                return False
-            call.stream, call.first_ms = stream, self._taken_ms(attempt)
-            self.post(api.StreamStarted(call.request_id, number, server, call.first_ms))
-            call.on_open(Opened(stream))
-            return True
-
         due = time.monotonic() + wait_ms / 1000.0
-        attempt = Attempt(call.encode(wait_ms), done, due, opened if call.on_open else None)
+        attempt = Attempt(call.encode(wait_ms), done, due, self._opened if call.on_open else None)
+        attempt.request_id, attempt.number, attempt.server = call.request_id, number, server
         self.counters.attempts += 1
         call.out[number] = attempt
         if self.tap:
             self.tap.sent(call)
         self.servers.start(server, attempt)
 
+    def _opened(self, attempt: Attempt, stream: Stream) -> bool:
+        """A long value begins to come; False if the request has had its answer, or has another stream."""
+        call = self.calls.get(attempt.request_id)
+        if call is None or call.answered or call.stream or call.on_open is None:
+            return False
+        call.stream, call.first_ms = stream, self._taken_ms(attempt)
+        self.post(api.StreamStarted(call.request_id, attempt.number, attempt.server, call.first_ms))
+        call.on_open(Opened(stream))
+        return True
+
     def _taken_ms(self, attempt: Attempt) -> float:
         """How long an attempt has taken until now, without what was the loop's doing."""
         now = time.monotonic()
--- a/brackenloft/net/servers.py
+++ b/brackenloft/net/servers.py
@@ -34,6 +34,9 @@
 IDLE_SHARE = 0.4  # of the servers' idle limit after which a connection is retired: well before they do
 COMING_UP = 8  # connections to a server that are coming up at once: its accept queue takes many times as many
 LEAST_WAIT_S = 0.001  # for one that rests: the loop's timers are no finer
+# For an answer on its way to a connection, twice that by the kernel. Guards against reads of a quarter of a
+# megabyte on each of many connections whose values nobody takes yet.
+RECEIVES = 32 * 1024
 REST_S = 0.012  # after an answer, before its connection is used again: what comes right behind shows by then
 MOST_PERCENT = 100_000.0  # of a quota used: a thousand times
 MOST_LOAD = 1_000_000.0  # of any figure in a load report
@@ -73,15 +76,17 @@
 class Attempt:
     """A command on its way to a server; ``done`` is called once with what came of it."""
 
-    __slots__ = ("payload", "done", "connection", "due", "written", "began", "waits", "opened", "streams")
+    __slots__ = ("payload", "done", "connection", "due", "written", "began", "waits", "opened", "streams",
+                 "request_id", "number", "server")
 
     def __init__(
         self, payload: bytes, done: Callable[[Reply], None], due: float = inf,
-        opened: Callable[[Stream], bool] | None = None,
+        opened: Callable[[Attempt, Stream], bool] | None = None,
     ) -> None:
         self.payload = payload
         self.opened = opened  # takes a long value as a stream, unless nobody wants it any more
         self.streams = False  # it has been taken
+        self.request_id, self.number, self.server = "", 0, 0  # whose it is, for ``opened``
         # All by time.monotonic(): not written from ``due`` on, when it was written, when it was asked for.
         self.due, self.written, self.began = due, inf, time.monotonic()
         self.done: Callable[[Reply], None] | None = done
@@ -197,6 +202,7 @@
             sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVES)
             try:
                 async with asyncio.timeout(self.servers.connect_timeout_s):
                     await loop.sock_connect(sock, self.host.address)
@@ -321,7 +327,7 @@
         self.stream = Stream(size, self, self.servers.streams)
         attempt.streams = True
         self.pace = Pace(Least(1.0, STALLED_S, STALLED_S), time.monotonic())
-        if not attempt.opened(self.stream):
+        if not attempt.opened(attempt, self.stream):
             self.close(api.Status.CANCELLED)
             return
         self.servers.look_at(self)
--- a/brackenloft/policy/gateway.py
+++ b/brackenloft/policy/gateway.py
@@ -325,6 +325,8 @@
         flight = self.flights.get(event.request_id)
         if flight and flight.hears(Trigger.STREAM):
             flight.move(State.STREAMING)
+            self.fleet.young.discard((event.request_id, event.attempt))  # it has been answered in time
+            self._retry_parked()
 
     # ---- The end of a request
 
@@ -415,10 +417,7 @@
             flight.timers.append(self.tokens)
         self.actions.append(SetTimer(self.tokens, delay, flight.request.request_id if flight else ""))
 
-    def _log(self, text: str) -> None:
-        self.actions.append(Log(text))
-
     def _log_once(self, text: str) -> None:
         if text not in self.logged and len(self.logged) < MOST_NOTES:
             self.logged.add(text)
-            self._log(text)
+            self.actions.append(Log(text))
