--- a/brackenloft/net/clients.py
+++ b/brackenloft/net/clients.py
@@ -16,6 +16,7 @@
 
 from brackenloft import interface as api
 from brackenloft.admission.budget import Budget, Side
+from brackenloft.admission.intake import Intake
 from brackenloft.admission.rate import Least, Pace
 from brackenloft.admission.roll import Roll, Standing
 from brackenloft.admission.room import relief
@@ -25,8 +26,8 @@
 from brackenloft.net import wire
 from brackenloft.net.bites import Bites
 from brackenloft.net.driver import Call, Driver
-from brackenloft.net.resp import Commands, ProtocolError
-from brackenloft.net.streams import Stream
+from brackenloft.net.resp import LONGEST_VALUE, Commands, ProtocolError
+from brackenloft.net.streams import STREAM_FROM, Stream
 
 log = logging.getLogger(__name__)
 
@@ -42,6 +43,9 @@
 READ_RATE = 16 * 1024  # bytes a second of a command that takes longer than COMMAND_S: a poor link brings more
 STALLED_S = 15.0  # a client that takes no byte of its answers for so long is gone; a burst may save as much
 WRITE_RATE = 4 * 1024  # bytes a second that a client takes at least of answers that pile up here
+# For a command on its way to a connection, twice that by the kernel. Guards against reads of a quarter of a
+# megabyte on each of many connections when there is no room for them.
+RECEIVES = 32 * 1024
 LATE_S = 0.025  # a sweep so late says that the loop was held up: nobody is too slow for that
 FRESH_S = 0.25  # who has said nothing is let be so long, or would come back at once, again and again
 SHORT = 0.5  # share of the places taken from which they are given up as soon as may be
@@ -262,7 +266,11 @@
         self.reading = False
         self.within = within
         if within:
+            if max(self.reader.left, self.reader.needed) > STREAM_FROM:  # by what its header promises
+                self.clients.intake.begins(self)
             self.clients.relieve()
+        elif self in self.clients.intake:
+            self.clients.next_long(self)
         if took == MOST_AT_ONCE and not self.tired:
             self.tired = True
             self.clients.loop.call_soon(self._go_on)
@@ -278,19 +286,26 @@
     def _throttle(self) -> None:
         if self.transport is None or self.transport.is_closing():
             return
-        pause = self.ending or self.tired or self._full() or self.clients.finishing()
+        pause = (self.ending or self.tired or self._full() or self.clients.finishing()
+                 or not self.clients.intake.may_read(self, self.clients.has_room()))
         if pause != self.paused:
             self.paused = pause
             if self.reads:
                 (self.reads.pause if pause else self.reads.resume)(time.monotonic())
             (self.transport.pause_reading if pause else self.transport.resume_reading)()
 
+    def let_in(self) -> None:
+        """The room for long commands has changed."""
+        self._throttle()
+
     def loose(self) -> int:
         """Bytes that would be free if it were cut off: what it does not take, and a part of a command."""
         if self.transport is None or self.transport.is_closing() or not (self.stuck or self.within):
             return 0
         if self.slots and self.slots[0].stream:
             return 0  # a value passed on in part is never cut off for memory; the streams have a budget
+        if self.within and self in self.clients.intake:
+            return 0  # nor a long command: those wait their turn
         return max(0, self.held - self.in_hand)
 
     def cut_off(self) -> None:
@@ -337,7 +352,7 @@
         self.errors = 0
         self.asked += 1
         self.clients.asking += self.asked == 1
-        if not self.clients.relieve():
+        if not self.clients.relieve(LONGEST_VALUE if size > STREAM_FROM else 0):
             self.hold(-size, in_hand=False)
             # Guards against commands in hand that together outgrow the memory.
             self._reply(wire.answer_line(driver.turn_away(request.class_name)))
@@ -527,6 +542,7 @@
         self.bites = Bites()
         self.slow: dict[Client, None] = {}  # within a command for long, but not too slow so far
         self.stuck: dict[Client, None] = {}  # whose answers pile up here
+        self.intake: Intake[Client] = Intake()  # who is within a long command
         self.swept = time.monotonic()
         self.held = 0  # bytes of commands and replies
         self.connections: OrderedDict[Client, None] = OrderedDict()
@@ -611,6 +627,7 @@
         try:
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVES)
             await self.loop.connect_accepted_socket(lambda: Client(self, sock), sock)
         except OSError:
             sock.close()
@@ -675,6 +692,7 @@
         self.owing.pop(client, None)
         self.slow.pop(client, None)
         self.stuck.pop(client, None)
+        self.next_long(client)
         self.roll.stirs(client)
         self.held -= client.held
         self.asking -= client.asked > 0
@@ -721,6 +739,8 @@
             else:
                 client.overdue()
         self._cut_the_slow()
+        if self.intake.rows:
+            self._let_in()
         if self.budget.free(Side.CLIENTS):
             self._accept_more()
         if self.short():
@@ -747,8 +767,22 @@
                 client.abort()
         self.relieve()
 
-    def relieve(self) -> bool:
-        """Cut off who holds most, if all hold too much; whether there is room now.
+    def has_room(self) -> bool:
+        """Whether what is held leaves room for more."""
+        return self.held < self.most_held
+
+    def next_long(self, client: Client) -> None:
+        """A long command is whole, or its connection ended: others may go on."""
+        if self.intake.done(client):
+            self.loop.call_soon(self._let_in)
+
+    def _let_in(self) -> None:
+        """Let those within a long command send on, as far as there is room, or stop them."""
+        for client in list(self.intake.rows):
+            client.let_in()
+
+    def relieve(self, reserve: int = 0) -> bool:
+        """Cut off who holds most, if all hold too much; whether there is room now, with a ``reserve``.
 
         Guards against those who hold little and are turned away for what others keep. What is in hand stays:
         it is owed.
@@ -759,7 +793,7 @@
         for client in relief(self.held, self.most_held, holders):
             self.bites.bite("memory", "the client that holds most is cut off")
             client.cut_off()
-        return self.held <= self.most_held
+        return self.held <= self.most_held + reserve
 
     # ---- The end
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 
 from brackenloft.admission.budget import Budget, Side
+from brackenloft.admission.intake import Intake
 from brackenloft.admission.rate import Least, Pace
 from brackenloft.admission.roll import Roll, Standing
 from brackenloft.admission.room import relief
@@ -219,3 +220,24 @@
     assert crowd._fair("large", 50.0) >= 1.0  # half of what is asked, and half of the rates
     assert crowd._fair("large", 0.5) < 0.1
     assert crowd._fair("new", 0.5) >= FAIR_LEAST
+
+
+@given(st.lists(st.tuples(st.integers(0, 5), st.integers(1, 400), st.booleans())), st.integers(0, 2000))
+def test_long_commands_always_end_however_short_the_memory_is(sizes, most):
+    """Each sends pieces of ten when it may; whole ones go. All end, and only one goes beyond the room."""
+    intake, left = Intake(), {}
+    for who, size, _ in sizes:
+        left.setdefault(who, size)
+    held = dict.fromkeys(left, 0)
+    for _ in range(len(left) * 50):
+        for who in list(left):
+            intake.begins(who)
+            if intake.may_read(who, sum(held.values()) < most):
+                piece = min(10, left[who])
+                held[who] += piece
+                left[who] -= piece
+            if not left[who]:
+                assert intake.done(who) and not intake.done(who)
+                del left[who], held[who]
+        assert sum(sorted(held.values())[:-1]) <= max(most, 0) + 10 * len(held)
+    assert not left and not intake.rows
--- a/tests/test_net_streams.py
+++ b/tests/test_net_streams.py
@@ -224,3 +224,27 @@
             assert gateway.servers.held == 0
 
     run(test())
+
+
+def test_long_commands_far_beyond_the_memory_wait_for_their_turn_and_are_all_served():
+    async def test():
+        server, most, body = FakeServer(lambda words: array(words[4][:9])), 0, b"b" * 1_000_000
+        async with node(server) as gateway:
+            gateway.clients.most_held = 1_200_000
+            peers = [await gateway.peer() for _ in range(10)]
+            asking = [asyncio.ensure_future(peer.ask(call(number, "buy", body=body)))
+                      for number, peer in enumerate(peers)]
+            while not all(one.done() for one in asking):
+                most = max(most, gateway.clients.held)
+                await asyncio.sleep(0.001)
+            assert [one.result() for one in asking] == [b"b" * 9] * 10
+            assert most < 4_000_000 and not gateway.clients.intake.rows and not gateway.clients.held
+            stays, goes = await gateway.peer(), await gateway.peer()
+            for number, peer in ((90, goes), (91, stays)):  # who goes away in its turn holds nobody up
+                peer.send(call(number, "buy", body=body)[:-1])
+                await until(lambda number=number: len(gateway.clients.intake.rows) == number - 89)
+            goes.writer.transport.abort()
+            stays.send(b"\n")
+            assert await stays.reply() == b"b" * 9
+
+    run(test())
