--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -1,10 +1,14 @@
-"""The table of the lifecycle: every state with every event, and what any course of events leaves true."""
+"""The lifecycle: every state with every event and every call, and what any course of events leaves true."""
+
+import asyncio
 
 import pytest
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from brackenloft.lifecycle import FACTS, FOLLOWS, Event, Lifecycle, State
+from brackenloft.ops import address as module
+from brackenloft.ops.calls import METHODS, respond
 
 DRAINED = {State.HELD_BACK, State.DRAINING, State.HANDING_EMPTY}
 HANDED = {State.HANDING, State.HANDING_EMPTY, State.LEAVING_HANDED}
@@ -58,3 +62,50 @@
     assert life.state is State.LEAVING_HANDED and life.happens(Event.DRAIN)
     life.happens(Event.ENDED)
     assert not life.happens(Event.DRAIN)
+
+
+@pytest.mark.parametrize("state", State)
+@pytest.mark.parametrize("path", [*METHODS, "/-/unknown", ""])
+def test_each_call_in_each_state_has_a_defined_answer(state, path):
+    life = Lifecycle()
+    for method in ("GET", "POST", "DELETE"):
+        life.state = state
+        response = respond(method, path, life, dict)
+        if path not in METHODS:
+            assert response.status == 404
+        elif method != METHODS[path]:
+            assert (response.status, response.allow) == (405, METHODS[path])
+        else:
+            assert response.status in (200, 409, 503)
+            assert response.status != 409 or life.state is state
+        assert response.status < 400 or "error" in response.document or "state" in response.document
+
+
+@settings(max_examples=50, deadline=None)
+@given(st.binary(max_size=300), st.integers(0, 300))
+def test_no_bytes_bring_more_than_one_answer(junk, cut):
+    """Whatever comes, in two pieces: one answer at most, and nothing raises."""
+    class Wire:
+        def __init__(self):
+            self.written = []
+
+        def write(self, data):
+            self.written.append(data)
+
+        def write_eof(self):
+            self.ended = True
+
+        close = abort = write_eof
+
+    async def test():
+        life = Lifecycle()
+        place = module.SecondAddress("127.0.0.1", 0, lambda method, path: respond(method, path, life, dict))
+        caller, wire = module.Caller(place), Wire()
+        caller.connection_made(wire)
+        for piece in (junk[:cut], junk[cut:], b"GET / HTTP/1.1\r\n\r\n"):
+            caller.data_received(piece)
+        assert len(wire.written) <= 1
+        caller.connection_lost(None)
+        place.close()
+
+    asyncio.run(test())
--- a/tests/test_net_ops.py
+++ b/tests/test_net_ops.py
@@ -7,14 +7,11 @@
 
 import pytest
 from fakes import FakeServer, array, call, node, resp, run, until
-from hypothesis import given, settings
-from hypothesis import strategies as st
 
 from brackenloft.cli import main
-from brackenloft.lifecycle import Event, Lifecycle, State
+from brackenloft.lifecycle import Event, State
 from brackenloft.net import clients
 from brackenloft.ops import address as module
-from brackenloft.ops.calls import METHODS, respond
 from brackenloft.ops.station import Station
 
 
@@ -54,23 +51,6 @@
             station.close()
 
 
-@pytest.mark.parametrize("state", State)
-@pytest.mark.parametrize("path", [*METHODS, "/-/unknown", ""])
-def test_each_call_in_each_state_has_a_defined_answer(state, path, in_a_housing):
-    life = Lifecycle()
-    for method in ("GET", "POST", "DELETE"):
-        life.state = state
-        response = respond(method, path, life, dict)
-        if path not in METHODS:
-            assert response.status == 404
-        elif method != METHODS[path]:
-            assert (response.status, response.allow) == (405, METHODS[path])
-        else:
-            assert response.status in (200, 409, 503)
-            assert response.status != 409 or life.state is state
-        assert response.status < 400 or "error" in response.document or "state" in response.document
-
-
 def test_figures_tell_each_request_once_by_its_end():
     async def test():
         silent = []
@@ -208,36 +188,6 @@
     run(test())
 
 
-@settings(max_examples=50, deadline=None)
-@given(st.binary(max_size=300), st.integers(0, 300))
-def test_no_bytes_bring_more_than_one_answer(junk, cut):
-    """Whatever comes, in two pieces: one answer at most, and nothing raises."""
-    class Wire:
-        def __init__(self):
-            self.written = []
-
-        def write(self, data):
-            self.written.append(data)
-
-        def write_eof(self):
-            self.ended = True
-
-        close = abort = write_eof
-
-    async def test():
-        life = Lifecycle()
-        place = module.SecondAddress("127.0.0.1", 0, lambda method, path: respond(method, path, life, dict))
-        caller, wire = module.Caller(place), Wire()
-        caller.connection_made(wire)
-        for piece in (junk[:cut], junk[cut:], b"GET / HTTP/1.1\r\n\r\n"):
-            caller.data_received(piece)
-        assert len(wire.written) <= 1
-        caller.connection_lost(None)
-        place.close()
-
-    asyncio.run(test())
-
-
 def test_the_command_line_calls_it_and_its_exit_code_says_yes_or_no(capsys):
     async def test():
         async with manned(FakeServer()) as (gateway, ask):
