--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -1,31 +1,41 @@
-"""A large fleet: forty gateways over sixty nodes through three bad events, beside the rules as they stood.
+"""A large fleet: forty gateways over sixty nodes, two hundred over a hundred and twenty, one that is idle.
 
 python -m benchmarks.fleet            one seed of each experiment; the last line is JSON
 python -m benchmarks.fleet --long     five seeds
 
 As they stood: the even part alone under late readings, six out at a node at first, a pool that no slow
 attempt cuts, no free attempt after a failed connect, cold nodes at 0.825 of their even share times warmth.
-The doubt after a single slow attempt is not taken back here. Connects and lists are not modelled: the
-user's bench shows them.
+The doubt after a single slow attempt is not taken back here. Connects and reads of whole lists are counted
+over the fleet, in the worst second. A real process without traffic stands beside the program before (the
+commit of ``benchmarks.ops``), and one that meets new customers all along says how it grows.
 """
 
 from __future__ import annotations
 
 import argparse
+import asyncio
 import contextlib
 import json
+import tempfile
 from collections import Counter
 from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
 from unittest import mock
 
+import uvloop
+
+from benchmarks import ops
 from brackenloft import Gateway, Outcome, Status
 from brackenloft.lab import nodes, spec
 from brackenloft.lab.world import World
 from brackenloft.policy import attempts, meter, servers
+from brackenloft.standins import array
 
 EVENTS = ("fleet_herd", "fleet_zone", "fleet_join")
+MASS = ("mass_calm", "mass_roll", "mass_herd", "mass_zone", "mass_split", "mass_join")
+IDLE_S, KEPT = 2.5, 6  # a span without traffic, and connections that rest meanwhile
+SOAK_S, STRANGERS = 3.0, 1 << 40  # half of a soak, and the first of its customers
 OLD_COLD = 0.33  # of the tipping budget that a full fleet's even share could use
 SHOWN = ("service", "net", "served_share", "refused_with_room", "beyond_quota", "cold", "errors")
 MEANS = SHOWN[:5]
@@ -93,9 +103,52 @@
     return {key: figures[key] for key in MEANS} | {
         "rules": float(sum(world.oracle.rules.values())), "cold": worst[0], "errors": float(count["error"]),
         "attempts": float(sum(count.values())),
+        "connects": float(max(world.connects.values())), "lists": float(max(world.list_reads.values())),
     }
 
 
+async def idle_ms(root: Path) -> float:
+    """Processor milliseconds a second of a process on whose connections nothing happens."""
+    platform = await ops.world(lambda words: array(words[2]), root)
+    platform.held.close()
+    try:
+        process = await ops.by_itself(platform, root)
+        kept = [await platform.connect() for _ in range(KEPT)]
+        for number, peer in enumerate(kept):
+            await peer.ask(ops.command(number))
+        await asyncio.sleep(1.0)
+        before = process.ran_s()
+        await asyncio.sleep(IDLE_S)
+        return (process.ran_s() - before) / IDLE_S * 1000.0
+    finally:
+        await platform.close()
+
+
+async def growth_mb() -> dict[str, float]:
+    """How a process grows in the second half of a time in which all customers are new."""
+    platform = await ops.world(lambda words: array(words[2]))
+    try:
+        process = await platform.start()
+        load = ops.Load(platform, STRANGERS, clients=16, strangers=True)
+        await asyncio.sleep(SOAK_S)
+        half = process.memory_mb()
+        await asyncio.sleep(SOAK_S)
+        whole = process.memory_mb()
+        await load.stop()
+    finally:
+        await platform.close()
+    return {"soak_growth_mb": round(whole - half, 1), "soak_customers": len(load.answers)}
+
+
+async def processes() -> dict[str, float | None]:
+    """What real processes cost: idle, beside the program before, and growing."""
+    with tempfile.TemporaryDirectory() as directory:
+        old = ops.before(Path(directory))
+        now = await idle_ms(ops.ROOT)
+        ratio = None if old is None else round(now / await idle_ms(old), 3)
+    return {"idle_cpu_ratio": ratio, "idle_cpu_ms_a_s": round(now, 3)} | await growth_mb()
+
+
 def main() -> None:
     parser = argparse.ArgumentParser(
         description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
@@ -112,6 +165,12 @@
             print(f"{name:12}{'ours' if ours else 'as stood':9}"
                   + "".join(f"{mean[key]:19.3f}" for key in SHOWN))
 
+    mass = [(name, play(name, 1)) for name in MASS]
+    for name, row in mass:
+        print(f"{name:12}{'ours':9}" + "".join(f"{row[key]:19.3f}" for key in SHOWN))
+    with as_it_stood():
+        stood = play("mass_herd", 1)
+
     def ratio(key: str) -> float:
         return round(sum(row[key] for row in rows[True]) / max(1e-9, sum(row[key] for row in rows[False])), 3)
 
@@ -119,8 +178,12 @@
         "served_ratio": ratio("served_share"), "net_ratio": ratio("net"),
         "cold_overload_max": round(max(row["cold"] for row in rows[True]), 3),
         "bad_server_attempts_ratio": round(ratio("errors") / ratio("attempts"), 3),
-        "rules_broken": int(sum(row["rules"] for row in rows[True])),
-    }))
+        "rules_broken": int(sum(row["rules"] for row in rows[True] + [row for _, row in mass])),
+        "peak_connects_ratio": ratio("connects"), "peak_list_reads_ratio": ratio("lists"),
+        "peak_connects_ratio_200": round(dict(mass)["mass_herd"]["connects"] / stood["connects"], 3),
+        "peak_list_reads_ratio_200": round(dict(mass)["mass_herd"]["lists"] / stood["lists"], 3),
+        "beyond_quota_200": round(sum(row["beyond_quota"] for _, row in mass) / len(mass), 3),
+    } | uvloop.run(processes())))
 
 
 if __name__ == "__main__":
--- a/benchmarks/ops.py
+++ b/benchmarks/ops.py
@@ -27,6 +27,7 @@
 
 ROOT = Path(__file__).parent.parent
 BEFORE = "2d22425"
+CUSTOMER = 0xB4D65521
 RUN = f"exec {sys.executable} -m brackenloft"
 DEADLINE_MS, CLIENTS, UPGRADES, MEGABYTE = 20_000, 48, 3, 1 << 20
 PAUSE_S = 0.03  # of a client between two requests
@@ -59,10 +60,10 @@
     }
 
 
-def command(number: int, plan: str = "free", kind: str = "buy") -> bytes:
+def command(number: int, plan: str = "free", kind: str = "buy", customer: int = CUSTOMER) -> bytes:
     """A request; its number is its id."""
     fields = f"c={kind},t={plan},d={DEADLINE_MS},units=1,spread=1,first=0"
-    words = ["00000000b4d65521", f"{number:016x}", fields]
+    words = [f"{customer:016x}", f"{number:016x}", fields]
     return resp("CALL.GET", *words) if kind == "read" else resp("CALL.POST", *words, b"body")
 
 
@@ -78,9 +79,10 @@
 
     def __init__(
         self, platform: Platform, first: int = 1, plan: str = "free", clients: int = CLIENTS,
-        pause_s: float = 0.0,
+        pause_s: float = 0.0, strangers: bool = False,
     ) -> None:
         self.platform, self.plan, self.next, self.pause_s = platform, plan, first, pause_s
+        self.strangers = strangers  # each request is of another customer
         self.answers: dict[int, Any] = {}
         self.turned_back, self.stopped = 0, False
         self.tasks = [asyncio.ensure_future(self._client()) for _ in range(clients)]
@@ -89,7 +91,8 @@
         peer = None
         while not self.stopped:
             number, self.next = self.next, self.next + 1
-            answer, peer, turned_back = await ask_on(self.platform, command(number, self.plan), peer)
+            text = command(number, self.plan, customer=number & 0xFFFFFFFF if self.strangers else CUSTOMER)
+            answer, peer, turned_back = await ask_on(self.platform, text, peer)
             self.answers[number] = answer
             self.turned_back += turned_back
             if self.pause_s:
@@ -263,22 +266,26 @@
             "small_call_us_before": round(there * 1e6, 1)}
 
 
+async def by_itself(platform: Platform, root: Path) -> Process:
+    """A process that listens by itself, as it did before, without a second address; ready."""
+    process = Process(platform, 0)
+    platform.started.append(process)
+    platform.held = socket.socket()
+    await process.start({"EDGE_ADMIN": "", "EDGE_ACCEPT_FD": "", "PYTHONPATH": str(root)})
+    while True:
+        with suppress(OSError):
+            peer = await Peer().open(platform.port)
+            if await peer.ask(resp("PING")) == b"PONG":
+                return process
+        await asyncio.sleep(0.01)
+
+
 async def one_round(root: Path) -> float:
     """CPU seconds of one small call, in a process without a second address."""
     platform = await world(lambda words: array(words[2]), root)
     platform.held.close()
-    process = Process(platform, 0)
-    platform.started.append(process)
-    environment = {"EDGE_ADMIN": "", "EDGE_ACCEPT_FD": "", "PYTHONPATH": str(root)}
-    platform.held = socket.socket()  # it listens by itself, as it did before
     try:
-        await process.start(environment)
-        while True:
-            with suppress(OSError):
-                peer = await Peer().open(platform.port)
-                if await peer.ask(resp("PING")) == b"PONG":
-                    break
-            await asyncio.sleep(0.01)
+        process = await by_itself(platform, root)
         load = Load(platform, clients=8)
         await asyncio.sleep(0.5)
         asked, spent = len(load.answers), process.cpu_s()
--- a/brackenloft/lab/world.py
+++ b/brackenloft/lab/world.py
@@ -10,7 +10,7 @@
 import hashlib
 import heapq
 import random
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any, Protocol
@@ -25,6 +25,7 @@
 from brackenloft.lab.spec import Class, Experiment, Fault, zone
 
 MOST_EVENTS = 50_000_000  # of one run: one that never ends is ended, and says so
+IDLE_MS = 12_000.0  # after which a gateway retires a connection: its share of what the settings allow
 STREAMS = ("customers", "network", "work", "clients", "front", "faults", "gateways")
 
 
@@ -70,6 +71,7 @@
         self.asks: dict[str, Ask] = {}
         self.up = True
         self.told: dict[int, api.ServerState] = {}
+        self.idle: dict[int, list[tuple[float, int]]] = {}  # connections at rest, by node: since, its epoch
 
 
 class World:
@@ -97,6 +99,8 @@
         self.cut: set[int] = set()  # zones that are cut off
         self.late_lists = self.late_meter = 0.0
         self.asked = 0
+        self.connects: Counter[int] = Counter()  # by second, over the whole fleet
+        self.list_reads: Counter[int] = Counter()  # whole lists, the same
         self.seats = [self._seat(index, 0.0) for index in range(experiment.gateways.count)]
         self.customers = customers.make(experiment, self._customer_stream())
         self.used: dict[tuple[int, int], float] = {}  # by customer and period
@@ -159,6 +163,7 @@
         seat = Seat(
             index, self.make(self.spec.settings(index), self.seeds["gateways"] + index + int(at) * 1000)
         )
+        self.list_reads[int(self.now // 1000)] += 1
         entries = tuple(self._entry(node) for node in self.nodes)
         self._tell(seat, api.ServerList(api.ListKind.CACHED, entries))
         self._tell(seat, api.ServerList(api.ListKind.FULL, entries))
@@ -207,6 +212,7 @@
             return
         node = self.nodes[action.server]
         self.note("send", seat.index, ask.name, number, node.number)
+        self._connection(seat, node)
         job = Job(
             ask.name,
             number,
@@ -232,6 +238,15 @@
                 self._way(seat.index % self.spec.nodes.zones, node.zone), self._arrives, (seat, ask, number)
             )
 
+    def _connection(self, seat: Seat, node: Node) -> None:
+        """Take one that rests at this gateway and still leads to the node's process, or open one."""
+        idle = seat.idle.get(node.number, [])
+        while idle:
+            since, epoch = idle.pop()
+            if epoch == node.epoch and self.now - since < IDLE_MS:
+                return
+        self.connects[int(self.now // 1000)] += 1
+
     def _work(self, kind: Class) -> float:
         return kind.work_ms * (1.0 / 3.0 + self.streams["work"].expovariate(1.5))
 
@@ -277,6 +292,8 @@
             self._answer(seat, ask.name, "served")
         self.note("outcome", seat.index, ask.name, number, status.value)
         heard = status in (api.Status.OK, api.Status.ERROR, api.Status.FULL)
+        if heard:
+            seat.idle.setdefault(node.number, []).append((self.now, node.epoch))
         self._tell(
             seat,
             api.Outcome(
--- a/brackenloft/net/clients.py
+++ b/brackenloft/net/clients.py
@@ -351,7 +351,9 @@
             return
         self.errors = 0
         self.asked += 1
-        self.clients.asking += self.asked == 1
+        if self.asked == 1:
+            self.clients.asking += 1
+            self.clients.look_after()
         if not self.clients.relieve(LONGEST_VALUE if size > STREAM_FROM else 0):
             self.hold(-size, in_hand=False)
             # Guards against commands in hand that together outgrow the memory.
@@ -491,6 +493,7 @@
         self.stuck = True
         self.writes = Pace(Least(WRITE_RATE, STALLED_S, STALLED_S), time.monotonic())
         self.clients.stuck[self] = None
+        self.clients.look_after()
         self._count_unsent()
         self._throttle()
 
@@ -555,7 +558,7 @@
         self.emptying_since = 0.0
         self.listener: socket.socket | None = None
         self.tasks: set[asyncio.Task[None]] = set()
-        self.sweeper = self.loop.call_later(SWEEP_S, self._sweep)
+        self.sweeper: asyncio.TimerHandle | None = None  # while there is something to look at
 
     # ---- Coming and going
 
@@ -607,6 +610,7 @@
         if not self.budget.free(Side.CLIENTS):
             self._accept_no_more()
             self._make_room()
+            self.look_after()
         for _ in range(min(ACCEPTS, self.budget.free(Side.CLIENTS))):
             try:
                 sock, _ = self.listener.accept()
@@ -617,6 +621,7 @@
             except OSError as error:
                 log.warning("no connection accepted: %r", error)
                 self._accept_no_more()  # until the next sweep
+                self.look_after()
                 return
             self.budget.take(Side.CLIENTS)
             task = self.loop.create_task(self._admit(sock))
@@ -684,6 +689,7 @@
         """A new connection; its first command is due."""
         self.connections[client] = None
         self.owing[client] = self.loop.time()
+        self.look_after()
         self.roll.rests(client, Standing.FRESH, self.loop.time())
 
     def closed(self, client: Client) -> None:
@@ -713,6 +719,7 @@
             self.roll.stirs(client)
             if client not in self.slow:
                 self.owing.setdefault(client, self.loop.time())
+                self.look_after()
         elif client.spoke:
             self.owing.pop(client, None)
             if client.slots or client.stuck:
@@ -727,7 +734,22 @@
             since = self.loop.time() - (0.0 if client.asked else client.age_s)
             self.roll.rests(client, Standing.ONCE if client.asked == 1 else Standing.IDLE, since)
 
+    def look_after(self) -> None:
+        """Sweep until nobody owes anything and there is room.
+
+        Guards against hundreds of idle gateways that each wake up twenty times a second for nothing.
+        """
+        if self.sweeper is None:
+            self.swept = time.monotonic()
+            self.sweeper = self.loop.call_later(SWEEP_S, self._sweep)
+
+    def _busy(self) -> bool:
+        return bool(self.owing or self.slow or self.stuck or self.intake.rows or self.emptying
+                    or (self.listener and not self.accepting and self.lifecycle.facts.accepts)
+                    or self.held > self.most_held or self.short())
+
     def _sweep(self) -> None:
+        self.sweeper = None
         before = self.loop.time() - COMMAND_S
         while self.owing:
             client, since = next(iter(self.owing.items()))
@@ -747,7 +769,8 @@
             self._make_room()  # somebody waits, or will before long, here or at the clients
         if self.emptying:
             self._empty()
-        self.sweeper = self.loop.call_later(SWEEP_S, self._sweep)
+        if self._busy():
+            self.look_after()
 
     def _cut_the_slow(self) -> None:
         """End who reads or writes below the least rate, and who has most here if it is too much for all."""
@@ -815,6 +838,7 @@
         """From now on, close each connection once nothing is owed on it."""
         if not self.emptying:
             self.emptying, self.emptying_since = True, self.loop.time()
+        self.look_after()
         self._empty()
 
     def _empty(self) -> None:
@@ -843,7 +867,8 @@
 
     def abort(self) -> None:
         """Close what is left, at the very end."""
-        self.sweeper.cancel()
+        if self.sweeper:
+            self.sweeper.cancel()
         self._close_listener()
         for client in list(self.connections):
             client.abort()
--- a/brackenloft/standins/platform.py
+++ b/brackenloft/standins/platform.py
@@ -107,6 +107,10 @@
         fields = Path(f"/proc/{self.process.pid}/stat").read_text().rpartition(")")[2].split()
         return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
 
+    def ran_s(self) -> float:
+        """Time on a processor so far, finer than ``cpu_s`` counts it."""
+        return int(Path(f"/proc/{self.process.pid}/schedstat").read_text().split()[0]) / 1e9
+
     def memory_mb(self) -> float:
         """Resident memory now."""
         pages = int(Path(f"/proc/{self.process.pid}/statm").read_text().split()[1])
