--- a/tests/test_net_clients.py
+++ b/tests/test_net_clients.py
@@ -432,3 +432,20 @@
             assert await peer.reply() is None
 
     run(test())
+
+
+def test_a_gateway_at_rest_looks_at_nothing_until_somebody_comes():
+    async def test():
+        async with node(FakeServer()) as gateway:
+            peers = [await gateway.peer() for _ in range(3)]
+            for number, peer in enumerate(peers):
+                assert await peer.ask(call(number))
+            await until(lambda: gateway.clients.sweeper is None)
+            within = await gateway.peer()
+            within.send(b"*4\r\n")
+            await until(lambda: gateway.clients.sweeper is not None)
+            within.writer.close()
+            await until(lambda: gateway.clients.sweeper is None)
+            assert await peers[0].ask(call(9))
+
+    run(test())
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -5,7 +5,8 @@
 import pytest
 from conftest import CLASSES, DEAR, SETTINGS, Rig, entry, rig_with
 
-from brackenloft import Cancel, Limits, ListKind, Log, ServerState, Status
+from brackenloft import Cancel, Limits, ListKind, Log, Outcome, ServerState, Status
+from brackenloft.interface import StreamStarted
 
 RAN_NOT = [Status.FULL, Status.CONNECT_FAILED]
 MAY_HAVE_RUN = [Status.ERROR, Status.TIMEOUT, Status.RESET]
@@ -533,3 +534,18 @@
     assert second not in rig.answers and second not in rig.sent
     rig.finish(first)
     assert second in rig.sent
+
+
+def test_a_stream_that_has_begun_makes_room_for_who_waits():
+    """Guards against long values to slow clients that keep all others out of the pool."""
+    rig = rig_with()
+    rig.servers(entry(1))
+    rig.gateway.fleet.pool = 1.0
+    first, second = rig.ask(), rig.ask()
+    assert first in rig.sent and second not in rig.sent
+    rig.do(StreamStarted(first, 0, rig.sent[first][0], 20.0))
+    assert second in rig.sent
+    rig.run(10_000.0)
+    assert first not in rig.answers  # from then on it is the client's, without a deadline
+    rig.do(Outcome(first, 0, rig.sent[first][0], Status.RESET, 20.0, True))
+    assert first not in rig.gateway.flights and len(rig.sent[first]) == 1
