--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -51,6 +51,14 @@
     assert world.oracle.counts["served"] > 0
 
 
+def test_connects_and_reads_of_whole_lists_are_counted_over_the_fleet():
+    """Who meets a node often opens few connections; a fleet that starts anew reads and opens anew."""
+    few, many = play(small("calm", length_ms=4000.0)), play(small("mass_herd", length_ms=5500.0))
+    assert few.list_reads == {0: 4} and sum(few.connects.values()) < few.asked / 2
+    assert many.list_reads[0] == 200 and sum(many.list_reads.values()) == 200 + 140
+    assert many.connects[4] > 2 * many.connects[3]  # those that died at 3 s are back, with none
+
+
 @pytest.mark.parametrize("name", mutants.MUTANTS)
 def test_a_mutant_is_found(name):
     assert mutants.shows(name)
