--- a/brackenloft/net/clients.py
+++ b/brackenloft/net/clients.py
@@ -274,7 +274,7 @@
         if took == MOST_AT_ONCE and not self.tired:
             self.tired = True
             self.clients.loop.call_soon(self._go_on)
-        self._throttle()
+        self.throttle()
         self.clients.sort(self, self.reader.left > 0, took > 0)  # part of one, or some not taken yet
         self._leave_if_done()
 
@@ -283,7 +283,8 @@
         if self.transport:
             self._read()
 
-    def _throttle(self) -> None:
+    def throttle(self) -> None:
+        """Read on, or no further, as there is room."""
         if self.transport is None or self.transport.is_closing():
             return
         pause = (self.ending or self.tired or self._full() or self.clients.finishing()
@@ -294,10 +295,6 @@
                 (self.reads.pause if pause else self.reads.resume)(time.monotonic())
             (self.transport.pause_reading if pause else self.transport.resume_reading)()
 
-    def let_in(self) -> None:
-        """The room for long commands has changed."""
-        self._throttle()
-
     def loose(self) -> int:
         """Bytes that would be free if it were cut off: what it does not take, and a part of a command."""
         if self.transport is None or self.transport.is_closing() or not (self.stuck or self.within):
@@ -326,7 +323,7 @@
         self.reader = Commands()
         self.clients.sort(self, within=True, took=False)
         self._reply(f"-ERR {why}\r\n".encode("ascii", "replace"))
-        self._throttle()
+        self.throttle()
 
     def _take(self, command: list[bytes], size: int) -> None:
         name = command[0].upper()
@@ -495,7 +492,7 @@
         self.clients.stuck[self] = None
         self.clients.look_after()
         self._count_unsent()
-        self._throttle()
+        self.throttle()
 
     def _count_unsent(self) -> int:
         """Count what it has not taken yet as held; how much less that is than before."""
@@ -802,7 +799,7 @@
     def _let_in(self) -> None:
         """Let those within a long command send on, as far as there is room, or stop them."""
         for client in list(self.intake.rows):
-            client.let_in()
+            client.throttle()
 
     def relieve(self, reserve: int = 0) -> bool:
         """Cut off who holds most, if all hold too much; whether there is room now, with a ``reserve``.
--- a/brackenloft/ops/address.py
+++ b/brackenloft/ops/address.py
@@ -19,6 +19,7 @@
 ACCEPTS = 8  # callers taken before others have their turn
 LONGEST_CALL = 8 * 1024  # bytes of a call with its headers and body: no call here needs any of the latter
 CALL_S = 10.0  # for a whole call: who holds a connection open does so for 4 s, and a poor link takes some
+AGAIN_S = 0.05  # before callers are taken again after that failed: an answer is owed in 1 s
 LINGER_S = 0.5  # after the answer, unread, so that it is not reset away by what still comes
 
 Answerer = Callable[[str, str], Response]
@@ -112,8 +113,7 @@
         """
         for _ in range(ACCEPTS):
             if len(self.open) >= PLACES:
-                self.taking = False
-                self.loop.remove_reader(self.listener)  # until a place is free
+                self._pause()  # until a place is free
                 for caller in list(self.waiting)[:1]:
                     del self.waiting[caller]
                     if caller.transport:
@@ -121,8 +121,12 @@
                 return
             try:
                 sock, _ = self.listener.accept()
-            except OSError:
-                return  # nobody there, or out of descriptors: the next turn tells
+            except BlockingIOError:
+                return
+            except OSError:  # out of descriptors: who waits stays readable, and would be tried without end
+                self._pause()
+                self.loop.call_later(AGAIN_S, self._take)
+                return
             caller = Caller(self)
             self.open.add(caller)
             self.waiting[caller] = None
@@ -142,6 +146,13 @@
         """A connection has ended, and its place is free."""
         self.open.discard(caller)
         self.waiting.pop(caller, None)
+        self._take()
+
+    def _pause(self) -> None:
+        self.taking = False
+        self.loop.remove_reader(self.listener)
+
+    def _take(self) -> None:
         if not self.taking and self.listener.fileno() >= 0:
             self.taking = True
             self.loop.add_reader(self.listener, self._accept)
--- a/tests/test_net_ops.py
+++ b/tests/test_net_ops.py
@@ -46,7 +46,9 @@
     async with node(*fakes, **changes) as gateway:
         station = Station(gateway.edge, ("127.0.0.1", 0))
         try:
-            yield gateway, Operator(station.address.port)
+            operator = Operator(station.address.port)
+            operator.station = station
+            yield gateway, operator
         finally:
             station.close()
 
@@ -188,6 +190,30 @@
     run(test())
 
 
+def test_without_descriptors_callers_are_tried_again_later_and_not_without_end():
+    async def test():
+        async with manned(FakeServer()) as (gateway, ask):
+            place = ask.station.address
+            real, tries = place.listener, []
+
+            class Short:
+                def accept(self):
+                    tries.append(1)
+                    raise OSError(24, "too many open files")
+
+                def __getattr__(self, name):
+                    return getattr(real, name)
+
+            place.listener = Short()
+            asking = asyncio.ensure_future(ask("GET", "/-/ready"))
+            await until(lambda: tries)
+            assert not place.taking
+            place.listener = real
+            assert (await asking)[0] == 200 and len(tries) == 1 and place.taking
+
+    run(test())
+
+
 def test_the_command_line_calls_it_and_its_exit_code_says_yes_or_no(capsys):
     async def test():
         async with manned(FakeServer()) as (gateway, ask):
