Lists over many lines are read whole; two silent watches in a row end inside 6 s

Cause: net/discovery.py, Watch.on_body read each line as a whole object, so the first line of an indented list was malformed and the watch was asked anew for ever. SILENT_S of 4.5 s bore one silence (4.5 s), not a second one (9 s).

Change: net/objects.py gives objects whose brackets are closed, cut at any byte, bounded in length; what can become no object (a spoilt first line, a beat within an object, more behind it) is said at once. A watch is dead after 2.5 s without a byte of its body, a new one after 1 s, a connect after 0.5 s: 4.6 s for two in a row with their pauses. benchmarks.library took Driver._fire, which had moved to Timers.

With a head counted as an answer the test of the second silence fails.

--- a/benchmarks/library.py
+++ b/benchmarks/library.py
@@ -31,8 +31,8 @@
 from brackenloft import Contract, Effect, Limits, Plan, RequestClass, Settings
 from brackenloft.asgi import Admit, QuotaMiddleware
 from brackenloft.edge import Call, Edge, Node
-from brackenloft.net.driver import Driver
 from brackenloft.net.lag import Lag
+from brackenloft.net.timers import Timers
 from brackenloft.standins import BoardNode, Peer
 from brackenloft.standins.load import Member, command
 
@@ -242,10 +242,10 @@
     settings = replace(SETTINGS, classes=(kind,))
     boards = [await BoardNode(f"b{n}", work_s=0.01, cores=64).start() for n in range(2)]
     draw, noted = random.Random(2), 0
-    plain_excuse, plain_late = Lag.excuse, Driver._fire
+    plain_excuse, plain_late = Lag.excuse, Timers._fire
     if not excused:
         Lag.excuse = lambda *_: 0.0  # type: ignore[method-assign]
-        Driver._fire = fire_at_once  # type: ignore[method-assign]
+        Timers._fire = fire_at_once  # type: ignore[method-assign]
     try:
         async with Edge(settings, seed=3) as edge:
             edge.use([Node(board.name, "127.0.0.1", board.port) for board in boards])
@@ -269,18 +269,18 @@
             await asyncio.gather(*tasks)
             return noted, statistics.mean(spreads), edge.driver.gateway.fleet.pool
     finally:
-        Lag.excuse, Driver._fire = plain_excuse, plain_late  # type: ignore[method-assign]
+        Lag.excuse, Timers._fire = plain_excuse, plain_late  # type: ignore[method-assign]
         for board in boards:
             board.close()
 
 
-def fire_at_once(driver: Driver) -> None:
+def fire_at_once(timers: Timers) -> None:
     """Timers as they were: called up before what has come is read."""
-    driver.reading_first = True
-    PLAIN_FIRE(driver)
+    timers.reading_first = True
+    PLAIN_FIRE(timers)
 
 
-PLAIN_FIRE = Driver._fire
+PLAIN_FIRE = Timers._fire
 
 
 async def measure(long: bool) -> dict[str, Any]:
--- a/brackenloft/net/clients.py
+++ b/brackenloft/net/clients.py
@@ -36,7 +36,7 @@
 MOST_IN_HAND = 256 * 1024  # bytes of one connection's commands and replies in hand, beside CALL; the same
 MOST_AT_ONCE = 64  # commands of one connection read before the others have their turn
 MOST_ERRORS = 16  # bad commands in a row, after which a connection is closed: no use comes of more
-COMMAND_S = 2.0  # for a first command, from connecting on, and for the rest of one that has beg; of 3 s
+COMMAND_S = 2.0  # for a first command, from connecting on, and for the rest of one that has begun
 AGED_S = 0.05  # from which the time that a request has waited in the kernel counts: the loop's turns are less
 MOST_AGE_MS = 60_000  # more than any client waits: not to be believed
 INFO_SIZE, INFO_OFFSET, INFO_LAST_DATA = 104, 52, struct.Struct("=I")
--- a/brackenloft/net/discovery.py
+++ b/brackenloft/net/discovery.py
@@ -1,9 +1,8 @@
-"""The watch on discovery: kept open, moved on request; its lines become lists for the decisions."""
+"""The watch on discovery: kept open, moved on request; its objects become lists for the decisions."""
 
 from __future__ import annotations
 
 import asyncio
-import json
 import logging
 from collections.abc import Callable
 from itertools import count
@@ -12,14 +11,18 @@
 import httptools
 
 from brackenloft import interface as api
+from brackenloft.net.objects import MalformedError, Objects
 from brackenloft.net.servers import Address
 
 log = logging.getLogger(__name__)
 
-SILENT_S = 4.5  # an empty line comes every 2 s: two are missing. News counts as told after 6 s in any case
+# One clock for silence: what a silent watch misses counts as told after 6 s of silence. An empty line comes
+# every 2 s, so a watch without one for SILENT_S is dead; another is asked at once and answers at once, or is
+# dead after FIRST_S. Two dead ones in a row end after 2 * CONNECT_S + SILENT_S + FIRST_S at most.
+SILENT_S = 2.5
+FIRST_S = 1.0
 BACKOFF_S = (0.05, 1.0)  # before another watch, first and at most
-CONNECT_S = 1.0
-LONGEST_LINE = 4 * 1024 * 1024
+CONNECT_S = 0.5  # the agent is on the same machine
 STATES = {
     "Ready": api.ServerState.READY, "Terminating": api.ServerState.DRAINING, "Gone": api.ServerState.GONE,
 }
@@ -66,14 +69,15 @@
 
 
 class Watch(asyncio.Protocol):
-    """One HTTP exchange: a chunked answer with a JSON object a line."""
+    """One HTTP exchange: a chunked answer with JSON objects, on a line each or indented."""
 
     def __init__(self, feed: Feed, target: str) -> None:
         self.feed, self.target = feed, target
         self.parser = httptools.HttpResponseParser(self)
-        self.line = bytearray()
+        self.objects = Objects()
         self.transport: asyncio.Transport | None = None
         self.silent: asyncio.TimerHandle | None = None
+        self.closed = False
         self.done = asyncio.get_running_loop().create_future()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -82,23 +86,22 @@
         host, port = self.feed.address
         self.transport.write(
             f"GET {self.target} HTTP/1.1\r\nHost: {host}:{port}\r\nAccept: application/json\r\n\r\n".encode())
-        self._heard()
+        self._wait(FIRST_S)
 
-    def _heard(self) -> None:
-        """Guards against a watch that has died without a word: no line for several beats ends it."""
+    def _wait(self, seconds: float) -> None:
+        """Guards against a watch that has died without a word: nothing for longer than a beat ends it."""
         if self.silent:
             self.silent.cancel()
-        loop = asyncio.get_running_loop()
-        self.silent = loop.call_later(SILENT_S, self.close, "silent")
+        self.silent = asyncio.get_running_loop().call_later(seconds, self.close, "silent")
 
     def close(self, why: str) -> None:
         """End the exchange; what still comes on it counts no more."""
         log.warning("the watch on discovery at %s:%d ended: %s", *self.feed.address, why)
+        self.closed = True
         if self.transport:
             self.transport.abort()
 
     def data_received(self, data: bytes) -> None:
-        self._heard()
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError as error:
@@ -110,13 +113,14 @@
             self.close(f"status {status}")
 
     def on_body(self, body: bytes) -> None:
-        *lines, rest = (bytes(self.line) + body).split(b"\n")
-        self.line = bytearray(rest)
-        for line in lines:
-            if line.strip() and self.parser.get_status_code() == 200:
-                self.feed.take(line, self)
-        if len(self.line) > LONGEST_LINE:
-            self.close("a line without end")
+        self._wait(SILENT_S)  # a head alone is no answer yet
+        if self.parser.get_status_code() != 200:
+            return
+        try:
+            for document in self.objects.feed(body):
+                self.feed.take(document, self)
+        except MalformedError as error:
+            self.feed.malformed(error, self)
 
     def on_message_complete(self) -> None:
         self.close("the answer is complete")
@@ -139,16 +143,20 @@
         self.watch: Watch | None = None
         self.task = asyncio.get_running_loop().create_task(self._run())
 
-    def take(self, line: bytes, watch: Watch) -> None:
-        """One line of the watch; a malformed one is logged and the whole list asked for."""
-        if self.ended:
+    def malformed(self, error: Exception, watch: Watch) -> None:
+        """What came can't be read: the whole list is asked for."""
+        log.error("malformed list from discovery: %r", error)
+        self.generation = None
+        watch.close("malformed list")
+
+    def take(self, document: dict[str, Any], watch: Watch) -> None:
+        """One object of the watch."""
+        if self.ended or watch.closed:
             return
         try:
-            listing, addresses = self.discovery.roster.read(json.loads(line))
+            listing, addresses = self.discovery.roster.read(document)
         except (ValueError, KeyError, TypeError, AttributeError) as error:
-            log.error("malformed line from discovery: %r", error)
-            self.generation = None
-            watch.close("malformed line")
+            self.malformed(error, watch)
             return
         self.backoff_s = BACKOFF_S[0]
         self.generation = listing.version
--- a/tests/test_net_discovery.py
+++ b/tests/test_net_discovery.py
@@ -1,6 +1,7 @@
 """The watch: lists and changes, what is malformed, watches that end or fall silent."""
 
 import asyncio
+import json
 from contextlib import asynccontextmanager
 
 import pytest
@@ -10,6 +11,8 @@
 from brackenloft.net import discovery as module
 from brackenloft.net.discovery import Discovery
 
+TOLD_S = 6.0  # what a silent watch misses counts as told
+
 
 @asynccontextmanager
 async def watched():
@@ -81,6 +84,47 @@
     run(test())
 
 
+def test_indented_list_is_taken_whole_cut_anywhere():
+    async def test():
+        async with watched() as (_, fake, news):
+            _, watch = await fake.watch()
+            line = json.dumps(json.loads(listing(1, row("s-1", 1), row("s-2", 2), reset=True)), indent=2)
+            body = line.encode() + b"\n"
+            for at in range(0, len(body), 7):
+                watch.write(chunk(body[at : at + 7]))
+            watch.write(chunk(b"\n"))  # a beat
+            watch.write(chunk(listing(2, row("s-2", 2, "Terminating"))))
+            told, addresses = await news.get()
+            assert told.kind is ListKind.FULL and sorted(addresses) == [1, 2]
+            told, _ = await news.get()
+            assert [entry.state for entry in told.entries] == [ServerState.DRAINING]
+            assert fake.watches.empty()  # it is still the first
+
+    run(test())
+
+
+def test_two_watches_in_a_row_that_say_nothing_leave_time_for_a_third():
+    connects, slack = 2 * module.CONNECT_S, 0.5
+    assert connects + module.SILENT_S + module.FIRST_S + 2 * module.BACKOFF_S[0] + slack < TOLD_S
+
+
+def test_a_new_watch_that_answers_nothing_is_dead_sooner_than_one_that_has_spoken(monkeypatch):
+    monkeypatch.setattr(module, "FIRST_S", 0.05)
+    monkeypatch.setattr(module, "SILENT_S", 3600.0)
+
+    async def test():
+        async with watched() as (_, fake, news):
+            _, silent = await fake.watch()
+            async with asyncio.timeout(10.0):  # SILENT_S is far away
+                target, watch = await fake.watch()
+            assert target == "/discovery/hosts?watch=1"
+            watch.write(chunk(listing(1, row("s-1", 1), reset=True)))
+            assert (await news.get())[0].version == 1
+            assert silent.is_closing() or await fake.ended.get()
+
+    run(test())
+
+
 def test_watch_without_a_line_is_dead_and_replaced(monkeypatch):
     monkeypatch.setattr(module, "SILENT_S", 0.05)
 
