--- a/benchmarks/library.py
+++ b/benchmarks/library.py
@@ -229,8 +229,8 @@
         await asyncio.sleep(0.05)
         gateway = edge.driver.gateway
         left = len(edge.driver.calls) + len(gateway.flights) + len(gateway.parked) + len(edge._own)
-        left += sum(customer.out for customer in gateway.customers.values())
-        left += sum(len(server.out) for server in gateway.servers.values())
+        left += sum(customer.out for customer in gateway.meter.customers.values())
+        left += sum(len(server.out) for server in gateway.fleet.servers.values())
         assert edge.counters()["gone"] > 0
     board.close()
     return left
