--- a/brackenloft/cli.py
+++ b/brackenloft/cli.py
@@ -17,6 +17,8 @@
 if TYPE_CHECKING:  # the subcommands import what they need: a client needs no gateway
     from brackenloft.config import Config
     from brackenloft.edge import Edge
+    from brackenloft.fleet.config import Document as FleetFile
+    from brackenloft.fleet.service import Fleet
     from brackenloft.graphql.config import Loaded as Front
     from brackenloft.graphql.daemon import Daemon
     from brackenloft.membership.config import Document as Sources
@@ -102,12 +104,13 @@
     sources: Sources | None = None
     front: Front | None = None
     counter: Where | None = None
+    fleet: FleetFile | None = None
 
 
 def _parts(loaded: Config) -> Parts | None:
     """The files that a configuration names beside itself; None if one of them can't be used."""
     from brackenloft import config
-    extra, sources, front, counter = "", None, None, None
+    extra, sources, front, counter, fleet = "", None, None, None, None
     try:
         if loaded.membership:
             extra = "membership wants the extra [eureka]"
@@ -121,7 +124,12 @@
             extra = "counter wants the extra [counter]"
             from brackenloft.quota.client import Where
             counter = config.read_file(Where, loaded.counter)
-        return Parts(sources, front, counter)
+        if loaded.fleet:
+            extra = "fleet wants the extra [fleet]"
+            from brackenloft.fleet import config as fleets
+            from brackenloft.fleet import service  # noqa: F401  so that what is missing is told now
+            fleet = fleets.load(loaded.fleet, counts=counter is not None)
+        return Parts(sources, front, counter, fleet)
     except config.ConfigError as error:
         print(f"brackenloft: {error}", file=sys.stderr)
     except ModuleNotFoundError as error:
@@ -143,6 +151,7 @@
     settings = loaded.settings
     front = f", GraphQL at {parts.front.document.listen}" if parts.front else ""
     front += f", counter {parts.counter.shown()}" if parts.counter else ""
+    front += f", fleet of {len(parts.fleet.stores)} stores" if parts.fleet else ""
     print(f"{options.config}: good; {len(settings.plans)} plans, {len(settings.classes)} classes, "
           f"servers from {source}{front}")
     return 0
@@ -194,6 +203,7 @@
         membership = _follow(parts.sources, edge, (host, port), figures)
         front = _open_front(parts.front, edge, figures)
         counting = _count(parts.counter, edge, figures)
+        fleet = _join(parts, edge, figures)
         loop.add_signal_handler(signal.SIGTERM, stop.set)
         loop.add_signal_handler(signal.SIGINT, stop.set)
         loop.add_signal_handler(signal.SIGHUP, reload)
@@ -201,7 +211,8 @@
         await stop.wait()
         log.info("stopping")
         longest_s = max(item.deadline_ms for item in config.settings.classes) / 1000.0
-        await _leave(edge, longest_s, membership, front)
+        leaving = _leave(edge, longest_s, membership, front)
+        await asyncio.gather(leaving, *([fleet.close()] if fleet else []))
         if counting:
             await counting.close()
     return 0
@@ -231,6 +242,16 @@
     return counting
 
 
+def _join(parts: Parts, edge: Edge, figures: dict[str, Callable[[], object]]) -> Fleet | None:
+    """Take part in the fleet's tasks, if a file names its stores."""
+    if parts.fleet is None:
+        return None
+    from brackenloft.fleet.service import Fleet
+    fleet = Fleet(edge, parts.fleet, parts.counter).start()
+    figures["fleet"] = fleet.figures
+    return fleet
+
+
 def _open_front(
     loaded: Front | None, edge: Edge, figures: dict[str, Callable[[], object]],
 ) -> Daemon | None:
--- a/brackenloft/config.py
+++ b/brackenloft/config.py
@@ -56,6 +56,7 @@
     membership: str | None = None
     graphql: str | None = None  # a file that switches the GraphQL front on
     counter: str | None = None  # a file that names the counter through which gateways sum quotas
+    fleet: str | None = None  # a file of stores and tasks that all gateways share
     seed: int | None = None
     site: Site = field(default_factory=Site)
     attempts: api.Limits = field(default_factory=api.Limits)
@@ -77,6 +78,7 @@
     membership: Path | None = None
     graphql: Path | None = None
     counter: Path | None = None
+    fleet: Path | None = None
 
 
 def load(path: Path) -> Config:
@@ -130,7 +132,8 @@
     return Config(settings, address(document.listen, "listen"), discovery, document.nodes, document.room,
                   document.seed, admin, place / document.membership if document.membership else None,
                   place / document.graphql if document.graphql else None,
-                  place / document.counter if document.counter else None)
+                  place / document.counter if document.counter else None,
+                  place / document.fleet if document.fleet else None)
 
 
 def address(text: str, where: str) -> Address:
--- /dev/null
+++ b/brackenloft/fleet/leases/__init__.py
@@ -0,0 +1,1 @@
+"""One holder at a time, by tokens that only grow."""
--- /dev/null
+++ b/brackenloft/fleet/leases/model.py
@@ -0,0 +1,149 @@
+"""A lease as its register has it, and every change that may be made to it. Pure.
+
+Each function takes what stands and gives what is to stand, or None where that change is out of place. No
+time is in a lease: clocks are not compared between machines. Whoever looks counts from when *it* saw a
+version first, and the holder from before it asked for it.
+"""
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass
+
+import msgspec
+
+from brackenloft.fleet.registers.model import Held, NonsenseError
+
+FORM = 1
+NAME = re.compile(r"[0-9a-z][0-9a-z._-]{0,63}")
+MOST_CHECKPOINT = 4096  # characters
+MOST_REASON = 200
+MOST_DEATHS = 3  # holders lost in a row within a run: it is the task that kills them
+ANYBODY = -1
+LEAST_MS, MOST_MS = 100.0, 600_000.0  # a lease's length: above a round's time, below what people wait
+
+
+class Lease(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Who holds it, and what is known of what is done under it."""
+
+    token: int  # grows with each holder; effects carry it
+    holder: str = ""  # the process that holds it; nobody's where it is empty
+    index: int = ANYBODY  # its gateway
+    length_ms: float = 5000.0
+    run: int = 0  # the run that has begun and not ended, 0 for none
+    runs: int = 0  # that have begun so far
+    deaths: int = 0  # holders that were lost within a run, in a row
+    failures: int = 0  # runs that failed, in a row
+    paused: str = ""  # why nobody may run it
+    next: int = ANYBODY  # the gateway that is to have it: wants it, or is handed it
+    leave: bool = False  # an operator wants the holder to hand it on
+    checkpoint: str = ""
+    form: int = FORM
+
+
+@dataclass(frozen=True, slots=True)
+class Me:
+    """Who acts: a process and its gateway."""
+
+    who: str
+    index: int
+
+
+def read(held: Held | None) -> Lease | None:
+    """From a register, checked; None where there was never one."""
+    if held is None:
+        return None
+    try:
+        lease = msgspec.json.decode(held.data, type=Lease)
+    except msgspec.DecodeError as error:
+        raise NonsenseError(f"no lease: {error}") from None
+    if lease.form != FORM:
+        raise NonsenseError(f"a lease of form {lease.form}: written by a newer program")
+    if lease.token < 0 or not LEAST_MS <= lease.length_ms <= MOST_MS:
+        raise NonsenseError("a lease that can't be")
+    return lease
+
+
+def write(lease: Lease) -> bytes:
+    """For a register."""
+    return msgspec.json.encode(lease)
+
+
+def _mine(lease: Lease | None, me: Me, token: int) -> bool:
+    return lease is not None and lease.holder == me.who and lease.token == token
+
+
+def take(lease: Lease | None, me: Me, length_ms: float, floor: int) -> Lease:
+    """It is ours. Who calls this has seen that it may be: free, or not renewed for its length and more."""
+    before = lease or Lease(floor)
+    died = bool(before.holder and before.run)
+    deaths = before.deaths + 1 if died else before.deaths
+    paused = before.paused
+    if deaths >= MOST_DEATHS and not paused:
+        paused = f"{deaths} holders in a row were lost within run {before.run}"
+    return msgspec.structs.replace(
+        before, token=max(before.token, floor) + 1, holder=me.who, index=me.index, length_ms=length_ms, run=0,
+        deaths=deaths, paused=paused, next=ANYBODY, leave=False)
+
+
+def renew(lease: Lease | None, me: Me, token: int) -> Lease | None:
+    """It stays ours: the same again, which is a new version."""
+    return lease if _mine(lease, me, token) else None
+
+
+def begin(lease: Lease | None, me: Me, token: int) -> Lease | None:
+    """A run begins: from now on, a holder that is lost was lost within it."""
+    if lease is None or not _mine(lease, me, token) or lease.paused:
+        return None
+    return msgspec.structs.replace(lease, run=lease.runs + 1, runs=lease.runs + 1)
+
+
+def save(lease: Lease | None, me: Me, token: int, checkpoint: str) -> Lease | None:
+    """How far the run has come."""
+    if lease is None or not _mine(lease, me, token):
+        return None
+    if len(checkpoint) > MOST_CHECKPOINT:
+        raise ValueError(f"a checkpoint of {len(checkpoint)} characters, {MOST_CHECKPOINT} at most")
+    return msgspec.structs.replace(lease, checkpoint=checkpoint)
+
+
+def end(lease: Lease | None, me: Me, token: int, good: bool, checkpoint: str) -> Lease | None:
+    """The run has ended. Only one that was good clears what is held against the task."""
+    if lease is None or not _mine(lease, me, token) or len(checkpoint) > MOST_CHECKPOINT:
+        return None
+    return msgspec.structs.replace(
+        lease, run=0, deaths=0 if good else lease.deaths, failures=0 if good else lease.failures + 1,
+        checkpoint=checkpoint)
+
+
+def release(lease: Lease | None, me: Me, token: int, to: int = ANYBODY) -> Lease | None:
+    """It is nobody's; ``to`` may take it before others."""
+    if lease is None or not _mine(lease, me, token):
+        return None
+    return msgspec.structs.replace(lease, holder="", index=ANYBODY, run=0, next=to, leave=False)
+
+
+def want(lease: Lease | None, me: Me) -> Lease | None:
+    """Ask its holder to hand it on to us."""
+    if lease is None or not lease.holder or lease.holder == me.who or lease.next != ANYBODY:
+        return None
+    return msgspec.structs.replace(lease, next=me.index)
+
+
+def pause(lease: Lease | None, reason: str, floor: int) -> Lease | None:
+    """Nobody may begin a run; the holder stays."""
+    return msgspec.structs.replace(lease or Lease(floor), paused=reason[:MOST_REASON] or "by an operator")
+
+
+def resume(lease: Lease | None) -> Lease | None:
+    """Runs may begin again; what was held against it is forgotten."""
+    if lease is None or not lease.paused:
+        return None
+    return msgspec.structs.replace(lease, paused="", deaths=0, failures=0)
+
+
+def send_away(lease: Lease | None) -> Lease | None:
+    """An operator wants the holder to hand it on."""
+    if lease is None or not lease.holder or lease.leave:
+        return None
+    return msgspec.structs.replace(lease, leave=True)
--- a/brackenloft/standins/counter.py
+++ b/brackenloft/standins/counter.py
@@ -1,15 +1,19 @@
-"""A counter that speaks the Redis protocol, as far as gateways use it, with scripted faults.
+"""A store that speaks the Redis protocol, as far as gateways use it, with scripted faults.
 
-Commands and errors are those of the public command reference: strings and hashes with expiry, WRONGTYPE,
-LOADING, READONLY, MOVED, BUSY, NOAUTH. ``rooms`` makes two of them whose link can be cut: what is written at
-one reaches the other while it holds, the later write of a field wins.
+Commands and errors are those of the public command reference: strings and hashes with expiry, transactions
+(WATCH, MULTI, EXEC), SCAN, INFO, TIME, WRONGTYPE, LOADING, READONLY, MOVED, BUSY, NOAUTH. ``rooms`` makes
+two of them whose link can be cut: what is written at one reaches the other while it holds, the later write
+of a field wins.
 """
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
+import copy
+import secrets
 import time
+from collections import Counter as Tally
 from collections.abc import Callable
 from enum import Enum
 
@@ -47,12 +51,25 @@
         self.copies: list[Store] = []  # that take over what is written here
         self.log: list[list[bytes]] = []  # written while the link was cut
         self.cut = False
+        self.run_id, self.replid = secrets.token_hex(20), secrets.token_hex(20)
+        self.touched: Tally[bytes] = Tally()  # how often each key was changed: what WATCH compares
 
     def wipe(self) -> None:
         """Another one takes its place, with nothing."""
+        self.touched.update(self.values.keys())
         self.values.clear()
         self.ends.clear()
 
+    def snapshot(self) -> dict[bytes, bytes | Hash]:
+        """What it holds now."""
+        return copy.deepcopy(self.values)
+
+    def restore(self, values: dict[bytes, bytes | Hash]) -> None:
+        """It holds what it held then."""
+        self.wipe()
+        self.values = copy.deepcopy(values)
+        self.touched.update(self.values.keys())
+
     def run(self, words: list[bytes], copied: bool = False) -> bytes | None:
         """One command; its reply, or None for none."""
         name = words[0].upper()
@@ -60,16 +77,13 @@
         if not copied and self.mood is Mood.SILENT:
             return None
         if not copied and name not in (b"HELLO", b"CLIENT", b"PING", b"AUTH", b"SELECT"):
-            writes = name in WRITES
-            if self.mood in (Mood.LOADING, Mood.MOVED, Mood.BUSY, Mood.NOAUTH):
-                return b"-%b\r\n" % self.mood.value.encode()
-            if self.mood is Mood.READONLY and writes:
-                return b"-%b\r\n" % self.mood.value.encode()
-            if self.mood is Mood.FORGETS and writes:
+            if refused := self.refusal(name in WRITES):
+                return refused
+            if self.mood is Mood.FORGETS and name in WRITES:
                 return OK if name == b"SET" else b":1\r\n"
         handler = HANDLERS.get(name)
         if handler is None:
-            return b"-ERR unknown command\r\n"
+            return UNKNOWN
         self._expire(words[1] if len(words) > 1 else b"")
         try:
             reply = handler(self, words)
@@ -77,10 +91,18 @@
             return b"-WRONGTYPE Operation against a key holding the wrong kind of value\r\n"
         except (IndexError, ValueError):
             return b"-ERR wrong number of arguments\r\n"
-        if name in WRITES and not copied:
-            self._copy(words)
+        if name in WRITES:
+            self.touched[words[1]] += 1
+            if not copied:
+                self._copy(words)
         return reply
 
+    def refusal(self, writes: bool) -> bytes:
+        """What it says to any command, or to one that writes, in its mood; nothing if it takes it."""
+        if self.mood in DEAF or (writes and self.mood is Mood.READONLY):
+            return b"-%b\r\n" % self.mood.value.encode()
+        return b""
+
     def _copy(self, words: list[bytes]) -> None:
         if self.cut:
             self.log.append(words)
@@ -166,9 +188,105 @@
     return b"-NOPROTO unsupported protocol version\r\n"
 
 
+def _mget(store: Store, words: list[bytes]) -> bytes:
+    found = [store.values.get(key) for key in words[1:]]
+    if store.mood in (Mood.GARBLED, Mood.HUGE):
+        spoilt = b"\x00\xff nonsense" if store.mood is Mood.GARBLED else b"9" * MOST_SPOILT
+        found = [value and spoilt for value in found]
+    return _array([_bulk(value if isinstance(value, bytes) else None) for value in found])
+
+
+def _del(store: Store, words: list[bytes]) -> bytes:
+    return b":%d\r\n" % sum(store.values.pop(key, None) is not None for key in words[1:])
+
+
+def _hdel(store: Store, words: list[bytes]) -> bytes:
+    table = store.values.get(words[1], {})
+    if not isinstance(table, dict):
+        raise TypeError
+    return b":%d\r\n" % sum(table.pop(field, None) is not None for field in words[2:])
+
+
+def _scan(store: Store, words: list[bytes]) -> bytes:
+    """All at once: a cursor that ends at 0 in one step is allowed."""
+    options = {words[at].upper(): words[at + 1] for at in range(2, len(words) - 1, 2)}
+    prefix = options.get(b"MATCH", b"*").removesuffix(b"*").replace(b"\\", b"")
+    keys = [_bulk(key) for key in list(store.values) if key.startswith(prefix)]
+    return b"*2\r\n" + _bulk(b"0") + _array(keys)
+
+
+def _info(store: Store, words: list[bytes]) -> bytes:
+    return _bulk(b"# Server\r\nredis_version:7.2.0\r\nrun_id:%b\r\n# Replication\r\nrole:master\r\n"
+                 b"master_replid:%b\r\n" % (store.run_id.encode(), store.replid.encode()))
+
+
+def _time(store: Store, words: list[bytes]) -> bytes:
+    now = store.now()
+    return _array([_bulk(b"%d" % now), _bulk(b"%d" % (now % 1.0 * 1e6))])
+
+
+def _array(parts: list[bytes]) -> bytes:
+    return b"*%d\r\n" % len(parts) + b"".join(parts)
+
+
+class Session:
+    """One connection's transaction: what it watches, what it has queued."""
+
+    def __init__(self, store: Store) -> None:
+        self.store = store
+        self.watched: dict[bytes, int] = {}
+        self.queued: list[list[bytes]] | None = None
+        self.spoilt = False
+
+    def run(self, words: list[bytes]) -> bytes | None:
+        """One command, at once or queued."""
+        name = words[0].upper()
+        if name in STEPS and self.store.mood is not Mood.SILENT:
+            writes = any(each[0].upper() in WRITES for each in self.queued or ())
+            if refused := self.store.refusal(name == b"EXEC" and writes):
+                self._end()
+                return refused
+            return self._step(name, words)
+        if self.queued is None or self.store.mood is Mood.SILENT:
+            return self.store.run(words)
+        if refused := self.store.refusal(name in WRITES) or (b"" if name in HANDLERS else UNKNOWN):
+            self.spoilt = True
+            return refused
+        self.queued.append(words)
+        return b"+QUEUED\r\n"
+
+    def _end(self) -> None:
+        self.watched, self.queued, self.spoilt = {}, None, False
+
+    def _step(self, name: bytes, words: list[bytes]) -> bytes | None:
+        if name == b"WATCH":
+            self.watched.update((key, self.store.touched[key]) for key in words[1:])
+            return OK
+        if name == b"MULTI":
+            self.queued = []
+            return OK
+        queued, spoilt = self.queued, self.spoilt
+        changed = any(self.store.touched[key] != count for key, count in self.watched.items())
+        self._end()
+        if name != b"EXEC":
+            return OK
+        if queued is None:
+            return b"-ERR EXEC without MULTI\r\n"
+        if spoilt:
+            return b"-EXECABORT Transaction discarded because of previous errors.\r\n"
+        if changed:
+            return b"*-1\r\n"
+        return _array([self.store.run(each) or b"$-1\r\n" for each in queued])
+
+
 OK = b"+OK\r\n"
-WRITES = {b"SET", b"HSET", b"PEXPIRE"}
+UNKNOWN = b"-ERR unknown command\r\n"
+STEPS = (b"WATCH", b"MULTI", b"EXEC", b"UNWATCH", b"DISCARD")
+MOST_SPOILT = 1 << 20
+DEAF = (Mood.LOADING, Mood.MOVED, Mood.BUSY, Mood.NOAUTH)
+WRITES = {b"SET", b"HSET", b"PEXPIRE", b"DEL", b"HDEL"}
 HANDLERS: dict[bytes, Callable[[Store, list[bytes]], bytes]] = {
+    b"MGET": _mget, b"DEL": _del, b"HDEL": _hdel, b"SCAN": _scan, b"INFO": _info, b"TIME": _time,
     b"SET": _set, b"GET": _get, b"HSET": _hset, b"HGETALL": _hgetall, b"PEXPIRE": _pexpire, b"PING": _pong,
     b"CLIENT": _ok, b"AUTH": _ok, b"SELECT": _ok, b"HELLO": _hello,
 }
@@ -199,14 +317,14 @@
             writer.transport.abort()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        parser = hiredis.Reader()
+        parser, session = hiredis.Reader(), Session(self.store)
         self.writers.add(writer)
         with contextlib.suppress(OSError):
             while data := await reader.read(READ):
                 self.trips += 1
                 parser.feed(data)
                 while (words := parser.gets()) is not False:
-                    if (reply := self.store.run(words)) is not None:
+                    if (reply := session.run(words)) is not None:
                         writer.write(reply)
                 await writer.drain()
         self.writers.discard(writer)
