--- a/tests/test_fleet_verdicts.py
+++ b/tests/test_fleet_verdicts.py
@@ -1,6 +1,7 @@
 """What one gateway finds out about servers for all: whom it asks, and what the others make of it."""
 
 import random
+from collections import deque
 
 from fakes import SETTINGS
 from hypothesis import given
@@ -75,19 +76,21 @@
 
 
 def asked_of_a_silent_one(seed, hinted):
-    """How often one gateway of many sends to a server that is silent."""
-    gateway, sent = Gateway(SETTINGS, seed=seed), 0
+    """How often one gateway of many sends to a server that is silent; eight requests are out at a time."""
+    gateway, sent, out = Gateway(SETTINGS, seed=seed), 0, deque()
     gateway.handle(0.0, ServerList(ListKind.FULL, tuple(ServerEntry(n, "a") for n in (1, 2, 3, 4))))
-    for number in range(100):
-        now = 100.0 * number
-        if hinted:
+    for number in range(400):
+        now = 25.0 * number
+        if hinted and number % 20 == 0:
             gateway.handle(now, ProbeResult(1, Status.TIMEOUT, 500.0))
+        while out and out[0][0] <= now:
+            gateway.handle(now, out.popleft()[1])
         request = Request(f"r{number}", "read", "free", f"c{number}", patience_ms=2000.0)
         for action in gateway.handle(now, request):
             if isinstance(action, Send):
                 sent += action.server == 1
                 status = Status.CONNECT_FAILED if action.server == 1 else Status.OK
-                gateway.handle(now + 50.0, Outcome(action.request_id, 0, action.server, status, 50.0, True))
+                out.append((now + 200.0, Outcome(action.request_id, 0, action.server, status, 200.0, True)))
     return sent
 
 
