--- a/brackenloft/fleet/service.py
+++ b/brackenloft/fleet/service.py
@@ -50,7 +50,7 @@
         self.leases = Leases(self.registers, self.me, self.terms, self.clock, rate)
         specs = [Spec(task.name, task.every_ms, task.longest_ms) for task in document.tasks]
         places = ranks([spec.name for spec in specs], edge.settings.gateways, index)
-        self.book = Book.of(self.me, self.terms, specs, places, self.leases.views)
+        self.book = Book.of(self.me, self.terms, specs, places, self.leases.views, edge.settings.gateways)
         self.jobs = {task.name: self._job(task) for task in document.tasks}
         self.runner = Runner(self.leases, self.book, self.jobs, self._unfit)
         self.listener = Listener(edge, self.registers)
--- a/brackenloft/fleet/tasks/core.py
+++ b/brackenloft/fleet/tasks/core.py
@@ -14,7 +14,7 @@
 
 import math
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import Enum
 
 from brackenloft.fleet.leases.model import ANYBODY, Me
@@ -23,7 +23,7 @@
 
 # All shares of a lease's length.
 LOOK = 0.6  # between two looks of who stands by: with the length itself, under two lengths until it goes on
-SELDOM = 3.0  # the same for all others
+SELDOM = 4.0  # the same for all others, spread by their numbers: guards against a crowd that starts at once
 STEP = 0.05  # by which each one that comes later waits for those before it
 PREFERS = 0.5  # that whom a lease was handed to has before the others
 RENEW = 1 / 3  # after which it is renewed: two may fail
@@ -90,16 +90,17 @@
     me: Me
     terms: Terms
     entries: dict[str, Entry]
+    spread: float = 0.0  # our place among all gateways, from 0 to 1
     fit_since: float = math.inf
-    counts: dict[str, int] = field(default_factory=dict)
 
     @classmethod
     def of(
         cls, me: Me, terms: Terms, specs: Iterable[Spec], ranks: Mapping[str, int],
-        views: Callable[[str], View],
+        views: Callable[[str], View], gateways: int,
     ) -> Book:
         """A book of these tasks, nothing of which is known yet."""
-        return cls(me, terms, {spec.name: Entry(spec, ranks[spec.name], views(spec.name)) for spec in specs})
+        entries = {spec.name: Entry(spec, ranks[spec.name], views(spec.name)) for spec in specs}
+        return cls(me, terms, entries, me.index / gateways)
 
     # ---- What has come about
 
@@ -108,7 +109,7 @@
         entry = self.entries[task]
         entry.looks_at = now + self._interval(entry)
         free = entry.view.free_at(self.terms) + self._turn(entry)
-        if entry.token is None and now < free < entry.looks_at:
+        if entry.token is None and entry.rank < STANDBYS and now < free < entry.looks_at:
             entry.looks_at = free
 
     def took(self, task: str, token: int | None, now: float) -> None:
@@ -149,6 +150,8 @@
         self.fit_since = min(self.fit_since, now) if fit else math.inf
         orders = []
         for entry in self.entries.values():
+            if entry.looks_at == -math.inf and entry.rank >= STANDBYS:
+                entry.looks_at = now + self.spread * SELDOM * self.terms.length_ms
             if entry.busy:
                 continue
             does = self._stands_by if entry.token is None else self._holds
@@ -191,9 +194,10 @@
             return None
         if now >= view.free_at(self.terms) + self._turn(entry):
             # Guards against a stampede on what was seen long ago: looked at first, then taken.
-            if now - view.looked_ms > STEP * length:
+            if now - view.looked_ms <= STEP * length:
+                return Order(Do.TAKE, name)
+            if entry.rank < STANDBYS:
                 return Order(Do.LOOK, name)
-            return Order(Do.TAKE, name)
         lease = view.lease
         if (entry.rank == 0 and lease and lease.holder and lease.next == ANYBODY and now >= entry.wants_at
                 and now - self.fit_since >= SETTLED * length):
@@ -222,7 +226,7 @@
             if entry.token is None:
                 due = min(due, entry.looks_at)
                 free = entry.view.free_at(self.terms) + self._turn(entry)
-                if free > now:
+                if free > now and entry.rank < STANDBYS:
                     due = min(due, free)
             else:
                 due = min(due, entry.renewed_at + RENEW * self.terms.length_ms)
