--- a/brackenloft/cli.py
+++ b/brackenloft/cli.py
@@ -1,4 +1,4 @@
-"""``brackenloft SUBCOMMAND``: serve, check-config, demo, call, ops, lab, load."""
+"""``brackenloft SUBCOMMAND``: serve, check-config, demo, call, ops, fleet, lab, load."""
 
 from __future__ import annotations
 
@@ -55,6 +55,7 @@
     from brackenloft.ops import caller
     caller.add_to(commands.add_parser(
         "ops", help="call a gateway's second address: exits 0 yes, 1 no, 2 no answer"))
+    commands.add_parser("fleet", help="tasks of all gateways: brackenloft fleet --help (extra [fleet])")
     commands.add_parser("lab", help="experiments in virtual time: brackenloft lab --help (extra [lab])")
     commands.add_parser("load", help="an open-loop load: brackenloft load --help (extra [load])")
     return parser
@@ -63,7 +64,7 @@
 def main(arguments: list[str] | None = None) -> int:
     """Run a subcommand; its exit code. A wrong configuration is one line and 2."""
     words = sys.argv[1:] if arguments is None else arguments
-    if words[:1] in (["lab"], ["load"]):
+    if words[:1] in (["fleet"], ["lab"], ["load"]):
         return _apart(words[0], words[1:])
     options = _parser().parse_args(words)
     run = {"serve": _serve, "check-config": _check, "demo": _demo, "call": _call, "ops": _ops}
--- a/brackenloft/fleet/registers/store.py
+++ b/brackenloft/fleet/registers/store.py
@@ -230,7 +230,10 @@
         """Its identity, the members that it knows, its process; Lost if it says nothing."""
         async def read() -> list[object]:
             return await self._trip([("MGET", self.key("self"), self.key("members"))])
-        (found,) = await self._guarded(read, 1)
+        try:
+            (found,) = await self._guarded(read, 1)
+        except Lost:  # maybe the line alone, of a process that is gone
+            (found,) = await self._guarded(read, 1)
         if not isinstance(found, list) or len(found) != 2:
             raise Lost(f"it refuses: {found!r:.60}")
         return found[0], found[1], self.running
--- a/brackenloft/fleet/tasks/sweep.py
+++ b/brackenloft/fleet/tasks/sweep.py
@@ -29,7 +29,7 @@
     """A checkpoint: of each run that stands still its beat and for how long; how far the sweep has come."""
 
     still: dict[str, tuple[int, int]] = {}
-    cursor: str = "0"
+    cursor: int = 0
 
 
 @dataclass(slots=True)
@@ -56,7 +56,7 @@
         """Those that have stood still for long enough."""
         return frozenset(name for name, (_, since) in self.still.items() if self.at - since >= self.ended_ms)
 
-    def standing(self, cursor: str) -> Standing:
+    def standing(self, cursor: int) -> Standing:
         """For the checkpoint, those that stand still longest first."""
         oldest = sorted(self.still.items(), key=lambda item: item[1][1])[:MOST_AGES]
         return Standing({name: (beat, int(self.at - since)) for name, (beat, since) in oldest}, cursor)
@@ -98,16 +98,16 @@
         run.act.check()
         table: Any = await self.client.hgetall(f"{prefix}:gateways")
         self.ages.saw({each.field().decode(): beat for each, beat in beats_of(table).items()}, self.now())
-        ended, cursor = self.ages.ended(), standing.cursor.encode()
+        ended, cursor = self.ages.ended(), standing.cursor
         for _ in range(MOST_PAGES if ended else 0):
             run.act.check()
             cursor = await self._page(run, cursor, ended)
-            if cursor == b"0":
+            if cursor == 0:
                 await self._take_out(run, [("HDEL", f"{prefix}:gateways", *sorted(ended))])
                 break
-        await run.save(msgspec.json.encode(self.ages.standing(cursor.decode())).decode())
+        await run.save(msgspec.json.encode(self.ages.standing(cursor)).decode())
 
-    async def _page(self, run: Run, cursor: bytes, ended: frozenset[str]) -> bytes:
+    async def _page(self, run: Run, cursor: int, ended: frozenset[str]) -> int:
         after, keys = await self.client.execute_command(  # type: ignore[no-untyped-call]
             "SCAN", cursor, "MATCH", f"{self.where.prefix}:c:*", "COUNT", PAGE)
         async with self.client.pipeline(transaction=False) as pipe:
@@ -118,7 +118,7 @@
                 if (names := fields_of(hash_, ended))]
         if gone:
             await self._take_out(run, gone)
-        return bytes(after)
+        return int(after)
 
     async def _take_out(self, run: Run, commands: list[tuple[Any, ...]]) -> None:
         run.act.check()
