--- a/brackenloft/fleet/tasks/probe.py
+++ b/brackenloft/fleet/tasks/probe.py
@@ -23,8 +23,9 @@
 AT_ONCE = 16  # asked at the same time
 MOST_READ = 256
 TELL_S = 0.5  # between two times that a hint which lasts is told to the decisions, whose figures fade
-FLEET_READS_S = 20.0  # reads of the verdicts by all gateways together, a second
-LEAST_READ_S = 1.0
+FLEET_READS_S = 40.0  # reads of the verdicts by all gateways together, a second
+LEAST_READ_S = 0.5  # while we doubt a server ourselves
+CALM = 8.0  # times as seldom while we doubt none: a verdict is news for longer
 ROUND_S = 1.0
 
 
@@ -57,7 +58,7 @@
         """Ask those whose turn it is, and write down who did not answer."""
         before = verdicts.read(await self.registers.read(verdicts.REGISTER, ROUND_S))
         addresses, doubted = self._servers()
-        known, turn = (before.bad, before.turn + 1) if before else ((), 0)
+        known, turn = (before.bad, before.turn + 1) if before else ({}, 0)
         names = verdicts.to_ask(addresses, doubted, known, turn)
         answers: dict[str, bool] = {}
         for at in range(0, len(names), AT_ONCE):
@@ -95,7 +96,7 @@
         self.edge, self.registers, self.clock = edge, registers, clock
         self.hints = Hints()
         self.told = 0
-        self.every_s = max(LEAST_READ_S, edge.settings.gateways / FLEET_READS_S)
+        self.every_s = edge.settings.gateways / FLEET_READS_S
         self.tasks: list[asyncio.Task[None]] = []
 
     def start(self) -> Listener:
@@ -117,7 +118,10 @@
                 self.hints.saw(found.get(verdicts.REGISTER), self.clock())
             except ValueError as error:
                 log.error("verdicts: %s", error)
-            await asyncio.sleep(self.every_s * self.registers.random.uniform(0.8, 1.2))
+            servers = self.edge.driver.gateway.fleet.servers.values()
+            doubts = any(server.bad for server in servers)
+            wait_s = max(self.every_s, LEAST_READ_S if doubts else CALM * LEAST_READ_S)
+            await asyncio.sleep(wait_s * self.registers.random.uniform(0.8, 1.2))
 
     async def _tell(self) -> None:
         while True:
--- a/brackenloft/fleet/tasks/verdicts.py
+++ b/brackenloft/fleet/tasks/verdicts.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 
 import msgspec
@@ -18,8 +18,10 @@
 FORM = 1
 MOST_BAD = 200  # servers in the value, 13 kB of names; where more are bad, it is not servers that fail
 LONGEST_NAME = 64
+MOST_COUNT = 1000  # counted no further
 PART = 10  # runs in which each server that nobody doubts is asked once
-LASTS = 3.0  # runs for which a verdict is news: the one who asks may be replaced meanwhile
+MOST_PAUSE = 8  # runs between two questions to one that stays silent: 1, 2, 4 at first
+LASTS = 6.0  # runs for which a verdict is news: the one who asks may be replaced meanwhile
 
 
 class Verdicts(msgspec.Struct, frozen=True):
@@ -27,7 +29,7 @@
 
     token: int
     every_ms: float
-    bad: tuple[str, ...] = ()
+    bad: dict[str, int] = {}  # with how often each was asked in vain, in a row
     turn: int = 0
     form: int = FORM
 
@@ -40,7 +42,8 @@
         found = msgspec.json.decode(held.data, type=Verdicts)
     except msgspec.DecodeError as error:
         raise NonsenseError(f"no verdicts: {error}") from None
-    if found.form != FORM or len(found.bad) > MOST_BAD or not found.every_ms > 0.0:
+    counts = all(0 < number <= MOST_COUNT for number in found.bad.values())
+    if found.form != FORM or len(found.bad) > MOST_BAD or not counts or not found.every_ms > 0.0:
         raise NonsenseError("verdicts that can't be")
     return found
 
@@ -58,18 +61,25 @@
     return write(verdicts)
 
 
-def to_ask(servers: Iterable[str], doubted: Iterable[str], bad: Iterable[str], turn: int) -> list[str]:
-    """Whom to ask in this run: those found bad before, those we doubt, and a part of the others in turn."""
+def to_ask(
+    servers: Iterable[str], doubted: Collection[str], bad: Mapping[str, int], turn: int,
+) -> list[str]:
+    """Whom to ask in this run: who is bad, ever more seldom; whom we doubt; some of the others in turn."""
     names = sorted(name for name in servers if len(name) <= LONGEST_NAME)
-    first = set(doubted) | set(bad)
-    return [name for at, name in enumerate(names) if name in first or at % PART == turn % PART]
+    return [name for at, name in enumerate(names) if _is_due(name, at, doubted, bad.get(name, 0), turn)]
 
 
-def found(bad: Iterable[str], answers: Mapping[str, bool], servers: Iterable[str]) -> tuple[str, ...]:
+def _is_due(name: str, at: int, doubted: Collection[str], vain: int, turn: int) -> bool:
+    if vain:
+        return turn % min(MOST_PAUSE, 1 << min(vain - 1, MOST_PAUSE)) == 0
+    return name in doubted or at % PART == turn % PART
+
+
+def found(bad: Mapping[str, int], answers: Mapping[str, bool], servers: Collection[str]) -> dict[str, int]:
     """Who is bad now: who did not answer, and who was and has not been asked again; of those listed."""
-    still = {name for name in bad if name not in answers}
-    still |= {name for name, good in answers.items() if not good}
-    return tuple(sorted(still & set(servers))[:MOST_BAD])
+    vain = {name: count for name, count in bad.items() if name not in answers}
+    vain |= {name: min(MOST_COUNT, bad.get(name, 0) + 1) for name, good in answers.items() if not good}
+    return {name: vain[name] for name in sorted(vain)[:MOST_BAD] if name in servers}
 
 
 @dataclass(slots=True)
@@ -90,4 +100,4 @@
 
     def bad(self, now_ms: float) -> tuple[str, ...]:
         """Servers for which there is a hint now."""
-        return self.verdicts.bad if self.verdicts and now_ms < self.until_ms else ()
+        return tuple(self.verdicts.bad) if self.verdicts and now_ms < self.until_ms else ()
--- a/tests/test_fleet_trials.py
+++ b/tests/test_fleet_trials.py
@@ -6,6 +6,9 @@
 
 import asyncio
 import itertools
+import json
+import subprocess
+import sys
 from pathlib import Path
 
 import msgspec
@@ -146,3 +149,12 @@
     assert schedule.promised(two) == [(2000.0 + schedule.AGAIN_MS, 10_000.0)]
     one = msgspec.structs.replace(plan, gateways=1, faults=(schedule.Fault(1000.0, "stop", ("0",), 500.0),))
     assert schedule.promised(one) == [(0.0, 1000.0), (1500.0 + schedule.AGAIN_MS, 10_000.0)]
+
+
+def test_the_benchmark_runs_in_small():
+    done = subprocess.run(
+        [sys.executable, "-m", "benchmarks.leases", "--smoke"], cwd=Path(__file__).parent.parent,
+        capture_output=True, text=True, check=True)
+    shown = json.loads(done.stdout.splitlines()[-1])
+    assert all(shown[name] == 0 for name in NEVER) and shown["mutants_found"] >= 4
+    assert shown["takeover_s_p99_over_lease"] > 0.0 and shown["plain_lease_two_holders"] > 0
