--- a/brackenloft/fleet/config.py
+++ b/brackenloft/fleet/config.py
@@ -14,6 +14,7 @@
 
 PREFIX = re.compile(r"[0-9A-Za-z_:-]{1,64}")
 KINDS = ("sweep", "probe")
+LOGS = ("text", "json")
 USES = re.compile(r"[A-Za-z_][\w.]*:[A-Za-z_]\w*")
 MOST_TIMEOUT_MS = 10_000.0
 MOST_TASKS = 100
@@ -86,6 +87,7 @@
     timeout_ms: float = 300.0  # of a trip to a store
     lease_ms: float = 5000.0
     drift: float = 0.01  # by which any two clocks run apart at most
+    log: str = "text"  # or json: of all the program's lines
     trial: Trial = field(default_factory=Trial)
 
     def __post_init__(self) -> None:
@@ -103,6 +105,8 @@
             raise ValueError(f"lease_ms: not from {leases.LEAST_MS:g} to {leases.MOST_MS:g}")
         if self.lease_ms < ROUND_TRIPS * self.timeout_ms:
             raise ValueError(f"lease_ms: under {ROUND_TRIPS} times timeout_ms: a slow store would cost it")
+        if self.log not in LOGS:
+            raise ValueError(f"log: {self.log!r:.20} is none of {', '.join(LOGS)}")
         if not 0.0 <= self.drift <= MOST_DRIFT:
             raise ValueError(f"drift: not from 0 to {MOST_DRIFT:g}")
 
--- a/brackenloft/fleet/leases/lease.py
+++ b/brackenloft/fleet/leases/lease.py
@@ -130,7 +130,7 @@
     async def release(self, to: int = model.ANYBODY) -> bool:
         """Ours no more, as nothing is done under it; ``to`` may have it first."""
         assert not self.acts, "a lease is handed on after its acts"
-        self._lose("released")
+        self.lose("released")
         return await self._change(lambda lease: model.release(lease, self.leases.me, self.token, to))
 
     async def _change(self, step: Callable[[Lease | None], Lease | None]) -> bool:
@@ -151,7 +151,7 @@
             return False
         if not done.mine:
             if not stays:
-                self._lose("another's")
+                self.lose("another's")
             return False
         assert done.held
         lease = model.read(done.held)
@@ -164,7 +164,8 @@
                 act.follow()
         return True
 
-    def _lose(self, why: str) -> None:
+    def lose(self, why: str) -> None:
+        """It is not ours any more, or not used by us any more."""
         self.lost = self.lost or why
         for act in self.acts:
             act.follow()
--- a/brackenloft/fleet/registers/registers.py
+++ b/brackenloft/fleet/registers/registers.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import random
 import time
 from collections import Counter, OrderedDict
@@ -11,6 +10,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from brackenloft.fleet.logs import logger
 from brackenloft.fleet.registers import members as places
 from brackenloft.fleet.registers import model
 from brackenloft.fleet.registers.marks import Marks
@@ -19,7 +19,7 @@
 from brackenloft.fleet.registers.rounds import Change, End, Lead, Result, Round, settled
 from brackenloft.fleet.registers.store import Look, Lost, Store
 
-log = logging.getLogger(__name__)
+log = logger(__name__)
 
 BACKOFF_S = (0.01, 0.4)  # full jitter up to this, doubled each time, against two that outbid each other
 LINGER_S = 0.02  # that a look waits for the last stores: a round on a near network, and some to spare
@@ -73,8 +73,8 @@
     def adopt(self, members: Members) -> None:
         """Later members than those known so far."""
         if members.epoch > self.members.epoch:
-            log.info("the registers' members are of epoch %d: %s", members.epoch,
-                     ", ".join(member.identity for member in members.all()))
+            log.info("stores of an epoch", epoch=members.epoch,
+                     stores=", ".join(member.identity for member in members.all()))
             self.members = members
             self.leads.clear()
 
--- a/brackenloft/fleet/service.py
+++ b/brackenloft/fleet/service.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import secrets
 from importlib import import_module
 from typing import Any, cast
@@ -14,6 +13,7 @@
 from brackenloft.fleet.leases.lease import Leases, SystemClock
 from brackenloft.fleet.leases.model import Me
 from brackenloft.fleet.leases.terms import Pace, Terms
+from brackenloft.fleet.logs import as_json, logger
 from brackenloft.fleet.registers.members import Members
 from brackenloft.fleet.registers.registers import Registers, known_members
 from brackenloft.fleet.registers.store import Look, Store
@@ -23,7 +23,7 @@
 from brackenloft.fleet.tasks.spread import ranks
 from brackenloft.quota.client import Where
 
-log = logging.getLogger(__name__)
+log = logger(__name__)
 
 LOOK_FOR_S = 0.5  # between two looks for an installation, while there is none or no store answers
 UNKNOWN = Members(0, 0, ())  # of an installation that was not found yet
@@ -40,6 +40,8 @@
 
     def __init__(self, edge: Edge, document: Document, counter: Where | None = None) -> None:
         self.edge, self.document, self.counter = edge, document, counter
+        if document.log == "json":
+            as_json()
         index, rate = edge.settings.index, document.trial.clock_rate
         self.me = Me(f"{index}-{secrets.token_hex(6)}", index)
         self.clock = SystemClock(rate)
@@ -104,10 +106,10 @@
                 break
             if not self.said:
                 self.said = "no store tells of an installation: brackenloft fleet init, once"
-                log.warning(self.said)
+                log.warning("no installation", why=self.said)
             await asyncio.sleep(LOOK_FOR_S * self.registers.random.uniform(0.8, 1.2))
         self.said = ""
-        log.info("in the fleet as %s", self.me.who)
+        log.info("in the fleet", who=self.me.who, epoch=self.registers.members.epoch)
         self.runner.start()
         if any(task.kind == "probe" for task in self.document.tasks):
             self.listener.start()
--- a/brackenloft/fleet/tasks/probe.py
+++ b/brackenloft/fleet/tasks/probe.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import time
 from collections.abc import Callable, Mapping
 
 from brackenloft.edge import Edge
 from brackenloft.fleet.leases.lease import LeaseOver
+from brackenloft.fleet.logs import logger
 from brackenloft.fleet.registers.registers import Registers
 from brackenloft.fleet.tasks import verdicts
 from brackenloft.fleet.tasks.runner import Run
@@ -16,7 +16,7 @@
 from brackenloft.interface import ProbeResult, Status
 from brackenloft.net.servers import Address
 
-log = logging.getLogger(__name__)
+log = logger(__name__)
 
 PING, PONG = b"*1\r\n$4\r\nPING\r\n", b"+PONG\r\n"
 ANSWER_S = 0.5  # for a connection and an answer: many times what a server takes that is not in trouble
@@ -117,7 +117,7 @@
             try:
                 self.hints.saw(found.get(verdicts.REGISTER), self.clock())
             except ValueError as error:
-                log.error("verdicts: %s", error)
+                log.error("verdicts that can't be read", why=error)
             servers = self.edge.driver.gateway.fleet.servers.values()
             doubts = any(server.bad for server in servers)
             wait_s = max(self.every_s, LEAST_READ_S if doubts else CALM * LEAST_READ_S)
--- a/brackenloft/fleet/tasks/runner.py
+++ b/brackenloft/fleet/tasks/runner.py
@@ -3,18 +3,18 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 from collections import Counter
 from collections.abc import Callable, Coroutine, Mapping
 from typing import Any, Protocol
 
 from brackenloft.fleet.leases import model
 from brackenloft.fleet.leases.lease import Act, Holding, LeaseOver, Leases
+from brackenloft.fleet.logs import logger
 from brackenloft.fleet.registers.model import NonsenseError
 from brackenloft.fleet.registers.registers import NoMajority, Unsure
 from brackenloft.fleet.tasks.core import Book, Do, Order
 
-log = logging.getLogger(__name__)
+log = logger(__name__)
 
 LEAST_WAIT_S, MOST_WAIT_S = 0.005, 1.0  # between two steps; fitness is looked at as often
 LEAVE_S = 2.0  # for handing on what is held when the process leaves
@@ -131,7 +131,7 @@
             self.counts["no majority"] += 1
         except NonsenseError as error:
             self.counts["nonsense"] += 1
-            log.error("%s: %s", ", ".join(names[:NAMES_SHOWN]), error)
+            log.error("a register that can't be read", tasks=", ".join(names[:NAMES_SHOWN]), why=error)
         finally:
             now = self.leases.clock()
             for name in names:
@@ -161,8 +161,7 @@
         self.counts["taken" if holding else "not taken"] += 1
         if holding:
             self.held[name] = holding
-            log.info("task %s is ours, token %d%s", name, holding.token,
-                     f"; paused: {holding.lease.paused}" if holding.lease.paused else "")
+            log.info("task taken", task=name, token=holding.token, paused=holding.lease.paused)
         self.book.took(name, holding.token if holding else None, now)
 
     async def _renew(self, name: str) -> None:
@@ -172,19 +171,19 @@
         self.counts["renewed" if good else "not renewed"] += 1
         self.book.renewed(name, good, asked)
         if not good and holding.left_ms() <= 0.0:
-            holding._lose("not renewed in time")
+            holding.lose("not renewed in time")
 
     async def _want(self, name: str) -> None:
         if await self.leases.tell(name, lambda lease: model.want(lease, self.leases.me)):
-            log.info("task %s: its holder is asked to hand it on", name)
+            log.info("task wanted", task=name)
 
     async def _live(self, name: str) -> None:
         if await self.leases.tell(name, lambda lease: model.lives(lease, self.leases.me)):
-            log.info("task %s: we were lost within a run, and live", name)
+            log.info("lost within a run, and alive", task=name)
 
     async def _release(self, order: Order) -> None:
         holding = self.held[order.task]
-        log.info("task %s is handed on%s", order.task, f": {self.unfit}" if self.unfit else "")
+        log.info("task handed on", task=order.task, token=holding.token, why=self.unfit)
         await holding.release(order.to)
         self.counts["handed on"] += 1
 
@@ -192,7 +191,7 @@
         holding = self.held.pop(name)
         if holding.lost != "released":
             self.counts["lost"] += 1
-            log.warning("task %s is ours no more: %s", name, holding.lost)
+            log.warning("task lost", task=name, token=holding.token, why=holding.lost)
         self.book.lost(name, now)
         if holding.lost == "not renewed in time":  # it may be ours still, by its register: nobody need wait
             self._start(self._give_up(name, holding.token), [name])
@@ -235,11 +234,11 @@
                 checkpoint, good = run.checkpoint, True
         except LeaseOver:
             self.counts["cut off"] += 1
-            holding._lose("not renewed in time")
+            holding.lose("not renewed in time")
         except TimeoutError:
-            log.warning("task %s: a run took longer than %g s", name, spec.longest_ms / 1000.0)
+            log.warning("run too long", task=name, token=holding.token, longest_ms=spec.longest_ms)
         except Exception:  # a job's own fault must not end the others
-            log.exception("task %s: a run failed", name)
+            log.exception("run failed", task=name, token=holding.token)
         if not holding.lost:
             await holding.end(good, checkpoint if good else holding.lease.checkpoint)
         return good
--- a/brackenloft/lab/fleet/schedule.py
+++ b/brackenloft/lab/fleet/schedule.py
@@ -61,6 +61,7 @@
     fenced: bool = True
     mutant: str = ""  # a guard that is taken out, by name
     poison: bool = False
+    real: bool = False  # also sweep a counter that all gateways write to, and probe
 
     def __post_init__(self) -> None:
         if len(self.faults) > MOST_FAULTS:
--- a/brackenloft/lab/fleet/store.py
+++ b/brackenloft/lab/fleet/store.py
@@ -17,7 +17,7 @@
 from brackenloft.lab.fleet.history import Writer
 from brackenloft.standins.counter import Counter, Mood, Store
 
-PLACE, SAID = b"place:", b":said"
+PLACE, SAID, SWEEP = b"place:", b":said", b"quota:sweep"
 
 
 class Place(Store):
@@ -27,12 +27,17 @@
 
     def run(self, words: list[bytes], copied: bool = False) -> bytes | None:
         reply = super().run(words, copied)
-        done = words[0].upper() == b"SET" and reply == b"+OK\r\n"
-        if self.writer and done and words[1].startswith(PLACE) and not words[1].endswith(SAID):
+        if self.writer and words[0].upper() == b"SET" and reply == b"+OK\r\n" and _is_token(words[1]):
             self.writer.write("effect", place=words[1].decode(), token=int(words[2]))
+        if self.writer and words[0].upper() == b"HDEL" and words[1].endswith(b":gateways"):
+            self.writer.write("swept", runs=[word.decode() for word in words[2:]])
         return reply
 
 
+def _is_token(key: bytes) -> bool:
+    return key == SWEEP or key.startswith(PLACE) and not key.endswith(SAID)
+
+
 async def main() -> None:
     parser = argparse.ArgumentParser()
     parser.add_argument("--port", type=int, default=0)
--- a/brackenloft/lab/fleet/trial.py
+++ b/brackenloft/lab/fleet/trial.py
@@ -40,6 +40,7 @@
 OPERATOR_S = 5.0
 EXTRA_MS = 400.0  # a round and a run's beginning, on a machine with other work
 FLOOR = 1_000_000
+ENDED_MS = 1200.0  # a gateway's run that has not counted for so long is swept
 
 
 @dataclass(slots=True)
@@ -72,6 +73,11 @@
                 "task": f"t{task}", "place": place, "history": str(folder / f"acts-{self.number}.jsonl"),
                 "fenced": plan.fenced, "steps": plan.steps, "poison": plan.poison and task == 0}),
         } for task in range(plan.tasks)]
+        if plan.real:
+            tasks += [{"name": "sweep", "kind": "sweep", "every_ms": 200.0, "ended_ms": ENDED_MS},
+                      {"name": "probe", "kind": "probe", "every_ms": 100.0}]
+            counter = {"url": place, "timeout_ms": 200.0}
+            (folder / f"counter-{self.number}.json").write_text(json.dumps(counter))
         fleet = {
             "stores": [{"name": name, "url": f"redis://127.0.0.1:{port}"} for name, port in found.items()
                        if name != "place"],
@@ -80,6 +86,7 @@
         (folder / f"fleet-{self.number}.json").write_text(json.dumps(fleet))
         self.path.write_text(json.dumps({
             "listen": "127.0.0.1:0", "seed": plan.seed + self.number, "fleet": f"fleet-{self.number}.json",
+            **({"counter": f"counter-{self.number}.json"} if plan.real else {}),
             "site": {"gateways": plan.gateways, "index": self.number},
             "nodes": [{"name": "n1", "host": "127.0.0.1", "port": 9}],
             "classes": [{"name": "read", "aim_ms": 1000.0, "deadline_ms": 2000.0, "effect": "safe"}],
@@ -291,6 +298,9 @@
             "effects": sum(event["kind"] == "effect" for event in events),
             "refused": sum(event["kind"] == "stale" for event in events),
             "ops": sum(event["kind"] == "op" for event in events),
+            "swept": sum(len(event["runs"]) for event in events if event["kind"] == "swept"),
+            "sweepers": len({event["token"] for event in events
+                             if event["kind"] == "effect" and event["place"] == "quota:sweep"}),
             "holders": len({(event["task"], event["token"]) for event in events if event["kind"] == "acts"}),
         }
         return Verdict(plan, [*two, *stale, *lines, *stands], counts | dict(self.counts))
--- a/tests/test_fleet_cli.py
+++ b/tests/test_fleet_cli.py
@@ -130,7 +130,8 @@
 
 @pytest.mark.parametrize("change, words", [
     ({"stores": []}, "stores"), ({"lease_ms": 500.0}, "lease_ms"), ({"drift": 0.5}, "drift"),
-    ({"prefix": "a b"}, "prefix"), ({"tasks": [{"name": "X", "kind": "probe"}]}, "tasks[0]"),
+    ({"prefix": "a b"}, "prefix"), ({"log": "xml"}, "log"),
+    ({"tasks": [{"name": "X", "kind": "probe"}]}, "tasks[0]"),
     ({"tasks": [{"name": "x", "kind": "odd"}]}, "kind"),
     ({"tasks": [{"name": "x", "kind": "probe"}] * 2}, "twice"),
     ({"tasks": [{"name": "x", "kind": "probe", "every_ms": 1.0}]}, "every_ms"), ({"nonsense": 1}, "nonsense"),
@@ -164,3 +165,25 @@
             " or name.startswith('brackenloft.fleet')])")
     done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
     assert done.stdout.strip() == "[]"
+
+
+def lines_of(formats, events):
+    """What a program with this format writes of some events, each a call of the logger."""
+    code = ("import logging, sys; from brackenloft.fleet.logs import as_json, logger;"
+            "logging.basicConfig(stream=sys.stdout, level=logging.INFO, format='%(message)s');"
+            + ("as_json();" if formats == "json" else "") + "log = logger('x');" + events)
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
+    return done.stdout.splitlines()
+
+
+def test_lines_of_the_log_carry_their_fields_and_odd_ones_do_no_harm():
+    events = ("log.info('task taken', task='t%s', token=7, why='');"
+              "log.info('odd', text='\\ud800\\n' + 'x' * 9999); log.debug('not shown');"
+              "logging.getLogger('y').warning('plain %d', 5);"
+              "\ntry: 1 / 0\nexcept ZeroDivisionError: log.exception('run failed', task='t')")
+    text = lines_of("text", events)
+    assert text[0] == "task taken task=t%s token=7" and len(text[1]) < 400 and text[2] == "plain 5"
+    rows = [json.loads(line) for line in lines_of("json", events)]
+    fields = {"event": "task taken", "task": "t%s", "token": 7, "why": "", "level": "info", "logger": "x"}
+    assert rows[0].pop("timestamp") and rows[0] == fields
+    assert rows[2]["event"] == "plain 5" and "ZeroDivisionError" in rows[3]["exception"] and len(rows) == 4
--- a/tests/test_fleet_trials.py
+++ b/tests/test_fleet_trials.py
@@ -39,12 +39,14 @@
     assert verdict.counts["acts"] > 0 and verdict.counts["effects"] > 0 and verdict.counts["ops"] > 0
 
 
-@pytest.mark.parametrize("name", ["blank_store", "all_restarted", "poison"])
+@pytest.mark.parametrize("name", ["blank_store", "all_restarted", "poison", "real_tasks"])
 def test_hard_cases_by_hand(name):
     verdict = play(shelf(name))
     assert not any(verdict.counts[kind] for kind in NEVER), verdict.broken
     if name == "poison":
         assert not any(line.startswith("t0: killed") for line in verdict.broken), verdict.broken
+    elif name == "real_tasks":
+        assert verdict.counts["swept"] >= 3 and verdict.counts["sweepers"] >= 2  # the killed ones, by two
     else:
         assert verdict.counts["holders"] > 3  # each was done by another one after a fault
 
