--- a/tests/test_fleet_trials.py
+++ b/tests/test_fleet_trials.py
@@ -20,6 +20,7 @@
 from brackenloft.lab.fleet.check import CUT_MS, Op
 from brackenloft.lab.fleet.schedule import Schedule
 
+trials = pytest.mark.trials  # fleets of processes: not beside tests that wait for times (README.md)
 SHELF = Path(schedule.__file__).parent / "shelf"
 NEVER = ("two_holders", "stale_effects", "not_linearizable")
 
@@ -32,6 +33,7 @@
     return msgspec.structs.replace(schedule.load(SHELF / f"{name}.toml"), **changes)
 
 
+@trials
 @pytest.mark.parametrize("seed", [1, 7])
 def test_under_faults_by_seed_no_two_act_nothing_stale_is_taken_and_registers_line_up(seed):
     verdict = play(schedule.draw(seed, Schedule(length_ms=6000.0)))
@@ -39,6 +41,7 @@
     assert verdict.counts["acts"] > 0 and verdict.counts["effects"] > 0 and verdict.counts["ops"] > 0
 
 
+@trials
 @pytest.mark.parametrize("name", ["blank_store", "all_restarted", "poison", "real_tasks"])
 def test_hard_cases_by_hand(name):
     verdict = play(shelf(name))
@@ -51,6 +54,7 @@
         assert verdict.counts["holders"] > 3  # each was done by another one after a fault
 
 
+@trials
 @pytest.mark.parametrize("mutant, name, kind", [
     ("no_check", "stopped_holder", "two_holders"),
     ("token_not_compared", "late_effects", "stale_effects")])
@@ -153,6 +157,7 @@
     assert schedule.promised(one) == [(0.0, 1000.0), (1500.0 + schedule.AGAIN_MS, 10_000.0)]
 
 
+@trials
 def test_the_benchmark_runs_in_small():
     done = subprocess.run(
         [sys.executable, "-m", "benchmarks.leases", "--smoke"], cwd=Path(__file__).parent.parent,
