--- a/tests/test_fleet_cli.py
+++ b/tests/test_fleet_cli.py
@@ -51,6 +51,7 @@
     return code, json.loads(out.out) if out.out.strip() else out.err
 
 
+@pytest.mark.trials
 def test_an_installation_is_set_up_looked_at_and_has_a_store_replaced(tmp_path, capsys):
     with stores(4) as (ports, helpers, loop):
         path = write(tmp_path, ports)
@@ -104,6 +105,7 @@
     raise AssertionError(f"not within {START_S} s: {document}")
 
 
+@pytest.mark.trials
 def test_a_gateway_that_is_ended_hands_its_task_on_and_one_that_is_killed_loses_it(tmp_path, capsys):
     with stores() as (ports, _, _):
         path = write(tmp_path, ports)
@@ -176,6 +178,7 @@
     return done.stdout.splitlines()
 
 
+@pytest.mark.trials
 def test_lines_of_the_log_carry_their_fields_and_odd_ones_do_no_harm():
     events = ("log.info('task taken', task='t%s', token=7, why='');"
               "log.info('odd', text='\\ud800\\n' + 'x' * 9999); log.debug('not shown');"
--- a/tests/test_fleet_registers.py
+++ b/tests/test_fleet_registers.py
@@ -155,6 +155,7 @@
     assert not marks.seen(member, "x", Slot(Ballot(9, "a")))  # what it lost once it may lack still
 
 
+@pytest.mark.trials
 @pytest.mark.parametrize("mutant", sorted(explore.PLACES))
 def test_the_search_finds_a_guard_that_is_taken_out_and_nothing_else(mutant):
     gateways, budget, depth, begin = explore.PLACES[mutant]
--- a/tests/test_fleet_tasks.py
+++ b/tests/test_fleet_tasks.py
@@ -119,6 +119,7 @@
     assert waits == [200.0, 400.0, 800.0] and made.step(now, True) == [Order(Do.RELEASE, "t")]
 
 
+@pytest.mark.trials
 @pytest.mark.parametrize("seed", range(6))
 def test_in_virtual_time_no_two_hold_and_all_tasks_go_on(seed):
     plan = Plan(gateways=12, tasks=4, length_ms=1000.0, every_ms=300.0, seconds=25.0, lost=0.03, cut=0.03,
@@ -127,6 +128,7 @@
     assert shown["two_holders"] == 0 and shown["taken"] >= 4
 
 
+@pytest.mark.trials
 def test_in_virtual_time_a_guard_that_is_too_short_is_found():
     plan = Plan(gateways=12, tasks=4, length_ms=1000.0, every_ms=300.0, seconds=25.0, lost=0.03, cut=0.03,
                 stopped=0.03, short_guard=True)
--- a/tests/test_fleet_trials.py
+++ b/tests/test_fleet_trials.py
@@ -119,6 +119,7 @@
     return False
 
 
+@pytest.mark.trials
 @settings(max_examples=400)
 @given(OPS)
 def test_the_search_for_an_order_agrees_with_trying_them_all(ops):
