A holder of every task compares its clock with the stores' too

A holder whose clock runs 5% slow went on to the end of a trial of seven seconds.

Change: Fleet._compare_clocks looks once a lease, where something is held and nothing was looked at meanwhile.

Checked: a trial of one gateway whose clock runs slow hands its task on and says why; without the call the test fails.

--- a/brackenloft/fleet/service.py
+++ b/brackenloft/fleet/service.py
@@ -15,6 +15,7 @@
 from brackenloft.fleet.leases.terms import Pace, Terms
 from brackenloft.fleet.logs import as_json, logger
 from brackenloft.fleet.registers.members import Members
+from brackenloft.fleet.registers.model import MEMBERS
 from brackenloft.fleet.registers.registers import Registers, known_members
 from brackenloft.fleet.registers.store import Look, Store
 from brackenloft.fleet.tasks.core import Book, Spec
@@ -113,6 +114,19 @@
         self.runner.start()
         if any(task.kind == "probe" for task in self.document.tasks):
             self.listener.start()
+        await self._compare_clocks()
+
+    async def _compare_clocks(self) -> None:
+        """Look at the stores' clocks once a lease, also while we hold every task and look at none.
+
+        Guards against a holder whose clock runs slow, and which nothing tells: it would act too long.
+        """
+        looks = -1
+        while True:
+            if self.runner.held and self.registers.counts["looks"] == looks:
+                await self.registers.look([MEMBERS], self.leases.round_s)
+            looks = self.registers.counts["looks"]
+            await asyncio.sleep(self.terms.length_ms / 1000.0)
 
     async def close(self) -> None:
         """Hand on what is held, and end."""
--- a/tests/test_fleet_trials.py
+++ b/tests/test_fleet_trials.py
@@ -54,6 +54,14 @@
         assert verdict.counts["holders"] > 3  # each was done by another one after a fault
 
 
+@trials
+def test_a_holder_of_every_task_whose_clock_runs_slow_finds_out_and_holds_nothing(tmp_path):
+    plan = Schedule(gateways=1, tasks=1, clerks=0, length_ms=7000.0, rates=(0.95,), steps=10)
+    asyncio.run(trial.Trial(plan, tmp_path).play())
+    told = (tmp_path / "gateway-0.log").read_text()
+    assert "task handed on" in told and "its clock runs slow" in told
+
+
 @trials
 @pytest.mark.parametrize("mutant, name, kind", [
     ("no_check", "stopped_holder", "two_holders"),
