A client that leaves while it is not read is noticed, and nothing more goes out for it

A paused transport tells neither FIN nor reset. Also seen on reading: where the settings allow no cancels, `Gateway._close` leaves an attempt that waits for a connection, or whose connection comes up late, and it went out after the answer or the departure.

Change: net/departures.py watches paused connections by EPOLLRDHUP, bytes before the FIN or not. `Client.eof_received` withdraws at once, also while answers are still to be written.

--- a/brackenloft/net/clients.py
+++ b/brackenloft/net/clients.py
@@ -26,6 +26,7 @@
 from brackenloft.lifecycle import Lifecycle
 from brackenloft.net import wire
 from brackenloft.net.bites import Bites
+from brackenloft.net.departures import Departures
 from brackenloft.net.driver import Call, Driver
 from brackenloft.net.resp import LONGEST_VALUE, Commands, ProtocolError
 from brackenloft.net.streams import STREAM_FROM, Stream
@@ -216,6 +217,24 @@
         if self.timer:
             self.timer.cancel()
         self.clients.closed(self)
+        self._withdraw()
+
+    def eof_received(self) -> None:
+        """The client has gone, whatever it does not take yet: the transport writes that first."""
+        self._withdraw()
+
+    def departed(self) -> None:
+        """It has closed the connection, or its machine reset it, while it was not read.
+
+        What it sent before that is not read any more: nobody waits for it.
+        """
+        self.ending, self.reader = True, Commands()
+        self._withdraw()
+        if self.transport:
+            self.transport.close()
+
+    def _withdraw(self) -> None:
+        """Nobody waits for the answers any more."""
         slots, self.slots = self.slots, deque()
         for slot in slots:
             if slot.answer is None or slot.stream:
@@ -305,6 +324,10 @@
             if self.reads:
                 (self.reads.pause if pause else self.reads.resume)(time.monotonic())
             (self.transport.pause_reading if pause else self.transport.resume_reading)()
+        if pause and not self.tired:  # that lasts for a turn of the loop alone
+            self.clients.departures.watch(self, self.socket)
+        else:
+            self.clients.departures.forget(self)
 
     def loose(self) -> int:
         """Bytes that would be free if it were cut off: what it does not take, and a part of a command."""
@@ -557,6 +580,7 @@
         fits = most_held // (2 * max(1, budget.limit(Side.CLIENTS)))
         self.receives = max(LEAST_RECEIVES, min(RECEIVES, fits))
         self.bites = Bites()
+        self.departures: Departures[Client] = Departures(asyncio.get_running_loop(), Client.departed)
         self.slow: dict[Client, None] = {}  # within a command for long, but not too slow so far
         self.stuck: dict[Client, None] = {}  # whose answers pile up here
         self.intake: Intake[Client] = Intake()  # who is within a long command
@@ -714,6 +738,7 @@
     def closed(self, client: Client) -> None:
         """A connection has ended, and its descriptor is free."""
         self.connections.pop(client, None)
+        self.departures.forget(client)
         self.owing.pop(client, None)
         self.slow.pop(client, None)
         self.stuck.pop(client, None)
@@ -897,5 +922,6 @@
         if self.sweeper:
             self.sweeper.cancel()
         self._close_listener()
+        self.departures.close()
         for client in list(self.connections):
             client.abort()
--- a/brackenloft/net/driver.py
+++ b/brackenloft/net/driver.py
@@ -108,6 +108,7 @@
         self.counting: Usage | None = None
         self.tallies = {kind.name: Tally() for kind in gateway.settings.classes}
         self.events: deque[api.Event] = deque()
+        self.ended: list[Call] = []  # answered by an action of the event that is handled now
         self.handling = False
         self.loop = asyncio.get_running_loop()
         self.timers = Timers(self.loop, clock, LATE_MS)
@@ -145,6 +146,8 @@
             request_id = getattr(event, "request_id", None)
             if isinstance(request_id, str):
                 self._fail(api.Fail(request_id))
+        while self.ended:
+            self._send_no_more(self.ended.pop())
 
     def _perform(self, action: api.Action) -> None:
         perform = self.actions.get(type(action))
@@ -189,8 +192,19 @@
             self.post(api.ClientGone(request_id))
             if call.stream:
                 call.stream.abandon()
+            self._send_no_more(call)
             self._drop_if_done(call)
 
+    def _send_no_more(self, call: Call) -> None:
+        """Its one answer has been given, or nobody waits for it: what was not written whole never is.
+
+        Guards against attempts that wait for a connection, or for one that comes up late, and then go out for
+        nobody; where running work may be cancelled, the decisions withdraw it as well.
+        """
+        for attempt in list(call.out.values()):
+            if attempt and attempt.done and not (attempt.connection and attempt.connection.handed):
+                self.servers.stop(attempt, api.Status.CANCELLED, api.Status.NOT_SENT)
+
     def release(self, request_id: str, status: api.Status, units: float | None = None) -> None:
         """The host has done the work that it was granted, once; ``units`` puts a guess right."""
         call = self.calls.get(request_id)
@@ -320,6 +334,8 @@
         self.post(api.Outcome(
             call.request_id, number, server, reply.status, latency_ms, call.answered,
             reply.used, reply.cost, reply.load))
+        if call.answered:
+            self._send_no_more(call)
         self._drop_if_done(call)
 
     def _refuse(self, action: api.Refuse) -> None:
@@ -334,6 +350,7 @@
         call = self.calls.get(request_id)
         if call and not call.answered and not call.stream:
             self._answer(call, answer)
+            self.ended.append(call)
             self._drop_if_done(call)
 
     def _answer(self, call: Call, answer: Answer) -> None:
--- /dev/null
+++ b/tests/test_net_departures.py
@@ -0,0 +1,129 @@
+"""Clients that leave at a moment at which nobody reads what they send: nothing goes out for them any more."""
+
+import asyncio
+import socket
+import struct
+from dataclasses import replace
+
+import pytest
+from fakes import SETTINGS, FakeServer, array, call, node, run, until
+
+from brackenloft import Plan
+from brackenloft.net import servers as net_servers
+
+ONE_AT_A_TIME = (Plan("free"), Plan("one", max_in_flight=1))
+NO_CANCELS = replace(SETTINGS.limits, can_cancel=False)
+
+
+def leave(peer, how):
+    if how == "unread bytes before its end":
+        peer.send(call(90, plan="one"), call(91, plan="one")[:20])
+    if how == "reset":
+        sock = peer.writer.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    if how == "half-close":
+        peer.writer.write_eof()
+    else:
+        peer.writer.close()
+
+
+@pytest.mark.parametrize("how", ["close", "half-close", "reset", "unread bytes before its end"])
+def test_client_that_leaves_while_its_request_is_parked_and_it_is_not_read_is_not_sent_on(how):
+    async def test():
+        server = FakeServer(lambda words: None)
+        async with node(server, plans=ONE_AT_A_TIME) as gateway:
+            first, second = await gateway.peer(), await gateway.peer()
+            first.send(call(1, "buy", plan="one"))
+            await server.until(lambda: len(server.commands) == 1)
+            second.send(call(2, "buy", plan="one"))  # waits for the customer's only place
+            await until(lambda: any(client.paused for client in gateway.clients.connections))
+            leave(second, how)
+            await until(lambda: f"{2:016x}" not in gateway.driver.calls)
+            assert gateway.edge.counters()["gone"] == 1  # not given up as nobody took it
+            server.writers[server.by[0]].write(b"*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n")
+            assert await first.reply() == b"v"
+            first.send(call(3, "buy", plan="one"))
+            await server.until(lambda: len(server.commands) == 2)
+            assert int(server.commands[1][2], 16) == 3
+            await until(lambda: len(gateway.clients.connections) == 1)
+            assert not gateway.clients.departures.descriptors
+
+    run(test())
+
+
+@pytest.mark.parametrize("limits", [SETTINGS.limits, NO_CANCELS])
+@pytest.mark.parametrize("where", ["waits for a connection", "its connection comes up late"])
+def test_attempt_that_was_not_written_is_never_when_its_client_leaves(where, limits, monkeypatch):
+    async def test():
+        server, up = FakeServer(), asyncio.Event()
+        async with node(server, limits=limits) as gateway:
+            if where == "waits for a connection":
+                monkeypatch.setattr(net_servers, "COMING_UP", 0)
+            else:
+                late(gateway.servers, up)
+            peer = await gateway.peer()
+            peer.send(call(1, "buy"))
+            await until(lambda: bool(gateway.driver.calls))
+            peer.writer.close()
+            await until(lambda: not gateway.clients.connections)
+            assert not gateway.driver.calls
+            monkeypatch.undo()
+            up.set()
+            assert await (await gateway.peer()).ask(call(2)) == b"%016x" % 2
+            assert [int(words[2], 16) for words in server.commands] == [2]
+
+    run(test())
+
+
+def late(servers, up):
+    """Connects come up when ``up`` is set."""
+    connect = servers.loop.sock_connect
+
+    class Loop:
+        def __getattr__(self, name):
+            return getattr(loop, name)
+
+        async def sock_connect(self, sock, address):
+            await up.wait()
+            await connect(sock, address)
+
+    loop, servers.loop = servers.loop, Loop()
+
+
+def test_request_that_was_answered_is_not_sent_on_a_connection_that_comes_up_after_that():
+    """The last answer is given some ticks before the client's time is up."""
+    async def test():
+        server, up = FakeServer(), asyncio.Event()
+        async with node(server, limits=NO_CANCELS, tick_ms=1000.0) as gateway:
+            late(gateway.servers, up)
+            peer = await gateway.peer()
+            assert (await peer.ask(call(1, "buy", wait=2100))).startswith("-")
+            assert not gateway.driver.calls
+            up.set()
+            assert await (await gateway.peer()).ask(call(2)) == b"%016x" % 2
+            assert [int(words[2], 16) for words in server.commands] == [2]
+
+    run(test())
+
+
+def test_half_close_behind_which_answers_are_still_to_be_written_is_the_clients_end_at_once():
+    async def test():
+        value = array(b"x" * 60_000)
+        server = FakeServer(lambda words: None if words[0] == b"CALL.POST" else value)
+        async with node(server, plans=ONE_AT_A_TIME) as gateway:
+            first = await gateway.peer()
+            first.send(call(1, "buy", plan="one"))
+            await server.until(lambda: len(server.commands) == 1)
+            second = await gateway.peer()
+            await until(lambda: len(gateway.clients.connections) == 2)
+            client = list(gateway.clients.connections)[1]
+            client.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            client.transport.set_write_buffer_limits(1 << 24)  # it is read on all the same
+            second.send(*(call(number) for number in range(10, 40)), call(2, "buy", plan="one"))
+            await until(lambda: client.transport.get_write_buffer_size() > 0 and len(client.slots) == 1)
+            second.writer.write_eof()
+            await until(lambda: len(gateway.driver.calls) == 1)
+            assert gateway.edge.counters()["gone"] == 1
+            assert client.transport.get_write_buffer_size() > 0  # it was not waited for
+
+    run(test())
