What is still to be written of an answered request is stopped once, behind the event's actions

Cause: Driver._outcome stopped what was not written before the actions behind it, among them a Cancel, had been carried out. Change: _answer and _end_stream note the request, and _handle looks at it behind the actions.

--- a/brackenloft/net/driver.py
+++ b/brackenloft/net/driver.py
@@ -108,7 +108,7 @@
         self.counting: Usage | None = None
         self.tallies = {kind.name: Tally() for kind in gateway.settings.classes}
         self.events: deque[api.Event] = deque()
-        self.ended: list[Call] = []  # answered by an action of the event that is handled now
+        self.ended: list[Call] = []  # answered, and not yet looked at for what is still to be written
         self.handling = False
         self.loop = asyncio.get_running_loop()
         self.timers = Timers(self.loop, clock, LATE_MS)
@@ -146,7 +146,7 @@
             request_id = getattr(event, "request_id", None)
             if isinstance(request_id, str):
                 self._fail(api.Fail(request_id))
-        while self.ended:
+        while self.ended:  # behind the event's actions, which may cancel what is out in another way
             self._send_no_more(self.ended.pop())
 
     def _perform(self, action: api.Action) -> None:
@@ -318,6 +318,7 @@
         if not call.answered:
             call.answered = True
             call.tally.count(SERVED if good else FAILED)
+            self.ended.append(call)
         (stream.end if good else stream.fail)()
 
     def _outcome(
@@ -334,8 +335,6 @@
         self.post(api.Outcome(
             call.request_id, number, server, reply.status, latency_ms, call.answered,
             reply.used, reply.cost, reply.load))
-        if call.answered:
-            self._send_no_more(call)
         self._drop_if_done(call)
 
     def _refuse(self, action: api.Refuse) -> None:
@@ -350,13 +349,13 @@
         call = self.calls.get(request_id)
         if call and not call.answered and not call.stream:
             self._answer(call, answer)
-            self.ended.append(call)
             self._drop_if_done(call)
 
     def _answer(self, call: Call, answer: Answer) -> None:
         call.answered = True
         call.tally.count(answer)
         call.on_answer(answer)
+        self.ended.append(call)
 
     def _drop_if_done(self, call: Call) -> None:
         if call.answered and not call.out:
