The clients' side by noun: requests, slots, one connection, the listener, the kernel's word

Only moved: requests.py reads commands, slots.py orders replies, client.py is one connection, clients.py the listener and all of them, kernel.py what a transport does not tell.

--- /dev/null
+++ b/brackenloft/net/client.py
@@ -0,0 +1,414 @@
+"""One client's connection: commands in, replies out in the order of the commands."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import socket
+import time
+from collections import deque
+from dataclasses import replace
+from typing import TYPE_CHECKING, cast
+
+from brackenloft.admission.rate import Least, Pace
+from brackenloft.answers import FAILED
+from brackenloft.net import wire
+from brackenloft.net.driver import Call
+from brackenloft.net.kernel import age_s, unread
+from brackenloft.net.requests import CommandError
+from brackenloft.net.resp import LONGEST_VALUE, Commands, ProtocolError
+from brackenloft.net.slots import Slot
+from brackenloft.net.streams import STREAM_FROM, Stream
+
+if TYPE_CHECKING:
+    from brackenloft.net.clients import Clients
+
+log = logging.getLogger(__name__)
+
+MOST_PIPELINED = 64  # commands of one connection in hand; what comes behind waits in the kernel
+MOST_IN_HAND = 256 * 1024  # bytes of one connection's commands and replies in hand, beside CALL; the same
+MOST_AT_ONCE = 64  # commands of one connection read before the others have their turn
+MOST_ERRORS = 16  # bad commands in a row, after which a connection is closed: no use comes of more
+AGED_S = 0.05  # from which the time that a request has waited in the kernel counts: the loop's turns are less
+LINGER_S = 0.3  # a broken connection stays so long, unread, that the error is not reset away
+STALLED_S = 15.0  # a client that takes no byte of its answers for so long is gone; a burst may save as much
+WRITE_RATE = 4 * 1024  # bytes a second that a client takes at least of answers that pile up here
+# Bytes that a request in hand takes beside its command: 5.7 kB were seen with an attempt out. Guards against
+# requests without number that are counted with no more than their own few bytes.
+CALL = 6 * 1024
+FRESH_S = 0.25  # who has said nothing is let be so long, or would come back at once, again and again
+# After an answer, before its connection is closed as the process empties: who asks again at once has done so.
+# A request that crosses the close would be turned back.
+QUIET_S = 0.02
+
+
+class Client(asyncio.Protocol):
+    """One client's connection."""
+
+    def __init__(self, clients: Clients, sock: socket.socket) -> None:
+        self.clients, self.socket = clients, sock
+        self.reader = Commands()
+        self.slots: deque[Slot] = deque()
+        self.held = self.in_hand = 0  # bytes in all, and of commands and replies in slots
+        self.age_s = 0.0  # of what came first, when it was read
+        self.asked = self.errors = 0  # requests so far, and bad commands in a row
+        self.transport: asyncio.Transport | None = None
+        self.spoke = self.ending = self.unread = self.stuck = self.paused = self.reading = self.tired = False
+        self.within = False  # a part of a command has come, and may be dropped
+        self.timer: asyncio.TimerHandle | None = None  # while it lingers
+        self.reads: Pace | None = None  # while it is within a command
+        self.writes: Pace | None = None  # while it is stuck
+        self.unsent = 0  # bytes of answers that it has not taken, while it is stuck
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        # uvloop's transports are not asyncio.Transport by class: no isinstance here
+        self.transport = cast(asyncio.Transport, transport)
+        self.clients.opened(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.transport = None
+        if self.timer:
+            self.timer.cancel()
+        self.clients.closed(self)
+        self._withdraw()
+
+    def eof_received(self) -> None:
+        """The client has gone, whatever it does not take yet: the transport writes that first."""
+        self._withdraw()
+
+    def departed(self) -> None:
+        """It has closed the connection, or its machine reset it, while it was not read.
+
+        What it sent before that is not read any more: nobody waits for it.
+        """
+        self.ending, self.reader = True, Commands()
+        self._withdraw()
+        if self.transport:
+            self.transport.close()
+
+    def _withdraw(self) -> None:
+        """Nobody waits for the answers any more."""
+        slots, self.slots = self.slots, deque()
+        for slot in slots:
+            if slot.answer is None or slot.stream:
+                self.clients.driver.client_gone(slot.request_id)
+            if slot.stream:
+                slot.stream.abandon()  # it may have ended at the server already
+
+    def hold(self, size: int, in_hand: bool = True) -> None:
+        """Count bytes that are held for this connection, or less of them."""
+        self.held += size
+        self.clients.held += size
+        if in_hand:
+            self.in_hand += size
+
+    # ---- Commands in
+
+    def data_received(self, data: bytes) -> None:
+        if self.ending:
+            return
+        if not self.spoke and not self.reader.left:
+            self.clients.roll.stirs(self)
+            self.age_s = age_s(self.socket)
+        if self.reads:
+            self.reads.moved(len(data), time.monotonic())
+        self.reader.feed(data)
+        self.hold(len(data), in_hand=False)
+        self._read()
+
+    def _full(self) -> bool:
+        """Whether no more commands may be in hand now; who has none may always have one."""
+        some, clients = len(self.slots), self.clients
+        if self.stuck or self.in_hand > MOST_IN_HAND + CALL * some:
+            return True
+        if not some:
+            return False
+        return (some >= MOST_PIPELINED or clients.held >= clients.most_held
+                or (clients.parked.count > 0 and some >= clients.depth()))
+
+    def _read(self) -> None:
+        """Read commands, but no more than may be in hand at once, and not so many that others wait.
+
+        Guards against a client that pipelines without end. A reply that a command gets at once calls
+        ``flush``, which may come back here: ``reading`` says so.
+        """
+        self.reading, self.within, took, within = True, False, 0, False
+        while not self.ending and self.transport and not self._full() and took < MOST_AT_ONCE:
+            before = self.reader.left
+            try:
+                command = self.reader.command()
+            except ProtocolError as error:
+                self._break(f"Protocol error: {error}")
+                break
+            if command is None:
+                within = before > 0
+                break
+            took += 1
+            self.spoke = True
+            self._take(command, before - self.reader.left)
+        self.reading = False
+        self.within = within
+        if within:
+            if max(self.reader.left, self.reader.needed) > STREAM_FROM:  # by what its header promises
+                self.clients.intake.begins(self)
+            self.clients.relieve()
+        elif self in self.clients.intake:
+            self.clients.next_long(self)
+        if took == MOST_AT_ONCE and not self.tired:
+            self.tired = True
+            self.clients.loop.call_soon(self._go_on)
+        self.throttle()
+        self.clients.sort(self, self.reader.left > 0, took > 0)  # part of one, or some not taken yet
+        self._leave_if_done()
+
+    def _go_on(self) -> None:
+        self.tired = False
+        if self.transport:
+            self._read()
+
+    def throttle(self) -> None:
+        """Read on, or no further, as there is room."""
+        if self.transport is None or self.transport.is_closing():
+            return
+        pause = (self.ending or self.tired or self._full() or self.clients.finishing()
+                 or not self.clients.may_send_on(self))
+        if pause != self.paused:
+            self.paused = pause
+            if self.reads:
+                (self.reads.pause if pause else self.reads.resume)(time.monotonic())
+            (self.transport.pause_reading if pause else self.transport.resume_reading)()
+        if pause and not self.tired:  # that lasts for a turn of the loop alone
+            self.clients.departures.watch(self, self.socket)
+        else:
+            self.clients.departures.forget(self)
+
+    def loose(self) -> int:
+        """Bytes that would be free if it were cut off: what it does not take, and a part of a command."""
+        if self.transport is None or self.transport.is_closing() or not (self.stuck or self.within):
+            return 0
+        if self.slots and self.slots[0].stream:
+            return 0  # a value passed on in part is never cut off for memory; the streams have a budget
+        if self.within and self in self.clients.intake:
+            return 0  # nor a long command: those wait their turn
+        return max(0, self.held - self.in_hand)
+
+    def cut_off(self) -> None:
+        """End it for the memory that it holds: at once, or after an error where it takes what it is sent."""
+        self.within = False
+        if self.stuck:
+            self.hold(-self.unsent, in_hand=False)
+            self.unsent = 0
+            self.abort()
+        elif not self.ending:
+            self._break("out of memory")
+
+    def _break(self, why: str) -> None:
+        """What can't be read is answered and the connection closed, after the replies before it."""
+        log.info("a client is turned away: %s", why)
+        self.ending = self.unread = True
+        self.hold(-self.reader.left, in_hand=False)
+        self.reader = Commands()
+        self.clients.sort(self, within=True, took=False)
+        self._reply(f"-ERR {why}\r\n".encode("ascii", "replace"))
+        self.throttle()
+
+    def _take(self, command: list[bytes], size: int) -> None:
+        name = command[0].upper()
+        if name in (b"CALL.GET", b"CALL.POST"):
+            self._call(command, size)
+            return
+        self.hold(-size, in_hand=False)
+        if name == b"PING":
+            self._reply(self.clients.pong())
+        else:
+            self._refuse("unknown command")
+
+    def _call(self, command: list[bytes], size: int) -> None:
+        driver = self.clients.driver
+        try:
+            request, encode = self.clients.requests.read(command)
+            if request.request_id in driver.calls:
+                raise CommandError("a request of this id is in hand")
+        except ValueError as error:
+            self.hold(-size, in_hand=False)
+            self._refuse(str(error))
+            return
+        self.errors = 0
+        self.asked += 1
+        if self.asked == 1:
+            self.clients.asking += 1
+            self.clients.look_after()
+        if not self.clients.relieve(LONGEST_VALUE if size > STREAM_FROM else 0):
+            self.hold(-size, in_hand=False)
+            # Guards against commands in hand that together outgrow the memory.
+            self._reply(wire.answer_line(driver.turn_away(request.class_name)))
+            return
+        self.held += CALL
+        self.clients.held += CALL
+        self.in_hand += size + CALL
+        slot = Slot(self, None, request.request_id, size + CALL)
+        self.slots.append(slot)
+        slot.call = Call(request.request_id, encode, slot.fill, slot.open)
+        if self.asked == 1:
+            age_ms = self.age_s * 1000.0 if self.age_s >= AGED_S else 0.0
+            patience_ms = max(0.0, request.patience_ms - age_ms)
+            request = replace(
+                request, scarcity=self.clients.scarcity(), turnover=self.clients.turnover(), age_ms=age_ms,
+                patience_ms=patience_ms)
+        driver.request(slot.call, request, request.patience_ms)
+
+    def turned_away(self) -> None:
+        """Nothing was sent on for a request. If it was the first one, and places are short, it ends here.
+
+        Guards against connections that hold a place for seconds for nothing.
+        """
+        if self.asked == 1 and self.clients.short():
+            self.ending = True
+
+    def _refuse(self, why: str) -> None:
+        """A bad command: an error, and after many in a row the end."""
+        self.errors += 1
+        self.ending = self.ending or self.errors >= MOST_ERRORS
+        self.unread = self.ending
+        self._reply(f"-ERR {why}\r\n".encode("ascii", "replace"))
+
+    def overdue(self) -> None:
+        """A command that was owed has not come, or an end has taken too long.
+
+        Guards against clients that say nothing, or stop within a command: they hold a place and memory.
+        What they sent before is not waited for: it has failed.
+        """
+        if self.transport is None:
+            return
+        if self.ending and not self.slots:
+            self.transport.abort()  # it does not take its error
+            return
+        if not self.ending:
+            self._break("timeout")
+        for slot in list(self.slots):
+            if slot.answer is None:
+                self.clients.driver.client_gone(slot.request_id, failed=True)
+                slot.fill(FAILED)
+
+    # ---- Replies out
+
+    def _reply(self, answer: bytes) -> None:
+        self.slots.append(Slot(self, answer, size=len(answer)))
+        self.hold(len(answer))
+        self.flush()
+
+    def flush(self) -> None:
+        """Write the replies that are due, in the order of their commands."""
+        if self.transport is None:
+            return
+        while self.slots and not self.stuck:
+            slot = self.slots[0]
+            if slot.answer is None or (slot.stream and not self._pass_on(slot, slot.stream)):
+                break
+            self.hold(-self.slots.popleft().size)
+            if slot.answer:
+                self.transport.write(slot.answer)
+        if self.stuck:
+            self._count_unsent()
+        if self.reading:
+            return
+        if self.paused and not self.ending:
+            self._read()
+        elif not self.slots and self not in self.clients.roll:
+            self.clients.rests(self)
+        self._leave_if_done()
+
+    def _pass_on(self, slot: Slot, stream: Stream) -> bool:
+        """Write what has come of a long value whose turn it is; whether that was the last of it."""
+        assert self.transport
+        if stream.failed:
+            # The client can tell that it is not whole: the connection ends behind what was passed on.
+            stream.abandon()
+            slot.answer, slot.stream, self.ending, self.unread = b"", None, True, False
+            self.transport.close()
+            return False
+        if slot.answer:
+            self.transport.write(slot.answer)
+            self.hold(-slot.size)
+            slot.answer, slot.size = b"", 0
+        while stream.pieces and not self.stuck:
+            self.transport.write(stream.take())
+        if stream.pieces or not stream.ended:
+            return False
+        stream.streams.open.discard(stream)
+        self.transport.write(b"\r\n")
+        return True
+
+    def _leave_if_done(self) -> None:
+        """Close between requests, when it is time to.
+
+        Commands that were read but not taken yet, as too many were in hand, are taken first: closing
+        then would lose them. A connection that still brings what is not read lingers: guards against a
+        reset, which a close would send then and which may overtake the error.
+        """
+        if not self.transport or self.slots or self.tired or self.transport.is_closing():
+            return
+        if self.ending and self.unread:
+            if self.timer is None:
+                self.timer = self.clients.loop.call_later(LINGER_S, self.abort)
+        elif self.ending or (self.clients.emptying and self._may_go()):
+            self.transport.close()
+
+    def _may_go(self) -> bool:
+        """Whether it may be closed between requests as the process empties.
+
+        Guards against turning back a command that crosses the close: who is within one, or has just come, is
+        waited for, but not without end; what has come unread is read first.
+        """
+        if self.clients.finishing():
+            return True
+        rested_s = self.clients.loop.time() - self.clients.roll.since(self)
+        quiet = rested_s >= (QUIET_S if self.spoke else FRESH_S)
+        return quiet and not self.reader.left and not unread(self.socket)
+
+    def pause_writing(self) -> None:
+        """The client does not take its answers: it is read no further, and given up after a while.
+
+        Guards against a slow reader whose answers pile up here.
+        """
+        self.stuck = True
+        self.writes = Pace(Least(WRITE_RATE, STALLED_S, STALLED_S), time.monotonic())
+        self.clients.stuck[self] = None
+        self.clients.look_after()
+        self._count_unsent()
+        self.throttle()
+
+    def _count_unsent(self) -> int:
+        """Count what it has not taken yet as held; how much less that is than before."""
+        size = self.transport.get_write_buffer_size() if self.stuck and self.transport else 0
+        gone, self.unsent = self.unsent - size, size
+        self.hold(-gone, in_hand=False)
+        return gone
+
+    def takes_too_little(self, now: float, late: float) -> bool:
+        """Whether answers pile up here that it takes too slowly."""
+        assert self.writes
+        self.writes.excuse(late)
+        self.writes.moved(max(0, self._count_unsent()), now)
+        return self.writes.too_slow(now)
+
+    def resume_writing(self) -> None:
+        self.stuck, self.writes = False, None
+        self.clients.stuck.pop(self, None)
+        self._count_unsent()
+        self.flush()
+
+    def abort(self) -> None:
+        """End the connection, whatever is still to be written on it."""
+        if self.transport:
+            self.transport.abort()
+
+    def drop(self) -> bool:
+        """Close it to make room, unless a command has come that was not read yet."""
+        if self.transport is None or self.transport.is_closing():
+            return False
+        if not self.ending and unread(self.socket):
+            return False
+        self.ending = True
+        self.transport.abort()
+        return True
--- a/brackenloft/net/departures.py
+++ b/brackenloft/net/departures.py
@@ -19,18 +19,6 @@
 P = TypeVar("P")
 
 
-def has_gone(sock: socket.socket) -> bool:
-    """Whether the peer has closed it, or it was reset, also behind bytes that are not read yet."""
-    if not hasattr(select, "POLLRDHUP"):
-        return False
-    poll = select.poll()
-    try:
-        poll.register(sock, select.POLLRDHUP)
-    except (OSError, ValueError):  # closed here already
-        return True
-    return bool(poll.poll(0))
-
-
 class Departures(Generic[P]):
     """The peers whose connections are paused; ``gone`` is told of each that closes one, once."""
 
--- /dev/null
+++ b/brackenloft/net/kernel.py
@@ -0,0 +1,30 @@
+"""What the kernel knows of a socket and its transport does not tell."""
+
+from __future__ import annotations
+
+import socket
+import struct
+from contextlib import suppress
+
+MOST_AGE_MS = 60_000  # more than any client waits: not to be believed
+INFO_SIZE, INFO_OFFSET, INFO_LAST_DATA = 104, 52, struct.Struct("=I")
+
+
+def age_s(sock: socket.socket) -> float:
+    """How long what came last has lain in the kernel; 0 where that can't be told.
+
+    From struct tcp_info (Linux, tcp(7)): tcpi_last_data_recv, milliseconds.
+    """
+    try:
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, INFO_SIZE)
+        age_ms: int = INFO_LAST_DATA.unpack_from(info, INFO_OFFSET)[0]
+    except (OSError, AttributeError, struct.error):
+        return 0.0
+    return age_ms / 1000.0 if age_ms <= MOST_AGE_MS else 0.0
+
+
+def unread(sock: socket.socket) -> bool:
+    """Whether something has come that was not read yet."""
+    with suppress(OSError):
+        return bool(sock.recv(1, socket.MSG_PEEK))
+    return False
--- /dev/null
+++ b/brackenloft/net/slots.py
@@ -0,0 +1,45 @@
+"""The places of replies in the order of a connection's commands."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from brackenloft.answers import Answer, Opened
+from brackenloft.net import wire
+from brackenloft.net.driver import Call
+from brackenloft.net.streams import Stream
+
+if TYPE_CHECKING:
+    from brackenloft.net.client import Client
+
+
+class Slot:
+    """The place of a command's reply in the order of its connection."""
+
+    __slots__ = ("connection", "answer", "request_id", "size", "call", "stream")
+
+    def __init__(
+        self, connection: Client, answer: bytes | None = None, request_id: str = "", size: int = 0,
+    ) -> None:
+        self.connection, self.answer, self.request_id = connection, answer, request_id
+        self.size = size  # bytes that it holds: the command, later the answer
+        self.call: Call | None = None
+        self.stream: Stream | None = None  # what comes behind the answer's header
+
+    def open(self, opened: Opened) -> None:
+        """The command's one answer has begun: its header, and the value behind it as it comes."""
+        self.stream = opened.stream
+        self.answer = wire.value_header(opened.stream.size)
+        self.connection.hold(len(self.answer) - self.size)
+        self.size = len(self.answer)
+        self.stream.sink = self.connection.flush
+        self.connection.flush()
+
+    def fill(self, answer: Answer) -> None:
+        """The command's one answer."""
+        self.answer = wire.answer_line(answer)
+        if self.call and not self.call.sends:
+            self.connection.turned_away()
+        self.connection.hold(len(self.answer) - self.size)
+        self.size = len(self.answer)
+        self.connection.flush()
--- a/tests/test_net_clients.py
+++ b/tests/test_net_clients.py
@@ -7,8 +7,9 @@
 from fakes import FakeServer, array, call, node, resp, run, until
 
 from brackenloft.lifecycle import Event, State
+from brackenloft.net import client
 from brackenloft.net import clients as module
-from brackenloft.net.clients import MOST_PIPELINED
+from brackenloft.net.client import MOST_PIPELINED
 from brackenloft.net.resp import LONGEST_VALUE
 
 GOOD = "c=read,t=free,d=4000,units=1,spread=2,first=0"
@@ -325,12 +326,12 @@
     async def test():
         async with node(FakeServer()) as gateway:
             peer = await gateway.peer()
-            for number in range(3 * module.MOST_ERRORS):
+            for number in range(3 * client.MOST_ERRORS):
                 assert (await peer.ask(resp("NONSENSE"))).startswith("-ERR ")
                 if number % 8 == 7:
                     assert await peer.ask(call(number)) == b"%016x" % number
-            peer.send(resp("NONSENSE") * 10 * module.MOST_ERRORS)
-            for _ in range(module.MOST_ERRORS):
+            peer.send(resp("NONSENSE") * 10 * client.MOST_ERRORS)
+            for _ in range(client.MOST_ERRORS):
                 assert (await peer.reply()).startswith("-ERR ")
             assert await peer.reply() is None
 
--- a/tests/test_net_slow.py
+++ b/tests/test_net_slow.py
@@ -14,9 +14,10 @@
 from brackenloft import Effect, ListKind, Plan, Request, RequestClass, ServerEntry, Status
 from brackenloft.admission.budget import Side
 from brackenloft.edge import Node
+from brackenloft.net import client as client_module
 from brackenloft.net import clients as clients_module
 from brackenloft.net import servers as servers_module
-from brackenloft.net.clients import _age_s
+from brackenloft.net.kernel import age_s
 from brackenloft.standins import BoardNode, Fault, at_random
 
 LARGE = b"v" * 900_000
@@ -172,7 +173,7 @@
 def quick(monkeypatch):
     """The same rules on a shorter scale."""
     monkeypatch.setattr(clients_module, "COMMAND_S", 0.3)
-    monkeypatch.setattr(clients_module, "STALLED_S", 0.3)
+    monkeypatch.setattr(client_module, "STALLED_S", 0.3)
     monkeypatch.setattr(servers_module, "SLOW_S", 0.3)
 
 
@@ -491,7 +492,7 @@
             (part,) = [part for part in server.commands[0][3].split(b",") if part.startswith(b"d=")]
             assert int(part[2:]) <= 3750
             ours, theirs = socket.socketpair()
-            assert _age_s(ours) == 0.0  # it can't be told there
+            assert age_s(ours) == 0.0  # it can't be told there
             ours.close()
             theirs.close()
 
