A lingering close: replies are whole before the end, and nothing whole is closed over

Found on reading the closes of a client's connection, each shown by a test that fails without the mend: - A command that lands between `_unread()` and `transport.close()` made the kernel reset the connection, and replies that the peer had not taken yet went with it. FINISH_S is at most half of the time that is left, as deadlines may be shorter than it. - `Edge._end` aborted connections with answers in their write buffers; they have WRITE_S for the kernel to take them.

Tried and dropped: turning away all that comes after FINISH_S; clients that ask one by one got -BUSY from a process that had been replaced (test_processes_replaced_under_traffic failed). Ruled out: on uvloop answers written in the last turn go out without the wait, where the kernel has room. Checked: tests/test_net_closing.py, 30 in three housings; 3 fail each without write_eof, the wait at the end, the turning away, its exception for who asks one by one, discard before the close. Net, edge, handover, stopping: 1,151 passed.

--- a/brackenloft/edge/edge.py
+++ b/brackenloft/edge/edge.py
@@ -37,6 +37,7 @@
 SPARE = 8  # descriptors that a side may take at once beyond what it holds: a burst of new attempts
 CLOSE_S = 3.7  # for closing by default: the longest deadline of the platform and some to spare
 LOOK_S = 0.01  # between two looks at what is still in hand while closing
+WRITE_S = 0.1  # beyond that for the last answers to go to the kernel
 ID_SPACE = 1 << 64
 
 
@@ -261,9 +262,12 @@
             self.lifecycle.happens(Event.LEAVE)
             self.driver.post(api.Stopping(within_s * 1000.0))
             await asyncio.sleep(accept_s)
-            self.clients.stop_listening()
+            self.clients.stop_listening(end - self.loop.time())
             while self._busy() and self.loop.time() < end:
                 await asyncio.sleep(LOOK_S)
+            self.driver.abandon()
+            while not self.clients.written() and self.loop.time() < end + WRITE_S:
+                await asyncio.sleep(LOOK_S)  # guards against last answers that go with their connections
         finally:  # also when the host cancels this
             self._end()
 
--- a/brackenloft/net/client.py
+++ b/brackenloft/net/client.py
@@ -14,7 +14,7 @@
 from brackenloft.answers import FAILED
 from brackenloft.net import wire
 from brackenloft.net.driver import Call
-from brackenloft.net.kernel import age_s, unread
+from brackenloft.net.kernel import age_s, discard, unread
 from brackenloft.net.requests import CommandError
 from brackenloft.net.resp import LONGEST_VALUE, Commands, ProtocolError
 from brackenloft.net.slots import Slot
@@ -30,7 +30,7 @@
 MOST_AT_ONCE = 64  # commands of one connection read before the others have their turn
 MOST_ERRORS = 16  # bad commands in a row, after which a connection is closed: no use comes of more
 AGED_S = 0.05  # from which the time that a request has waited in the kernel counts: the loop's turns are less
-LINGER_S = 0.3  # a broken connection stays so long, unread, that the error is not reset away
+LINGER_S = 0.3  # from our half-close to the peer's, before the connection is closed all the same
 STALLED_S = 15.0  # a client that takes no byte of its answers for so long is gone; a burst may save as much
 WRITE_RATE = 4 * 1024  # bytes a second that a client takes at least of answers that pile up here
 # Bytes that a request in hand takes beside its command: 5.7 kB were seen with an attempt out. Guards against
@@ -53,7 +53,9 @@
         self.age_s = 0.0  # of what came first, when it was read
         self.asked = self.errors = 0  # requests so far, and bad commands in a row
         self.transport: asyncio.Transport | None = None
-        self.spoke = self.ending = self.unread = self.stuck = self.paused = self.reading = self.tired = False
+        self.spoke = self.ending = self.stuck = self.paused = self.reading = self.tired = False
+        self.parting = False  # to be closed as soon as nothing is owed on it
+        self.half_closed = False  # by us, after the last reply; nothing is read any more
         self.within = False  # a part of a command has come, and may be dropped
         self.timer: asyncio.TimerHandle | None = None  # while it lingers
         self.reads: Pace | None = None  # while it is within a command
@@ -105,7 +107,7 @@
     # ---- Commands in
 
     def data_received(self, data: bytes) -> None:
-        if self.ending:
+        if self.ending or self.half_closed:
             return
         if not self.spoke and not self.reader.left:
             self.clients.roll.stirs(self)
@@ -170,7 +172,7 @@
         """Read on, or no further, as there is room."""
         if self.transport is None or self.transport.is_closing():
             return
-        pause = (self.ending or self.tired or self._full() or self.clients.finishing()
+        pause = (self.ending or self.half_closed or self.tired or self._full()
                  or not self.clients.may_send_on(self))
         if pause != self.paused:
             self.paused = pause
@@ -205,7 +207,7 @@
     def _break(self, why: str) -> None:
         """What can't be read is answered and the connection closed, after the replies before it."""
         log.info("a client is turned away: %s", why)
-        self.ending = self.unread = True
+        self.ending = True
         self.hold(-self.reader.left, in_hand=False)
         self.reader = Commands()
         self.clients.sort(self, within=True, took=False)
@@ -238,7 +240,10 @@
         if self.asked == 1:
             self.clients.asking += 1
             self.clients.look_after()
-        if not self.clients.relieve(LONGEST_VALUE if size > STREAM_FROM else 0):
+        # Guards against who never pauses as the process empties: left unread, its commands would be closed
+        # over when their time has gone by. One that comes alone is served, and the connection closed behind.
+        too_late = bool(self.slots) and self.clients.finishing()
+        if too_late or not self.clients.relieve(LONGEST_VALUE if size > STREAM_FROM else 0):
             self.hold(-size, in_hand=False)
             # Guards against commands in hand that together outgrow the memory.
             self._reply(wire.answer_line(driver.turn_away(request.class_name)))
@@ -263,13 +268,12 @@
         Guards against connections that hold a place for seconds for nothing.
         """
         if self.asked == 1 and self.clients.short():
-            self.ending = True
+            self.parting = True
 
     def _refuse(self, why: str) -> None:
         """A bad command: an error, and after many in a row the end."""
         self.errors += 1
         self.ending = self.ending or self.errors >= MOST_ERRORS
-        self.unread = self.ending
         self._reply(f"-ERR {why}\r\n".encode("ascii", "replace"))
 
     def overdue(self) -> None:
@@ -281,7 +285,8 @@
         if self.transport is None:
             return
         if self.ending and not self.slots:
-            self.transport.abort()  # it does not take its error
+            if not self.stuck:  # else it has replies to take still, and its pace is watched
+                self.transport.abort()  # it does not take its error
             return
         if not self.ending:
             self._break("timeout")
@@ -324,7 +329,7 @@
         if stream.failed:
             # The client can tell that it is not whole: the connection ends behind what was passed on.
             stream.abandon()
-            slot.answer, slot.stream, self.ending, self.unread = b"", None, True, False
+            slot.answer, slot.stream, self.ending = b"", None, True
             self.transport.close()
             return False
         if slot.answer:
@@ -342,29 +347,51 @@
     def _leave_if_done(self) -> None:
         """Close between requests, when it is time to.
 
-        Commands that were read but not taken yet, as too many were in hand, are taken first: closing
-        then would lose them. A connection that still brings what is not read lingers: guards against a
-        reset, which a close would send then and which may overtake the error.
+        Commands that were read but not taken yet, as too many were in hand, are taken first: closing then
+        would lose them.
         """
-        if not self.transport or self.slots or self.tired or self.transport.is_closing():
+        if not self.transport or self.slots or self.tired or self.stuck or self.transport.is_closing():
             return
-        if self.ending and self.unread:
-            if self.timer is None:
-                self.timer = self.clients.loop.call_later(LINGER_S, self.abort)
-        elif self.ending or (self.clients.emptying and self._may_go()):
-            self.transport.close()
+        if self.ending or self._may_go():
+            self._half_close()
 
     def _may_go(self) -> bool:
-        """Whether it may be closed between requests as the process empties.
+        """Whether it may be closed between requests: for want of places, or as the process empties.
 
         Guards against turning back a command that crosses the close: who is within one, or has just come, is
         waited for, but not without end; what has come unread is read first.
         """
+        if not self.parting and not self.clients.emptying or unread(self.socket):
+            return False
         if self.clients.finishing():
             return True
         rested_s = self.clients.loop.time() - self.clients.roll.since(self)
-        quiet = rested_s >= (QUIET_S if self.spoke else FRESH_S)
-        return quiet and not self.reader.left and not unread(self.socket)
+        quiet = self.parting or rested_s >= (QUIET_S if self.spoke else FRESH_S)
+        return quiet and not self.reader.left
+
+    def _half_close(self) -> None:
+        """A lingering close: end our side behind the last reply, then wait for the peer's end.
+
+        Guards against a reset: a close over bytes that were not read sends one, and it overtakes replies that
+        the peer has not taken yet. What comes from now on is left in the kernel: the peer sees the end behind
+        its last reply, and asks again elsewhere.
+        """
+        assert self.transport
+        if self.half_closed:
+            return
+        if self.transport.get_write_buffer_size():
+            self.transport.set_write_buffer_limits(0)  # it tells when the last byte has gone to the kernel
+            return
+        self.half_closed = True
+        self.transport.write_eof()
+        self.timer = self.clients.loop.call_later(LINGER_S, self._linger_no_more)
+        self.throttle()
+
+    def _linger_no_more(self) -> None:
+        """The peer has not ended its side: close all the same, without a reset where that can be helped."""
+        if self.transport:
+            discard(self.socket)
+            self.transport.close()
 
     def pause_writing(self) -> None:
         """The client does not take its answers: it is read no further, and given up after a while.
@@ -401,13 +428,14 @@
     def abort(self) -> None:
         """End the connection, whatever is still to be written on it."""
         if self.transport:
+            discard(self.socket)
             self.transport.abort()
 
     def drop(self) -> bool:
         """Close it to make room, unless a command has come that was not read yet."""
         if self.transport is None or self.transport.is_closing():
             return False
-        if not self.ending and unread(self.socket):
+        if not self.ending and not self.half_closed and unread(self.socket):
             return False
         self.ending = True
         self.transport.abort()
--- a/brackenloft/net/clients.py
+++ b/brackenloft/net/clients.py
@@ -8,6 +8,7 @@
 import time
 from collections import OrderedDict
 from itertools import islice
+from math import inf
 
 from brackenloft import interface as api
 from brackenloft.admission.budget import Budget, Side
@@ -38,6 +39,7 @@
 SWEEP_S = 0.05  # between two looks at who is overdue
 FINISH_S = 1.5  # while the process empties: for who is within a command, and for commands without a gap: none
 # may be held after 4 s on which a request came within 2 s
+FINISH_SHARE = 0.5  # of the time that is left, where that is less: the rest is for what was taken before
 BACKLOG = 1024  # connections that wait in the kernel: all that come while there is no room
 ACCEPTS = 32  # connections accepted before the others have their turn
 ROOM = 16  # connections closed at once when there is no room for another
@@ -70,7 +72,7 @@
         self.usual = usual  # connections that clients open for requests by themselves; 0 for any number
         self.loop = asyncio.get_running_loop()
         self.emptying = self.leaving = self.accepting = self.shared = False
-        self.emptying_since = 0.0
+        self.finish_at = inf  # by the loop's clock
         self.listener: socket.socket | None = None
         self.tasks: set[asyncio.Task[None]] = set()
         self.sweeper: asyncio.TimerHandle | None = None  # while there is something to look at
@@ -349,14 +351,17 @@
 
     # ---- The end
 
-    def stop_listening(self) -> None:
+    def stop_listening(self, left_s: float = inf) -> None:
         """Close each connection once nothing is owed on it, accept who waits in the kernel, then nobody.
 
+        ``left_s``: how long the process still has.
+
         Guards against losing a crowd's requests: the kernel has taken what waits for a place, and resets it
         when the listener closes. The places come free here, as who rests is closed.
         """
         self.leaving = True
         self.empty()
+        self.finish_at = min(self.finish_at, self.loop.time() + FINISH_SHARE * left_s)
         if self.shared:
             self._close_listener()  # others hold it: nobody is reset
         elif self.listener:
@@ -366,7 +371,7 @@
     def empty(self) -> None:
         """From now on, close each connection once nothing is owed on it."""
         if not self.emptying:
-            self.emptying, self.emptying_since = True, self.loop.time()
+            self.emptying, self.finish_at = True, self.loop.time() + FINISH_S
         self.look_after()
         self._empty()
 
@@ -375,12 +380,12 @@
             client.flush()
 
     def finishing(self) -> bool:
-        """Whether it is time that even those who never pause come to an end: no more is read."""
-        return self.emptying and self.loop.time() - self.emptying_since >= FINISH_S
+        """Whether it is time that even those who never pause come to an end: no more is taken on."""
+        return self.emptying and self.loop.time() >= self.finish_at
 
     def keep(self) -> None:
         """Empty no more."""
-        self.emptying = False
+        self.emptying, self.finish_at = False, inf
         for client in list(self.connections):
             client.flush()  # and read on, where that had stopped
 
@@ -394,6 +399,11 @@
             self.listener.close()
             self.listener = None
 
+    def written(self) -> bool:
+        """Whether all answers have gone to the kernel."""
+        return all(client.transport is None or not client.transport.get_write_buffer_size()
+                   for client in self.connections)
+
     def abort(self) -> None:
         """Close what is left, at the very end."""
         if self.sweeper:
--- a/brackenloft/net/kernel.py
+++ b/brackenloft/net/kernel.py
@@ -8,6 +8,7 @@
 
 MOST_AGE_MS = 60_000  # more than any client waits: not to be believed
 INFO_SIZE, INFO_OFFSET, INFO_LAST_DATA = 104, 52, struct.Struct("=I")
+DISCARDED, MOST_DISCARDED = 64 * 1024, 4  # bytes at once, and how often: no peer holds up a close
 
 
 def age_s(sock: socket.socket) -> float:
@@ -28,3 +29,11 @@
     with suppress(OSError):
         return bool(sock.recv(1, socket.MSG_PEEK))
     return False
+
+
+def discard(sock: socket.socket) -> None:
+    """Drop what has come and was not read. Guards against the reset that a close over it would send."""
+    with suppress(OSError):
+        for _ in range(MOST_DISCARDED):
+            if not sock.recv(DISCARDED):
+                break
--- /dev/null
+++ b/tests/test_net_closing.py
@@ -0,0 +1,176 @@
+"""Bytes that arrive in the moment in which the gateway closes: every reply that is owed comes whole."""
+
+import asyncio
+import contextlib
+import socket
+
+import pytest
+from fakes import SETTINGS, FakeServer, Peer, array, call, node, resp, run, until
+
+from brackenloft import Plan
+from brackenloft.edge import edge as edge_module
+from brackenloft.net import client as client_module
+
+VALUE = b"x" * 12_000  # more than the peers below have room for in their kernel
+REPLY = b"$12000\r\n" + VALUE + b"\r\n"
+
+
+async def narrow(gateway, ours=4096):
+    """A peer that has little room for replies, and its connection at the gateway, which has so much."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    sock.connect(gateway.clients.listener.getsockname())
+    sock.setblocking(False)
+    await until(lambda: bool(gateway.clients.connections))
+    client = list(gateway.clients.connections)[-1]
+    client.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, ours)
+    return sock, client
+
+
+async def all_of(sock):
+    """What comes until the end; ConnectionResetError: it was no end."""
+    loop, got = asyncio.get_running_loop(), b""
+    with contextlib.closing(sock):
+        while data := await loop.sock_recv(sock, 4096):
+            got += data
+    return got
+
+
+def test_command_that_lands_between_the_last_look_and_the_close_resets_no_reply_away(monkeypatch):
+    async def test():
+        async with node(FakeServer(lambda words: array(VALUE))) as gateway:
+            sock, client = await narrow(gateway, 1 << 20)
+            looks = []
+
+            def unread(ours):
+                looks.append(ours)
+                sock.send(call(2))  # nothing had come when it was looked at
+                return False
+
+            sock.send(call(1))
+            await until(lambda: client.asked == 1 and not client.slots)
+            await until(lambda: not client.transport.get_write_buffer_size())
+            monkeypatch.setattr(client_module, "unread", unread)
+            client.parting = True
+            client.flush()
+            await until(lambda: bool(looks))
+            monkeypatch.undo()
+            # What the peer sent last was read by nobody, and it is told so by the end.
+            assert (await all_of(sock) == REPLY) is True
+            await until(lambda: not gateway.clients.connections)
+            assert not gateway.driver.calls
+
+    run(test())
+
+
+def test_first_request_that_is_turned_away_takes_no_whole_command_behind_it_along(monkeypatch):
+    async def test():
+        async with node(FakeServer()) as gateway:
+            other = await gateway.peer()
+            assert await other.ask(call(1, plan="tiny")) == b"%016x" % 1
+            monkeypatch.setattr(gateway.clients, "short", lambda: True)
+            peer = await gateway.peer()
+            peer.send(call(3, plan="tiny"), call(4))
+            assert (await peer.reply()).startswith("-BUSY")
+            assert await peer.reply() == b"%016x" % 4
+            assert await peer.reply() is None
+
+    run(test())
+
+
+@pytest.mark.parametrize("bad", [b"!junk\r\n", resp("NONSENSE") * client_module.MOST_ERRORS])
+def test_replies_before_a_command_that_ends_the_connection_come_whole_however_late_they_are_taken(
+        bad, monkeypatch):
+    monkeypatch.setattr(client_module, "LINGER_S", 0.0)
+
+    async def test():
+        async with node(FakeServer(lambda words: array(VALUE))) as gateway:
+            sock, client = await narrow(gateway)
+            sock.send(b"".join(call(number) for number in range(1, 5)) + bad)
+            await until(lambda: client.ending and not client.slots)
+            got = await all_of(sock)
+            assert (got.startswith(4 * REPLY + b"-ERR ")) is True
+            await until(lambda: not gateway.clients.connections)
+
+    run(test())
+
+
+def test_bytes_behind_what_ended_the_connection_reset_no_reply_away(monkeypatch):
+    monkeypatch.setattr(client_module, "LINGER_S", 0.0)
+
+    async def test():
+        async with node(FakeServer(lambda words: array(VALUE))) as gateway:
+            sock, client = await narrow(gateway, 1 << 20)
+            sock.send(call(1) + b"!junk\r\n")
+            await until(lambda: client.ending)
+            sock.send(b"more that nobody reads")
+            await until(lambda: not gateway.clients.connections)
+            assert (await all_of(sock)).startswith(REPLY + b"-ERR ") is True
+
+    run(test())
+
+
+def test_who_goes_on_sending_as_the_time_runs_out_is_answered_at_once_and_nothing_of_it_is_sent_on():
+    async def test():
+        server = FakeServer(lambda words: None)
+        async with node(server) as gateway:
+            peer = await gateway.peer()
+            peer.send(call(1))
+            await server.until(lambda: len(server.commands) == 1)
+            gateway.clients.stop_listening(0.0)
+            assert gateway.clients.finishing()
+            peer.send(call(2), call(3, "buy"))
+            await until(lambda: len(next(iter(gateway.clients.connections)).slots) == 3)
+            server.writers[0].write(array(b"v"))
+            assert [await peer.reply() for _ in range(4)] == [b"v", "-BUSY", "-BUSY", None]
+            assert len(server.commands) == 1
+
+    run(test())
+
+
+def test_who_asks_one_by_one_as_the_time_runs_out_is_served_and_its_connection_closed_behind_the_reply():
+    async def test():
+        async with node(FakeServer()) as gateway:
+            peer = await gateway.peer()
+            gateway.clients.stop_listening(0.0)
+            assert gateway.clients.finishing()
+            peer.send(call(1))  # it has come before that is acted on
+            await until(lambda: bool(gateway.driver.calls))
+            assert await peer.reply() == b"%016x" % 1
+            assert await peer.reply() is None
+
+    run(test())
+
+
+@pytest.mark.parametrize("sent", [b"", call(9)[:20]])
+def test_what_is_answered_last_of_all_goes_out_before_its_connection_is_closed(sent):
+    """Many answers are given in one moment, at the end of the time that closing may take."""
+    async def test():
+        server, owed = FakeServer(lambda words: None), 30
+        async with node(server, plans=(Plan("free"),), limits=SETTINGS.limits) as gateway:
+            peers = [await Peer().open(gateway.clients.listener.getsockname()[1]) for _ in range(3)]
+            for first, peer in enumerate(peers):
+                peer.send(*(call(100 * first + number) for number in range(1, owed + 1)), sent)
+            await until(lambda: len(gateway.driver.calls) == len(peers) * owed)
+            await gateway.edge.close(0.0)
+            for peer in peers:
+                replies = [await peer.reply() for _ in range(owed)]
+                assert all(reply in ("-BUSY", "-ERR failed") for reply in replies)
+                assert await peer.reply() is None
+
+    run(test())
+
+
+def test_answers_still_to_be_written_at_the_very_end_are(monkeypatch):
+    monkeypatch.setattr(edge_module, "WRITE_S", 30.0)  # the peer reads as fast as this machine lets it
+
+    async def test():
+        async with node(FakeServer(lambda words: array(VALUE))) as gateway:
+            sock, client = await narrow(gateway)
+            sock.send(b"".join(call(number) for number in range(1, 5)))
+            await until(lambda: client.asked == 4 and not client.slots)
+            assert client.transport.get_write_buffer_size() > 0
+            _, got = await asyncio.gather(gateway.edge.close(0.0), all_of(sock))
+            assert (got == 4 * REPLY) is True
+
+    run(test())
