A loop that was held up sends nothing for a client whose end it has yet to read

Where the loop was held up, the FIN may be read later in the turn that sends a parked request or a further attempt. Change: Driver._send asks the kernel (poll, POLLRDHUP) while the beat of net/lag.py is late as well; it costs nothing otherwise.

--- a/brackenloft/net/client.py
+++ b/brackenloft/net/client.py
@@ -14,7 +14,7 @@
 from brackenloft.answers import FAILED
 from brackenloft.net import wire
 from brackenloft.net.driver import Call
-from brackenloft.net.kernel import age_s, discard, unread
+from brackenloft.net.kernel import age_s, discard, has_gone, unread
 from brackenloft.net.requests import CommandError
 from brackenloft.net.resp import LONGEST_VALUE, Commands, ProtocolError
 from brackenloft.net.slots import Slot
@@ -254,6 +254,7 @@
         slot = Slot(self, None, request.request_id, size + CALL)
         self.slots.append(slot)
         slot.call = Call(request.request_id, encode, slot.fill, slot.open)
+        slot.call.left = self.has_left
         if self.asked == 1:
             age_ms = self.age_s * 1000.0 if self.age_s >= AGED_S else 0.0
             patience_ms = max(0.0, request.patience_ms - age_ms)
@@ -262,6 +263,10 @@
                 patience_ms=patience_ms)
         driver.request(slot.call, request, request.patience_ms)
 
+    def has_left(self) -> bool:
+        """Whether the kernel knows that it has gone, though that was not read yet."""
+        return self.transport is None or has_gone(self.socket)
+
     def turned_away(self) -> None:
         """Nothing was sent on for a request. If it was the first one, and places are short, it ends here.
 
--- a/brackenloft/net/driver.py
+++ b/brackenloft/net/driver.py
@@ -65,7 +65,7 @@
 
     __slots__ = (
         "request_id", "encode", "on_answer", "deadline", "sends", "out", "answered", "timers", "tally",
-        "request", "on_open", "stream", "first_ms", "door", "weigh")
+        "request", "on_open", "stream", "first_ms", "door", "weigh", "left")
 
     def __init__(
         self, request_id: str, encode: Callable[[float], bytes], on_answer: Callable[[Answer], None],
@@ -76,6 +76,7 @@
         self.first_ms = 0.0  # latency of its first bytes
         self.door = ""  # through which its servers are spoken to, where it is not RESP2
         self.weigh: Callable[[Reply], None] | None = None  # tells what a good answer has cost
+        self.left: Callable[[], bool] | None = None  # whether its client has gone, though nobody was told yet
         self.request_id, self.encode, self.on_answer = request_id, encode, on_answer
         self.deadline, self.sends, self.answered = 0.0, 0, False
         self.out: dict[int, Attempt | None] = {}  # None: at the host itself
@@ -242,6 +243,9 @@
         wait = call.deadline - now
         if action.timeout_ms:
             wait = min(wait, action.timeout_ms)
+        if call.left and not call.answered and self.lag.held_up() and call.left():
+            # Guards against an attempt for a client whose end is read later in this turn of the loop.
+            self.client_gone(call.request_id)
         if call.answered or wait <= 0.0:
             self._outcome(call, number, action.server, Reply(api.Status.NOT_SENT), 0.0)
             return
--- a/brackenloft/net/kernel.py
+++ b/brackenloft/net/kernel.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import select
 import socket
 import struct
 from contextlib import suppress
@@ -31,6 +32,18 @@
     return False
 
 
+def has_gone(sock: socket.socket) -> bool:
+    """Whether the peer has closed it, or it was reset, also behind bytes that are not read yet."""
+    if not hasattr(select, "POLLRDHUP"):
+        return False
+    poll = select.poll()
+    try:
+        poll.register(sock, select.POLLRDHUP)
+    except (OSError, ValueError):  # closed here already
+        return True
+    return bool(poll.poll(0))
+
+
 def discard(sock: socket.socket) -> None:
     """Drop what has come and was not read. Guards against the reset that a close over it would send."""
     with suppress(OSError):
--- a/brackenloft/net/lag.py
+++ b/brackenloft/net/lag.py
@@ -76,6 +76,10 @@
             self.beat.cancel()
         self.beat, self.due, self.last = None, inf, NO_STALL
 
+    def held_up(self) -> bool:
+        """Whether what is handled in this turn has waited for the loop: the beat is late as well."""
+        return time.monotonic() - self.due > self.least
+
     def excuse(self, began: float, written: float, ended: float) -> float:
         """Seconds of an attempt that ends now for which the loop is to blame."""
         if ended - self.due > self.least:  # the beat is late as well, and has not been called yet
--- a/tests/test_net_departures.py
+++ b/tests/test_net_departures.py
@@ -10,6 +10,7 @@
 
 from brackenloft import Plan
 from brackenloft.net import servers as net_servers
+from brackenloft.net.kernel import has_gone
 
 ONE_AT_A_TIME = (Plan("free"), Plan("one", max_in_flight=1))
 NO_CANCELS = replace(SETTINGS.limits, can_cancel=False)
@@ -127,3 +128,29 @@
             assert client.transport.get_write_buffer_size() > 0  # it was not waited for
 
     run(test())
+
+
+def test_loop_that_was_held_up_sends_nothing_for_a_client_whose_end_it_has_yet_to_read(monkeypatch):
+    async def test():
+        server = FakeServer(lambda words: None)
+        async with node(server, plans=ONE_AT_A_TIME) as gateway:
+            first = await gateway.peer()
+            first.send(call(1, "buy", plan="one"))
+            await server.until(lambda: len(server.commands) == 1)
+            second = await gateway.peer()
+            second.send(call(2, "buy", plan="one"))
+            await until(lambda: len(gateway.driver.calls) == 2)
+            client = list(gateway.clients.connections)[1]
+            # Its end is in the kernel and comes to be read behind the answer that makes room.
+            gateway.clients.departures.forget(client)
+            client.paused = True
+            client.transport.pause_reading()
+            second.writer.close()
+            await until(lambda: has_gone(client.socket))
+            monkeypatch.setattr(gateway.driver.lag, "held_up", lambda: True)
+            server.writers[server.by[0]].write(array(b"v"))
+            assert await first.reply() == b"v"
+            assert gateway.edge.counters()["gone"] == 1 and not gateway.driver.calls
+            assert len(server.commands) == 1
+
+    run(test())
