--- a/benchmarks/slow_peers.py
+++ b/benchmarks/slow_peers.py
@@ -24,8 +24,8 @@
 
 from brackenloft import Contract, Effect, Limits, Plan, RequestClass, Settings
 from brackenloft.edge import Edge, Node, Room
-from brackenloft.net import client as client_module
 from brackenloft.net import clients as clients_module
+from brackenloft.net import replies
 from brackenloft.standins import Peer, ScriptedNode, array
 from brackenloft.standins.load import Member, command
 
@@ -68,7 +68,7 @@
     sock = socket.socket()
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
     sock.setblocking(False)
-    loop, end = asyncio.get_running_loop(), time.monotonic() + client_module.STALLED_S + 2.0
+    loop, end = asyncio.get_running_loop(), time.monotonic() + replies.STALLED_S + 2.0
     await loop.sock_connect(sock, ("127.0.0.1", port))
     await loop.sock_sendall(sock, command(replace(MEMBER, classes=(BUY,)), BUY, (1 << 50) + number, 1))
     with suppress(OSError, TimeoutError):
@@ -204,7 +204,7 @@
     print(f"{'':24}{'p50 ms':>9}{'p99 ms':>9}")
     for name, times in (("normal clients alone", alone), ("beside slow peers", beside)):
         print(f"{name:24}{statistics.median(times):9.3f}{p99(times):9.3f}")
-    print(f"who takes no answer stays {stays.most:.1f} s at most (limit {client_module.STALLED_S:.0f} s), "
+    print(f"who takes no answer stays {stays.most:.1f} s at most (limit {replies.STALLED_S:.0f} s), "
           f"whose command trickles {max(slow_stays):.1f} s (limit {clients_module.COMMAND_S:.0f} s)")
     print(f"held at most {most_held / MEGABYTE:.1f} MB; limits that have bitten: {bites}")
     print(f"crowd of {crowd['asked']} over {DESCRIPTORS} descriptors: {crowd['answered']} answered, "
@@ -264,7 +264,7 @@
     parser.add_argument("--long", action="store_true", help="the limits as they are, more rounds")
     options = parser.parse_args()
     if not options.long:
-        client_module.STALLED_S = 3.0  # as it is, a round takes half a minute
+        replies.STALLED_S = 3.0  # as it is, a round takes half a minute
     if options.peers:
         print(json.dumps(uvloop.run(peers(*map(int, options.peers.split())))))
         return
--- a/brackenloft/__main__.py
+++ b/brackenloft/__main__.py
@@ -18,7 +18,8 @@
 import uvloop
 
 from brackenloft import interface as api
-from brackenloft.edge.edge import Edge, Room
+from brackenloft.edge.asks import Room
+from brackenloft.edge.edge import Edge
 from brackenloft.net.servers import Address
 from brackenloft.settings import settings_from
 
--- a/brackenloft/graphql/run.py
+++ b/brackenloft/graphql/run.py
@@ -9,7 +9,7 @@
 
 from brackenloft.answers import Answer, Refused, Served
 from brackenloft.edge import Call, Edge, Pending
-from brackenloft.edge.edge import Via
+from brackenloft.edge.asks import Via
 from brackenloft.graphql import cost as costs
 from brackenloft.graphql import nodes
 from brackenloft.graphql.cost import Cost, Walk
--- a/brackenloft/net/client.py
+++ b/brackenloft/net/client.py
@@ -10,15 +10,16 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING, cast
 
-from brackenloft.admission.rate import Least, Pace
+from brackenloft.admission.rate import Pace
 from brackenloft.answers import FAILED
 from brackenloft.net import wire
 from brackenloft.net.driver import Call
 from brackenloft.net.kernel import age_s, discard, has_gone, unread
+from brackenloft.net.replies import Replies
 from brackenloft.net.requests import CommandError
 from brackenloft.net.resp import LONGEST_VALUE, Commands, ProtocolError
 from brackenloft.net.slots import Slot
-from brackenloft.net.streams import STREAM_FROM, Stream
+from brackenloft.net.streams import STREAM_FROM
 
 if TYPE_CHECKING:
     from brackenloft.net.clients import Clients
@@ -31,8 +32,6 @@
 MOST_ERRORS = 16  # bad commands in a row, after which a connection is closed: no use comes of more
 AGED_S = 0.05  # from which the time that a request has waited in the kernel counts: the loop's turns are less
 LINGER_S = 0.3  # from our half-close to the peer's, before the connection is closed all the same
-STALLED_S = 15.0  # a client that takes no byte of its answers for so long is gone; a burst may save as much
-WRITE_RATE = 4 * 1024  # bytes a second that a client takes at least of answers that pile up here
 # Bytes that a request in hand takes beside its command: 5.7 kB were seen with an attempt out. Guards against
 # requests without number that are counted with no more than their own few bytes.
 CALL = 6 * 1024
@@ -42,25 +41,21 @@
 QUIET_S = 0.02
 
 
-class Client(asyncio.Protocol):
-    """One client's connection."""
+class Client(Replies):
+    """One client's connection: the half that reads, and its end."""
 
     def __init__(self, clients: Clients, sock: socket.socket) -> None:
-        self.clients, self.socket = clients, sock
+        super().__init__(clients)
+        self.socket = sock
         self.reader = Commands()
-        self.slots: deque[Slot] = deque()
-        self.held = self.in_hand = 0  # bytes in all, and of commands and replies in slots
         self.age_s = 0.0  # of what came first, when it was read
         self.asked = self.errors = 0  # requests so far, and bad commands in a row
-        self.transport: asyncio.Transport | None = None
-        self.spoke = self.ending = self.stuck = self.paused = self.reading = self.tired = False
+        self.spoke = self.tired = False
         self.parting = False  # to be closed as soon as nothing is owed on it
         self.half_closed = False  # by us, after the last reply; nothing is read any more
         self.within = False  # a part of a command has come, and may be dropped
         self.timer: asyncio.TimerHandle | None = None  # while it lingers
         self.reads: Pace | None = None  # while it is within a command
-        self.writes: Pace | None = None  # while it is stuck
-        self.unsent = 0  # bytes of answers that it has not taken, while it is stuck
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         # uvloop's transports are not asyncio.Transport by class: no isinstance here
@@ -97,13 +92,6 @@
             if slot.stream:
                 slot.stream.abandon()  # it may have ended at the server already
 
-    def hold(self, size: int, in_hand: bool = True) -> None:
-        """Count bytes that are held for this connection, or less of them."""
-        self.held += size
-        self.clients.held += size
-        if in_hand:
-            self.in_hand += size
-
     # ---- Commands in
 
     def data_received(self, data: bytes) -> None:
@@ -300,54 +288,16 @@
                 self.clients.driver.client_gone(slot.request_id, failed=True)
                 slot.fill(FAILED)
 
-    # ---- Replies out
-
-    def _reply(self, answer: bytes) -> None:
-        self.slots.append(Slot(self, answer, size=len(answer)))
-        self.hold(len(answer))
-        self.flush()
-
-    def flush(self) -> None:
-        """Write the replies that are due, in the order of their commands."""
-        if self.transport is None:
-            return
-        while self.slots and not self.stuck:
-            slot = self.slots[0]
-            if slot.answer is None or (slot.stream and not self._pass_on(slot, slot.stream)):
-                break
-            self.hold(-self.slots.popleft().size)
-            if slot.answer:
-                self.transport.write(slot.answer)
-        if self.stuck:
-            self._count_unsent()
-        if self.reading:
-            return
-        if self.paused and not self.ending:
-            self._read()
-        elif not self.slots and self not in self.clients.roll:
+    def _rests(self) -> None:
+        if self not in self.clients.roll:
             self.clients.rests(self)
-        self._leave_if_done()
 
-    def _pass_on(self, slot: Slot, stream: Stream) -> bool:
-        """Write what has come of a long value whose turn it is; whether that was the last of it."""
-        assert self.transport
-        if stream.failed:
-            # The client can tell that it is not whole: the connection ends behind what was passed on.
-            stream.abandon()
-            slot.answer, slot.stream, self.ending = b"", None, True
-            self.transport.close()
-            return False
-        if slot.answer:
-            self.transport.write(slot.answer)
-            self.hold(-slot.size)
-            slot.answer, slot.size = b"", 0
-        while stream.pieces and not self.stuck:
-            self.transport.write(stream.take())
-        if stream.pieces or not stream.ended:
-            return False
-        stream.streams.open.discard(stream)
-        self.transport.write(b"\r\n")
-        return True
+    def _is_stuck(self) -> None:
+        self.clients.stuck[self] = None
+        self.clients.look_after()
+
+    def _takes_again(self) -> None:
+        self.clients.stuck.pop(self, None)
 
     def _leave_if_done(self) -> None:
         """Close between requests, when it is time to.
@@ -398,38 +348,6 @@
             discard(self.socket)
             self.transport.close()
 
-    def pause_writing(self) -> None:
-        """The client does not take its answers: it is read no further, and given up after a while.
-
-        Guards against a slow reader whose answers pile up here.
-        """
-        self.stuck = True
-        self.writes = Pace(Least(WRITE_RATE, STALLED_S, STALLED_S), time.monotonic())
-        self.clients.stuck[self] = None
-        self.clients.look_after()
-        self._count_unsent()
-        self.throttle()
-
-    def _count_unsent(self) -> int:
-        """Count what it has not taken yet as held; how much less that is than before."""
-        size = self.transport.get_write_buffer_size() if self.stuck and self.transport else 0
-        gone, self.unsent = self.unsent - size, size
-        self.hold(-gone, in_hand=False)
-        return gone
-
-    def takes_too_little(self, now: float, late: float) -> bool:
-        """Whether answers pile up here that it takes too slowly."""
-        assert self.writes
-        self.writes.excuse(late)
-        self.writes.moved(max(0, self._count_unsent()), now)
-        return self.writes.too_slow(now)
-
-    def resume_writing(self) -> None:
-        self.stuck, self.writes = False, None
-        self.clients.stuck.pop(self, None)
-        self._count_unsent()
-        self.flush()
-
     def abort(self) -> None:
         """End the connection, whatever is still to be written on it."""
         if self.transport:
--- a/brackenloft/net/clients.py
+++ b/brackenloft/net/clients.py
@@ -22,6 +22,7 @@
 from brackenloft.net.client import FRESH_S, MOST_PIPELINED, Client
 from brackenloft.net.departures import Departures
 from brackenloft.net.driver import Driver
+from brackenloft.net.listener import Listener
 from brackenloft.net.requests import Requests
 
 log = logging.getLogger(__name__)
@@ -40,20 +41,18 @@
 FINISH_S = 1.5  # while the process empties: for who is within a command, and for commands without a gap: none
 # may be held after 4 s on which a request came within 2 s
 FINISH_SHARE = 0.5  # of the time that is left, where that is less: the rest is for what was taken before
-BACKLOG = 1024  # connections that wait in the kernel: all that come while there is no room
-ACCEPTS = 32  # connections accepted before the others have their turn
 ROOM = 16  # connections closed at once when there is no room for another
 
 
-class Clients:
+class Clients(Listener):
     """The listener and the connections it accepted, bounded in number and in what they hold."""
 
     def __init__(
         self, driver: Driver, settings: api.Settings, budget: Budget, most_held: int, usual: int,
         lifecycle: Lifecycle,
     ) -> None:
-        self.driver, self.requests, self.lifecycle = driver, Requests(settings), lifecycle
-        self.budget, self.most_held = budget, most_held
+        super().__init__(budget, lifecycle)
+        self.driver, self.requests, self.most_held = driver, Requests(settings), most_held
         self.parked = driver.gateway.parked
         # What the kernel doubles fits the memory on all places: a first read takes all of it.
         fits = most_held // (2 * max(1, budget.limit(Side.CLIENTS)))
@@ -70,90 +69,21 @@
         self.roll: Roll[Client] = Roll()  # who does nothing now, and may be closed for it
         self.asking = 0  # connections that have asked for something
         self.usual = usual  # connections that clients open for requests by themselves; 0 for any number
-        self.loop = asyncio.get_running_loop()
-        self.emptying = self.leaving = self.accepting = self.shared = False
+        self.emptying = False
         self.finish_at = inf  # by the loop's clock
-        self.listener: socket.socket | None = None
-        self.tasks: set[asyncio.Task[None]] = set()
         self.sweeper: asyncio.TimerHandle | None = None  # while there is something to look at
 
     # ---- Coming and going
 
-    def listen(self, host: str, port: int) -> tuple[str, int]:
-        """Listen on this address only; the address."""
-        return self._listen_on(socket.create_server((host, port), backlog=BACKLOG))
-
-    def inherit(self, descriptor: int) -> tuple[str, int]:
-        """Accept from a socket that listens already, beside other processes; the address.
-
-        OSError: it is no listening socket.
-        """
-        listener = socket.socket(fileno=descriptor)
-        if not listener.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
-            raise OSError("it does not listen")
-        self.shared = True
-        return self._listen_on(listener)
-
-    def _listen_on(self, listener: socket.socket) -> tuple[str, int]:
-        self.listener = listener
-        self.listener.setblocking(False)
-        self._accept_more()
-        address: tuple[str, int] = self.listener.getsockname()
-        return address
-
     def pong(self) -> bytes:
         """The front takes in a gateway that says PONG: not before it knows whom to send to."""
         if self.lifecycle.facts.pong:
             return b"+PONG\r\n"
         return b"-LOADING %b\r\n" % self.lifecycle.state.encode()
 
-    def _accept_more(self) -> None:
-        if self.listener and not self.accepting and self.lifecycle.facts.accepts:
-            self.accepting = True
-            self.loop.add_reader(self.listener, self._accept)
-
-    def _accept_no_more(self) -> None:
-        if self.listener and self.accepting:
-            self.accepting = False
-            self.loop.remove_reader(self.listener)
-
-    def _accept(self) -> None:
-        """Accept while there is room; else make some, and leave those who come in the kernel meanwhile.
-
-        Guards against running out of descriptors, which would hit connections to servers too. A place is
-        free only once the loop has closed its descriptor, so this goes on from ``closed``.
-        """
-        assert self.listener
-        if not self.budget.free(Side.CLIENTS):
-            self._accept_no_more()
-            self._make_room()
-            self.look_after()
-        for _ in range(min(ACCEPTS, self.budget.free(Side.CLIENTS))):
-            try:
-                sock, _ = self.listener.accept()
-            except BlockingIOError:
-                if self.leaving:
-                    self._close_listener()
-                return
-            except OSError as error:
-                log.warning("no connection accepted: %r", error)
-                self._accept_no_more()  # until the next sweep
-                self.look_after()
-                return
-            self.budget.take(Side.CLIENTS)
-            task = self.loop.create_task(self._admit(sock))
-            self.tasks.add(task)
-            task.add_done_callback(self.tasks.discard)
-
-    async def _admit(self, sock: socket.socket) -> None:
-        try:
-            sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.receives)
-            await self.loop.connect_accepted_socket(lambda: Client(self, sock), sock)
-        except OSError:
-            sock.close()
-            self._place_free()
+    def made(self, sock: socket.socket) -> Client:
+        """The connection on a socket that was accepted."""
+        return Client(self, sock)
 
     def _make_room(self) -> None:
         """Close who is leaving, who has said nothing yet, and who is idle, the longest first.
@@ -203,10 +133,6 @@
         """Descriptors taken: counted from accepting until the loop has closed them."""
         return self.budget.taken[Side.CLIENTS]
 
-    def _place_free(self) -> None:
-        self.budget.give(Side.CLIENTS)
-        self._accept_more()
-
     def opened(self, client: Client) -> None:
         """A new connection; its first command is due."""
         self.connections[client] = None
@@ -389,16 +315,6 @@
         for client in list(self.connections):
             client.flush()  # and read on, where that had stopped
 
-    def accept_or_not(self) -> None:
-        """As the lifecycle has it."""
-        (self._accept_more if self.lifecycle.facts.accepts else self._accept_no_more)()
-
-    def _close_listener(self) -> None:
-        if self.listener:
-            self._accept_no_more()
-            self.listener.close()
-            self.listener = None
-
     def written(self) -> bool:
         """Whether all answers have gone to the kernel."""
         return all(client.transport is None or not client.transport.get_write_buffer_size()
--- /dev/null
+++ b/brackenloft/net/listener.py
@@ -0,0 +1,127 @@
+"""The socket on which clients come in, within a budget of descriptors."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import socket
+
+from brackenloft.admission.budget import Budget, Side
+from brackenloft.lifecycle import Lifecycle
+
+log = logging.getLogger(__name__)
+
+BACKLOG = 1024  # connections that wait in the kernel: all that come while there is no room
+ACCEPTS = 32  # connections accepted before the others have their turn
+
+
+class Listener:
+    """Accepts while there is room; who comes meanwhile waits in the kernel."""
+
+    receives = 0  # bytes that the kernel may take in for a connection before it is read
+
+    def __init__(self, budget: Budget, lifecycle: Lifecycle) -> None:
+        self.budget, self.lifecycle = budget, lifecycle
+        self.loop = asyncio.get_running_loop()
+        self.listener: socket.socket | None = None
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.leaving = self.accepting = self.shared = False
+
+    # ---- What the connections do
+
+    def made(self, sock: socket.socket) -> asyncio.Protocol:
+        """The connection on a socket that was accepted."""
+        raise NotImplementedError
+
+    def look_after(self) -> None:
+        """Look again before long."""
+        raise NotImplementedError
+
+    def _make_room(self) -> None:
+        raise NotImplementedError
+
+    # ---- Listening
+
+    def listen(self, host: str, port: int) -> tuple[str, int]:
+        """Listen on this address only; the address."""
+        return self._listen_on(socket.create_server((host, port), backlog=BACKLOG))
+
+    def inherit(self, descriptor: int) -> tuple[str, int]:
+        """Accept from a socket that listens already, beside other processes; the address.
+
+        OSError: it is no listening socket.
+        """
+        listener = socket.socket(fileno=descriptor)
+        if not listener.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+            raise OSError("it does not listen")
+        self.shared = True
+        return self._listen_on(listener)
+
+    def _listen_on(self, listener: socket.socket) -> tuple[str, int]:
+        self.listener = listener
+        self.listener.setblocking(False)
+        self._accept_more()
+        address: tuple[str, int] = self.listener.getsockname()
+        return address
+
+    def _accept_more(self) -> None:
+        if self.listener and not self.accepting and self.lifecycle.facts.accepts:
+            self.accepting = True
+            self.loop.add_reader(self.listener, self._accept)
+
+    def _accept_no_more(self) -> None:
+        if self.listener and self.accepting:
+            self.accepting = False
+            self.loop.remove_reader(self.listener)
+
+    def _accept(self) -> None:
+        """Accept while there is room; else make some, and leave those who come in the kernel meanwhile.
+
+        Guards against running out of descriptors, which would hit connections to servers too. A place is
+        free only once the loop has closed its descriptor, so this goes on from ``closed``.
+        """
+        assert self.listener
+        if not self.budget.free(Side.CLIENTS):
+            self._accept_no_more()
+            self._make_room()
+            self.look_after()
+        for _ in range(min(ACCEPTS, self.budget.free(Side.CLIENTS))):
+            try:
+                sock, _ = self.listener.accept()
+            except BlockingIOError:
+                if self.leaving:
+                    self._close_listener()
+                return
+            except OSError as error:
+                log.warning("no connection accepted: %r", error)
+                self._accept_no_more()  # until the next sweep
+                self.look_after()
+                return
+            self.budget.take(Side.CLIENTS)
+            task = self.loop.create_task(self._admit(sock))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+
+    async def _admit(self, sock: socket.socket) -> None:
+        try:
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.receives)
+            await self.loop.connect_accepted_socket(lambda: self.made(sock), sock)
+        except OSError:
+            sock.close()
+            self._place_free()
+
+    def _place_free(self) -> None:
+        self.budget.give(Side.CLIENTS)
+        self._accept_more()
+
+    def accept_or_not(self) -> None:
+        """As the lifecycle has it."""
+        (self._accept_more if self.lifecycle.facts.accepts else self._accept_no_more)()
+
+    def _close_listener(self) -> None:
+        if self.listener:
+            self._accept_no_more()
+            self.listener.close()
+            self.listener = None
--- /dev/null
+++ b/brackenloft/net/replies.py
@@ -0,0 +1,145 @@
+"""The half of a client's connection that writes: replies in their order, and its backpressure."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections import deque
+from typing import TYPE_CHECKING
+
+from brackenloft.admission.rate import Least, Pace
+from brackenloft.net.slots import Slot
+from brackenloft.net.streams import Stream
+
+if TYPE_CHECKING:
+    from brackenloft.net.clients import Clients
+
+STALLED_S = 15.0  # a client that takes no byte of its answers for so long is gone; a burst may save as much
+WRITE_RATE = 4 * 1024  # bytes a second that a client takes at least of answers that pile up here
+
+
+class Replies(asyncio.Protocol):
+    """What is owed on a connection, and what of it is still to be written."""
+
+    def __init__(self, clients: Clients) -> None:
+        self.clients = clients
+        self.transport: asyncio.Transport | None = None
+        self.slots: deque[Slot] = deque()
+        self.held = self.in_hand = 0  # bytes in all, and of commands and replies in slots
+        self.ending = self.stuck = self.paused = self.reading = False
+        self.writes: Pace | None = None  # while it is stuck
+        self.unsent = 0  # bytes of answers that it has not taken, while it is stuck
+
+    # ---- What the other half does
+
+    def _read(self) -> None:
+        raise NotImplementedError
+
+    def throttle(self) -> None:
+        """Read on, or no further, as there is room."""
+        raise NotImplementedError
+
+    def _leave_if_done(self) -> None:
+        raise NotImplementedError
+
+    def turned_away(self) -> None:
+        """Nothing was sent on for a request."""
+        raise NotImplementedError
+
+    def _rests(self) -> None:
+        raise NotImplementedError
+
+    def _is_stuck(self) -> None:
+        raise NotImplementedError
+
+    def _takes_again(self) -> None:
+        raise NotImplementedError
+
+    # ---- Counting
+
+    def hold(self, size: int, in_hand: bool = True) -> None:
+        """Count bytes that are held for this connection, or less of them."""
+        self.held += size
+        self.clients.held += size
+        if in_hand:
+            self.in_hand += size
+
+    # ---- Replies out
+
+    def _reply(self, answer: bytes) -> None:
+        self.slots.append(Slot(self, answer, size=len(answer)))
+        self.hold(len(answer))
+        self.flush()
+
+    def flush(self) -> None:
+        """Write the replies that are due, in the order of their commands."""
+        if self.transport is None:
+            return
+        while self.slots and not self.stuck:
+            slot = self.slots[0]
+            if slot.answer is None or (slot.stream and not self._pass_on(slot, slot.stream)):
+                break
+            self.hold(-self.slots.popleft().size)
+            if slot.answer:
+                self.transport.write(slot.answer)
+        if self.stuck:
+            self._count_unsent()
+        if self.reading:
+            return
+        if self.paused and not self.ending:
+            self._read()
+        elif not self.slots:
+            self._rests()
+        self._leave_if_done()
+
+    def _pass_on(self, slot: Slot, stream: Stream) -> bool:
+        """Write what has come of a long value whose turn it is; whether that was the last of it."""
+        assert self.transport
+        if stream.failed:
+            # The client can tell that it is not whole: the connection ends behind what was passed on.
+            stream.abandon()
+            slot.answer, slot.stream, self.ending = b"", None, True
+            self.transport.close()
+            return False
+        if slot.answer:
+            self.transport.write(slot.answer)
+            self.hold(-slot.size)
+            slot.answer, slot.size = b"", 0
+        while stream.pieces and not self.stuck:
+            self.transport.write(stream.take())
+        if stream.pieces or not stream.ended:
+            return False
+        stream.streams.open.discard(stream)
+        self.transport.write(b"\r\n")
+        return True
+
+    def pause_writing(self) -> None:
+        """The client does not take its answers: it is read no further, and given up after a while.
+
+        Guards against a slow reader whose answers pile up here.
+        """
+        self.stuck = True
+        self.writes = Pace(Least(WRITE_RATE, STALLED_S, STALLED_S), time.monotonic())
+        self._is_stuck()
+        self._count_unsent()
+        self.throttle()
+
+    def _count_unsent(self) -> int:
+        """Count what it has not taken yet as held; how much less that is than before."""
+        size = self.transport.get_write_buffer_size() if self.stuck and self.transport else 0
+        gone, self.unsent = self.unsent - size, size
+        self.hold(-gone, in_hand=False)
+        return gone
+
+    def takes_too_little(self, now: float, late: float) -> bool:
+        """Whether answers pile up here that it takes too slowly."""
+        assert self.writes
+        self.writes.excuse(late)
+        self.writes.moved(max(0, self._count_unsent()), now)
+        return self.writes.too_slow(now)
+
+    def resume_writing(self) -> None:
+        self.stuck, self.writes = False, None
+        self._takes_again()
+        self._count_unsent()
+        self.flush()
--- a/brackenloft/net/slots.py
+++ b/brackenloft/net/slots.py
@@ -10,7 +10,7 @@
 from brackenloft.net.streams import Stream
 
 if TYPE_CHECKING:
-    from brackenloft.net.client import Client
+    from brackenloft.net.replies import Replies
 
 
 class Slot:
@@ -19,7 +19,7 @@
     __slots__ = ("connection", "answer", "request_id", "size", "call", "stream")
 
     def __init__(
-        self, connection: Client, answer: bytes | None = None, request_id: str = "", size: int = 0,
+        self, connection: Replies, answer: bytes | None = None, request_id: str = "", size: int = 0,
     ) -> None:
         self.connection, self.answer, self.request_id = connection, answer, request_id
         self.size = size  # bytes that it holds: the command, later the answer
--- a/tests/test_graphql.py
+++ b/tests/test_graphql.py
@@ -19,7 +19,7 @@
 from brackenloft import Plan, Request, Status
 from brackenloft.cli import main
 from brackenloft.edge import Call, Edge, FieldError, Node, Room, Served
-from brackenloft.edge.edge import Via
+from brackenloft.edge.asks import Via
 from brackenloft.graphql import documents as documents_module
 from brackenloft.graphql import front as front_module
 from brackenloft.graphql.allowance import Reading
--- a/tests/test_net_slow.py
+++ b/tests/test_net_slow.py
@@ -14,8 +14,8 @@
 from brackenloft import Effect, ListKind, Plan, Request, RequestClass, ServerEntry, Status
 from brackenloft.admission.budget import Side
 from brackenloft.edge import Node
-from brackenloft.net import client as client_module
 from brackenloft.net import clients as clients_module
+from brackenloft.net import replies
 from brackenloft.net import servers as servers_module
 from brackenloft.net.kernel import age_s
 from brackenloft.standins import BoardNode, Fault, at_random
@@ -173,7 +173,7 @@
 def quick(monkeypatch):
     """The same rules on a shorter scale."""
     monkeypatch.setattr(clients_module, "COMMAND_S", 0.3)
-    monkeypatch.setattr(client_module, "STALLED_S", 0.3)
+    monkeypatch.setattr(replies, "STALLED_S", 0.3)
     monkeypatch.setattr(servers_module, "SLOW_S", 0.3)
 
 
