Two scripts of the lab answer while an attempt is out, no longer before it is written

On sockets it was not written yet, and since the driver stops such attempts it never ran (NOT_SENT): the terms have nothing more sent after the final answer. The scripts answer one step later now, when the node has the command, and want what they wanted.

--- a/brackenloft/lab/conformance/script.py
+++ b/brackenloft/lab/conformance/script.py
@@ -201,11 +201,11 @@
         ((ERROR,), ()), {asked(): (TO_0,), outcome(Status.ERROR): (Cancel("a", 0), Fail("a"))},
         (asked(), outcome(Status.ERROR), answer("failed"))),
     "refused while one is out": _Made(
-        ((LATER,), ()), {asked(): (TO_0, Refuse("a"))},
-        (asked(), answer("refused"), outcome(Status.OK, closed=True))),
+        ((LAST,), ()), {asked(): (TO_0, SetTimer(1, STEP_MS)), ("timer", 1): (Refuse("a"),)},
+        (asked(), ("timer", 1), answer("refused"), outcome(Status.OK, closed=True))),
     "answered once": _Made(
-        ((LATER,), ()), {asked(): (TO_0, Fail("a"), Refuse("a"))},
-        (asked(), answer("failed"), outcome(Status.OK, closed=True))),
+        ((LAST,), ()), {asked(): (TO_0, SetTimer(1, STEP_MS)), ("timer", 1): (Fail("a"), Refuse("a"))},
+        (asked(), ("timer", 1), answer("failed"), outcome(Status.OK, closed=True))),
     "the client leaves": _Made(
         ((LAST,), ()), {asked(): (TO_0,)},
         (asked(), ("gone", "a"), outcome(Status.OK, closed=True)), asks=(Asks("a", leaves=STEP_MS),)),
