--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -16,9 +16,11 @@
 import asyncio
 import contextlib
 import json
+import logging
 import tempfile
 from collections import Counter
 from collections.abc import Iterator
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 from unittest import mock
@@ -27,15 +29,19 @@
 
 from benchmarks import ops
 from brackenloft import Gateway, Outcome, Status
-from brackenloft.lab import nodes, spec
+from brackenloft import interface as api
+from brackenloft.edge import Edge
+from brackenloft.lab import nodes, spec, watches
 from brackenloft.lab.world import World
+from brackenloft.net.departures import Departures
 from brackenloft.policy import attempts, meter, servers
-from brackenloft.standins import array
+from brackenloft.standins import Peer, ScriptedNode, array, demo
 
 EVENTS = ("fleet_herd", "fleet_zone", "fleet_join")
 MASS = ("mass_calm", "mass_roll", "mass_herd", "mass_zone", "mass_split", "mass_join")
 IDLE_S, KEPT = 2.5, 6  # a span without traffic, and connections that rest meanwhile
 SOAK_S, STRANGERS = 3.0, 1 << 40  # half of a soak, and the first of its customers
+LEAVERS, LEFT_S = 20, 0.2  # clients that leave while their requests wait, and a span in which that is noticed
 OLD_COLD = 0.33  # of the tipping budget that a full fleet's even share could use
 SHOWN = ("service", "net", "served_share", "refused_with_room", "beyond_quota", "cold", "errors")
 MEANS = SHOWN[:5]
@@ -149,6 +155,46 @@
     return {"idle_cpu_ratio": ratio, "idle_cpu_ms_a_s": round(now, 3)} | await growth_mb()
 
 
+async def sent_for_gone(watching: bool) -> int:
+    """Requests that are sent on for clients that left while these waited and nobody read them."""
+    def silent(words: list[bytes]) -> bytes | None:
+        return None if len(node.commands) == 1 else array(words[2])
+
+    kind = api.RequestClass("buy", 60_000.0, 60_000.0, api.Effect.UNSAFE)
+    settings = replace(demo.SETTINGS, classes=(kind,), plans=(api.Plan("one", max_in_flight=1),))
+    node = await ScriptedNode(silent).start()
+    with contextlib.nullcontext() if watching else mock.patch.object(Departures, "watch", lambda *_: None):
+        async with Edge(settings, seed=1) as edge:
+            edge.told(api.ServerList(api.ListKind.FULL, (node.entry(1)[0],)), {1: node.entry(1)[1]})
+            _, port = edge.listen("127.0.0.1", 0)
+            first, *others = [await Peer().open(port) for _ in range(LEAVERS + 1)]
+            first.send(ops.command(1, "one"))
+            await node.until(lambda: len(node.commands) == 1)
+            for number, peer in enumerate(others, 2):
+                peer.send(ops.command(number, "one"))
+                while len(edge.driver.calls) < number:
+                    await asyncio.sleep(0)
+            for peer in others:
+                peer.writer.close()
+            await asyncio.sleep(LEFT_S)
+            node.writers[0].write(array(b"v"))
+            await first.reply()
+            await asyncio.sleep(LEFT_S)
+            return len(node.commands) - 1
+
+
+def watched() -> dict[str, float]:
+    """Who is sent on for nobody, beside a program that is blind to who is not read; how late lists may be."""
+    logging.disable(logging.CRITICAL)  # each call that fails is a line
+    try:
+        late = max(watches.told_s(chain) for length in (1, 2) for chain in watches.chains(length))
+    finally:
+        logging.disable(logging.NOTSET)
+    return {
+        "sent_for_gone_late": uvloop.run(sent_for_gone(True)),
+        "sent_for_gone_late_unwatched": uvloop.run(sent_for_gone(False)), "told_s_max": round(late, 2)}
+
+
 def main() -> None:
     parser = argparse.ArgumentParser(
         description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
@@ -183,7 +229,7 @@
         "peak_connects_ratio_200": round(dict(mass)["mass_herd"]["connects"] / stood["connects"], 3),
         "peak_list_reads_ratio_200": round(dict(mass)["mass_herd"]["lists"] / stood["lists"], 3),
         "beyond_quota_200": round(sum(row["beyond_quota"] for _, row in mass) / len(mass), 3),
-    } | uvloop.run(processes())))
+    } | watched() | uvloop.run(processes())))
 
 
 if __name__ == "__main__":
