--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -20,11 +20,14 @@
 import tempfile
 from collections import Counter
 from collections.abc import Iterator
+from concurrent.futures import ProcessPoolExecutor
 from dataclasses import replace
+from math import sqrt
 from pathlib import Path
 from typing import Any
 from unittest import mock
 
+import msgspec
 import uvloop
 
 from benchmarks import ops
@@ -42,6 +45,7 @@
 IDLE_S, KEPT = 2.5, 6  # a span without traffic, and connections that rest meanwhile
 SOAK_S, STRANGERS = 3.0, 1 << 40  # half of a soak, and the first of its customers
 LEAVERS, LEFT_S = 20, 0.2  # clients that leave while their requests wait, and a span in which that is noticed
+COLD_FLEETS = (20, 30)  # gateways that find out for themselves how much a cold node bears
 OLD_COLD = 0.33  # of the tipping budget that a full fleet's even share could use
 SHOWN = ("service", "net", "served_share", "refused_with_room", "beyond_quota", "cold", "errors")
 MEANS = SHOWN[:5]
@@ -113,6 +117,48 @@
     }
 
 
+def cold_falls(gateways: int, seed: int) -> tuple[int, float]:
+    """Cold nodes that fall under the sum of what so many gateways send, and the most that one was sent of its
+    allowance: N requests of mean work in the window, and 2 x root of N + 2 for chance. Six in ten nodes are
+    replaced while lists come late, and seven in ten gateways begin anew.
+    """
+    experiment = spec.load(Path("fleet_join"))[0]
+    kinds = experiment.classes
+    mean_ms = sum(kind.share * kind.work_ms for kind in kinds) / sum(kind.share for kind in kinds)
+    fallen: set[tuple[int, int]] = set()
+    most = [0.0]
+
+    def counted(self: nodes.Node, work_ms: float) -> None:
+        counting(self, work_ms)
+        warmth = self.warmth(self.now())
+        if warmth < 1.0:
+            could_ms = warmth * self.spec.places * self.speed * self.spec.tip_window_ms
+            budget = self.spec.tip_multiple * could_ms / mean_ms
+            share = self.recent_work / mean_ms / (budget + 2.0 * sqrt(budget) + 2.0)
+            most[0] = max(most[0], share)
+            if share > 1.0:
+                fallen.add((self.number, self.epoch))
+
+    counting = nodes.Node._count
+    fleet = msgspec.structs.replace(
+        experiment.gateways, count=gateways, width=min(experiment.gateways.width, gateways))
+    faults = [
+        *experiment.faults, spec.Fault(kind="late_lists", at_ms=2000, for_ms=8000, size=3000),
+        spec.Fault(kind="gateway_crash", at_ms=9000, on=tuple(range(gateways * 7 // 10)))]
+    with mock.patch.object(nodes.Node, "_count", counted):
+        World(msgspec.structs.replace(experiment, gateways=fleet, faults=faults), Gateway, seed).run()
+    return len(fallen), most[0]
+
+
+def many_cold(seeds: int) -> None:
+    """Cold nodes over many seeds, on all cores; a line of figures each."""
+    with ProcessPoolExecutor() as pool:
+        for gateways in COLD_FLEETS:
+            played = list(pool.map(cold_falls, [gateways] * seeds, range(1, seeds + 1)))
+            print(f"{gateways} gateways, {seeds} seeds: {sum(falls for falls, _ in played)} cold nodes fell, "
+                  f"the most that one was sent is {max(most for _, most in played):.3f} of its allowance")
+
+
 async def idle_ms(root: Path) -> float:
     """Processor milliseconds a second of a process on whose connections nothing happens."""
     platform = await ops.world(lambda words: array(words[2]), root)
@@ -199,7 +245,12 @@
     parser = argparse.ArgumentParser(
         description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
     parser.add_argument("--long", action="store_true")
-    seeds = range(1, 6 if parser.parse_args().long else 2)
+    parser.add_argument("--cold", type=int, metavar="SEEDS", help="cold nodes alone, over so many seeds")
+    options = parser.parse_args()
+    if options.cold:
+        many_cold(options.cold)
+        return
+    seeds = range(1, 6 if options.long else 2)
     rows: dict[bool, list[dict[str, float]]] = {True: [], False: []}
     print(f"{'':12}{'':9}" + "".join(f"{key:>19}" for key in SHOWN))
     for name in EVENTS:
@@ -229,6 +280,7 @@
         "peak_connects_ratio_200": round(dict(mass)["mass_herd"]["connects"] / stood["connects"], 3),
         "peak_list_reads_ratio_200": round(dict(mass)["mass_herd"]["lists"] / stood["lists"], 3),
         "beyond_quota_200": round(sum(row["beyond_quota"] for _, row in mass) / len(mass), 3),
+        **{f"cold_falls_{count}": sum(cold_falls(count, seed)[0] for seed in seeds) for count in COLD_FLEETS},
     } | watched() | uvloop.run(processes())))
 
 
