--- a/brackenloft/configuration/messages.py
+++ b/brackenloft/configuration/messages.py
@@ -183,15 +183,27 @@
 
 
 class RecordsRequest(msgspec.Struct, frozen=True):
-    """What another control server has after a revision."""
+    """What another control server has after a revision; it is answered by a ``FollowAnswer``.
+
+    ``standing``: what the one that asks knows to stand. The register is read before it is believed.
+    """
 
     after: int
+    digest: bytes = b""
+    standing: Standing | None = None
 
 
 class EnrolRequest(msgspec.Struct, frozen=True):
-    """A process of a gateway that is about to be answered for the first time."""
+    """A process of a gateway that is about to be answered for the first time, or one that has ``left``."""
 
     follower: Follower
+    left: bool = False
+
+
+class Enrolled(msgspec.Struct, frozen=True, tag=True):
+    """The process of the gateway is known here, and stays so after a restart."""
+
+    server: str
 
 
 class Confirmation(msgspec.Struct, frozen=True):
@@ -204,10 +216,15 @@
 
 
 class ServerStatus(msgspec.Struct, frozen=True):
-    """What one control server knows: the standing revision and the gateways that ever followed."""
+    """What one control server knows: the standing revision and the gateways that ever followed.
+
+    ``complete`` is False while a server that came up without its disk has not asked the others for the
+    gateways that it knew: it then doesn't count among those that say what is in force.
+    """
 
     server: str
     region: str
     standing: int
     verified_ms: float
     confirmations: tuple[Confirmation, ...]
+    complete: bool = True
