Configuration: which control server a gateway follows, and its file

A gateway has to get each revision within seconds, whichever control servers fail, and must never go back. Property tests and a state machine of servers that say anything.

--- /dev/null
+++ b/tests/test_configuration_following.py
@@ -0,0 +1,438 @@
+"""Which control server a gateway asks next, and what its answers may change."""
+
+from collections import Counter
+from functools import cache
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from brackenloft.configuration import following
+from brackenloft.configuration.following import (
+    ApplyRecords,
+    ChunkCall,
+    Endpoint,
+    Failure,
+    FollowCall,
+    Following,
+    LoadBuckets,
+    Pause,
+    Position,
+)
+from brackenloft.configuration.messages import (
+    Busy,
+    Changes,
+    Chunk,
+    Compacted,
+    Follower,
+    SnapshotOffer,
+    Unchanged,
+)
+from brackenloft.configuration.model import Delta, Record
+
+BUCKETS = 2 * following.CHUNK_BUCKETS + 10  # of these documents
+HOME = [Endpoint("e0", "east"), Endpoint("e1", "east")]
+AWAY = [Endpoint(name, "west") for name in ("w0", "w1", "w2", "w3")]
+SERVERS = AWAY[:2] + HOME + AWAY[2:]
+
+
+def follower(name: str = "g0") -> Follower:
+    return Follower(name, "run", 1, "east", "east-a")
+
+
+@cache
+def position(revision: int) -> Position:
+    """A document whose buckets all change with each revision."""
+    return Position(revision, b"d%d" % revision, tuple(b"%d:%d" % (revision, n) for n in range(BUCKETS)))
+
+
+def record(revision: int) -> Record:
+    return Record(revision, position(revision).digest, Delta(revision - 1))
+
+
+def records(first: int, last: int) -> tuple[Record, ...]:
+    return tuple(record(number) for number in range(first, last + 1))
+
+
+def offer(revision: int, verified_ms: float = 0.0) -> SnapshotOffer:
+    there = position(revision)
+    return SnapshotOffer(revision, there.digest, there.buckets, verified_ms)
+
+
+def begin(revision: int = 0, servers: list[Endpoint] = SERVERS) -> Following:
+    return Following(follower(), servers, position(revision))
+
+
+class Clock:
+    """Goes on by itself while a core says that nobody is to be asked."""
+
+    def __init__(self, core: Following) -> None:
+        self.core, self.now = core, 0.0
+
+    def call(self) -> FollowCall | ChunkCall:
+        step = self.core.next_step(self.now)
+        while isinstance(step, Pause):
+            assert 0.0 < step.pause_ms <= 2.0 * following.MOST_BUSY_MS
+            self.now += step.pause_ms
+            step = self.core.next_step(self.now)
+        return step
+
+
+# ---- Whom to ask
+
+
+def test_servers_of_the_own_region_come_first_and_gateways_spread_evenly_over_them():
+    first = Counter()
+    for number in range(570):
+        order = following.preference(follower(f"gateway-{number}"), SERVERS)
+        assert {endpoint.region for endpoint in order[:2]} == {"east"} and len(order) == len(SERVERS)
+        first[order[0].name, order[2].name] += 1
+    assert set(first) == {(home.name, away.name) for home in HOME for away in AWAY}
+    assert max(first.values()) < 2 * min(first.values())
+
+
+def test_a_lost_server_moves_nobody_but_its_own_followers():
+    for number in range(50):
+        order = following.preference(follower(f"g{number}"), SERVERS)
+        without = following.preference(follower(f"g{number}"), [one for one in SERVERS if one.name != "e0"])
+        assert without == [one for one in order if one.name != "e0"]
+
+
+def test_another_region_is_asked_only_when_the_own_one_has_failed_and_is_left_again():
+    core = begin()
+    clock = Clock(core)
+    asked = []
+    for _ in range(3):
+        call = clock.call()
+        asked.append(call.server)
+        if len(asked) < 3:
+            core.failed(call.number, Failure.TIMEOUT, clock.now, 1.0)
+    assert set(asked[:2]) == {"e0", "e1"} and asked[2].startswith("w")
+    core.answered(call.number, Unchanged(0, 0.0), clock.now, 1.0)
+    clock.now += following.RETRY_CAP_MS
+    assert clock.call().server == asked[0]
+
+
+def test_time_to_wait_is_given_only_to_a_server_that_has_answered():
+    core = begin()
+    clock = Clock(core)
+    call = clock.call()
+    assert call.request.wait_ms == 0 and call.timeout_ms == following.FIRST_TIMEOUT_MS
+    core.answered(call.number, Unchanged(0, 0.0), clock.now, 0.5)
+    call = clock.call()
+    assert call.request.wait_ms == following.WAIT_MS < call.timeout_ms
+    core.failed(call.number, Failure.TIMEOUT, clock.now, 1.0)
+    assert clock.call().request.wait_ms == 0
+
+
+@given(st.lists(st.tuples(st.sampled_from(list(Failure)), st.floats(0.0, 1.0)), min_size=1, max_size=60))
+def test_pauses_are_capped_and_spread_and_requests_keep_their_distance(failures):
+    core = begin()
+    now, last = 0.0, -following.LEAST_GAP_MS
+    for failure, draw in failures:
+        step = core.next_step(now)
+        while isinstance(step, Pause):
+            assert 0.0 < step.pause_ms <= following.RETRY_CAP_MS
+            now += step.pause_ms
+            step = core.next_step(now)
+        assert now - last >= following.LEAST_GAP_MS - 1e-6
+        last = now
+        core.failed(step.number, failure, now, draw)
+        server = core.servers[step.server]
+        bound = min(following.RETRY_CAP_MS, following.RETRY_BASE_MS * 2.0 ** (server.failures - 1))
+        assert server.retry_at_ms == now + draw * bound
+    assert sum(core.failures.values()) == len(failures)
+
+
+def test_success_ends_the_growth_of_pauses():
+    core = begin(servers=HOME[:1])
+    clock = Clock(core)
+    for _ in range(10):
+        core.failed(clock.call().number, Failure.UNREACHABLE, clock.now, 1.0)
+    core.answered(clock.call().number, Unchanged(0, 0.0), clock.now, 1.0)
+    core.failed(clock.call().number, Failure.UNREACHABLE, clock.now, 1.0)
+    assert core.servers["e0"].retry_at_ms == clock.now + following.RETRY_BASE_MS
+
+
+@pytest.mark.parametrize("verified_ms", [3000.1, 1e9, float("nan"), float("inf"), -1.0])
+def test_a_server_that_may_be_cut_off_is_left_but_what_is_newer_is_taken(verified_ms):
+    core = begin()
+    clock = Clock(core)
+    call = clock.call()
+    work = core.answered(call.number, Changes(records(1, 2), verified_ms), clock.now, 1.0)
+    assert isinstance(work, ApplyRecords) and core.failures == {Failure.STALE: 1}
+    assert clock.call().server != call.server and core.verified_at_ms == -float("inf")
+
+
+@given(st.floats(), st.floats(0.0, 1.0))
+def test_a_busy_server_is_left_for_as_long_as_it_says_within_a_bound(retry_after_ms, draw):
+    core = begin(servers=HOME[:1])
+    clock = Clock(core)
+    core.answered(clock.call().number, Busy(retry_after_ms), clock.now, draw)
+    pause = core.servers["e0"].retry_at_ms - clock.now
+    assert following.LEAST_GAP_MS <= pause <= 2.0 * following.MOST_BUSY_MS
+    if 0.0 <= retry_after_ms <= following.MOST_BUSY_MS:
+        assert pause >= retry_after_ms
+    assert not core.failures and core.busy == 1
+
+
+# ---- What answers change
+
+
+def test_records_that_are_known_are_left_out():
+    core = begin(3)
+    work = core.answered(Clock(core).call().number, Changes(records(2, 5), 0.0), 0.0, 0.0)
+    assert work == ApplyRecords(records(4, 5))
+
+
+@pytest.mark.parametrize(
+    "given_records, failure",
+    [
+        (records(5, 6), Failure.GAP),
+        (records(4, 4) + records(6, 6), Failure.GAP),
+        ((record(5), record(4)), Failure.GAP),
+        ((Record(4, b"", Delta(2)),), Failure.GAP),
+        (records(1, 3), Failure.OLDER),
+        ((), Failure.OLDER),
+    ],
+)
+def test_a_gap_or_nothing_new_changes_nothing_and_another_server_is_asked(given_records, failure):
+    core = begin(3)
+    clock = Clock(core)
+    call = clock.call()
+    assert core.answered(call.number, Changes(given_records, 0.0), clock.now, 1.0) is None
+    assert core.failures == {failure: 1} and core.in_force == position(3)
+    assert clock.call().server != call.server
+
+
+def test_a_late_answer_of_an_abandoned_call_changes_nothing():
+    core = begin()
+    clock = Clock(core)
+    abandoned = clock.call()
+    clock.now += 10_000.0
+    call = clock.call()
+    assert core.answered(abandoned.number, Changes(records(1, 1), 0.0), clock.now, 0.0) is None
+    core.failed(abandoned.number, Failure.TIMEOUT, clock.now, 1.0)
+    assert core.late == 2 and not core.failures
+    assert isinstance(core.answered(call.number, Changes(records(1, 1), 0.0), clock.now, 0.0), ApplyRecords)
+    assert core.answered(call.number, Changes(records(1, 1), 0.0), clock.now, 0.0) is None
+
+
+def test_after_a_digest_that_does_not_match_a_snapshot_is_asked_for():
+    core = begin(1)
+    clock = Clock(core)
+    call = clock.call()
+    core.answered(call.number, Changes(records(2, 2), 0.0), clock.now, 0.0)
+    core.rejected(Failure.MISMATCH, clock.now, 1.0)
+    call = clock.call()
+    assert call.request.digest == b"" and call.request.in_force == 1
+    core.failed(call.number, Failure.TIMEOUT, clock.now, 1.0)
+    assert clock.call().request.digest == b""
+    core.put_in_force(position(2))
+    clock.now += 10_000.0
+    assert clock.call().request.digest == position(2).digest
+
+
+def test_a_snapshot_is_fetched_bucket_by_bucket_and_continued_at_another_server():
+    core = begin()
+    clock = Clock(core)
+    assert core.answered(clock.call().number, offer(7), clock.now, 0.0) is None
+    places: list[int] = []
+    server = ""
+    while True:
+        call = clock.call()
+        assert isinstance(call, ChunkCall) and call.request.revision == 7
+        if not server:
+            server = call.server
+            core.failed(call.number, Failure.UNREACHABLE, clock.now, 1.0)
+            continue
+        assert call.server != server or places
+        wanted = call.request.buckets
+        assert len(wanted) <= following.CHUNK_BUCKETS
+        work = core.answered(call.number, Chunk(7, tuple(b"%d" % n for n in wanted)), clock.now, 0.0)
+        assert isinstance(work, LoadBuckets) and work.places == wanted and work.offer == offer(7)
+        places += work.places
+        if work.last:
+            break
+    assert places == list(range(BUCKETS))
+    core.put_in_force(position(7))
+    assert isinstance(clock.call(), FollowCall)
+
+
+def test_only_buckets_that_differ_are_fetched():
+    core = begin(4)
+    there = position(4).buckets[:-2] + (b"new", b"new too")
+    core.answered(Clock(core).call().number, SnapshotOffer(6, b"d6", there, 0.0), 0.0, 0.0)
+    call = Clock(core).call()
+    assert isinstance(call, ChunkCall) and call.request.buckets == (BUCKETS - 2, BUCKETS - 1)
+
+
+def test_a_snapshot_of_what_is_there_already_is_put_in_force_without_fetching():
+    core = begin(4)
+    same = SnapshotOffer(6, b"d4", position(4).buckets, 0.0)
+    work = core.answered(Clock(core).call().number, same, 0.0, 0.0)
+    assert work == LoadBuckets(same, (), (), True)
+
+
+@pytest.mark.parametrize(
+    "snapshot",
+    [
+        offer(4),
+        offer(3),
+        SnapshotOffer(9, b"", position(9).buckets[1:], 0.0),
+        SnapshotOffer(9, b"", (), 0.0),
+    ],
+)
+def test_an_older_snapshot_or_one_of_another_shape_changes_nothing(snapshot):
+    core = begin(4)
+    clock = Clock(core)
+    call = clock.call()
+    assert core.answered(call.number, snapshot, clock.now, 1.0) is None
+    after = clock.call()
+    assert isinstance(after, FollowCall) and after.server != call.server
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        Chunk(6, (b"",) * following.CHUNK_BUCKETS),
+        Chunk(7, (b"",)),
+        Chunk(7, ()),
+        Unchanged(7, 0.0),
+        Changes(records(1, 7), 0.0),
+        offer(7),
+    ],
+)
+def test_a_wrong_answer_within_a_snapshot_changes_nothing(answer):
+    core = begin()
+    clock = Clock(core)
+    core.answered(clock.call().number, offer(7), clock.now, 0.0)
+    assert core.answered(clock.call().number, answer, clock.now, 1.0) is None
+    assert core.failures == {Failure.GARBAGE: 1}
+    call = clock.call()
+    assert isinstance(call, ChunkCall) and call.request.buckets[0] == 0
+
+
+@pytest.mark.parametrize("end", ["compacted", "failures"])
+def test_a_snapshot_that_can_not_be_had_any_more_begins_again(end):
+    core = begin()
+    clock = Clock(core)
+    core.answered(clock.call().number, offer(7), clock.now, 0.0)
+    if end == "compacted":
+        core.answered(clock.call().number, Compacted(9, 12), clock.now, 0.0)
+    else:
+        for _ in range(following.SNAPSHOT_FAILURES):
+            call = clock.call()
+            assert isinstance(call, ChunkCall)
+            core.failed(call.number, Failure.TIMEOUT, clock.now, 0.0)
+    assert isinstance(clock.call(), FollowCall)
+
+
+def test_the_revision_in_force_never_goes_back():
+    core = begin(5)
+    for revision in (0, 4, 5):
+        with pytest.raises(ValueError, match=f"revision {revision} after 5"):
+            core.put_in_force(position(revision))
+    assert core.in_force == position(5)
+
+
+# ---- Any order of events
+
+ANSWERS = st.one_of(
+    st.builds(Unchanged, st.integers(0, 30), st.floats(0.0, 5000.0)),
+    st.builds(
+        lambda first, count, verified: Changes(records(first, first + count), verified),
+        st.integers(1, 30),
+        st.integers(-1, 5),
+        st.floats(0.0, 5000.0),
+    ),
+    st.builds(
+        lambda last, cut: Changes(tuple(record(n) for n in range(1, last + 1) if n != cut), 0.0),
+        st.integers(0, 30),
+        st.integers(0, 30),
+    ),
+    st.builds(offer, st.integers(0, 30), st.floats(0.0, 5000.0)),
+    st.builds(Chunk, st.integers(0, 30), st.sampled_from([(), (b"",) * following.CHUNK_BUCKETS, (b"",) * 8])),
+    st.builds(Compacted, st.integers(0, 30), st.integers(0, 30)),
+    st.builds(Busy, st.floats()),
+)
+DRAWS = st.floats(0.0, 1.0)
+
+
+class Storms(RuleBasedStateMachine):
+    """Servers that say anything at any time: what is put in force only grows, without a gap, and whole."""
+
+    def __init__(self):
+        super().__init__()
+        self.core, self.now = begin(), 0.0
+        self.call, self.abandoned = None, 0
+        self.loaded: dict[bytes, set[int]] = {}
+        self.highest = 0
+
+    @rule(pause=st.floats(0.0, 6000.0))
+    def time_goes_on(self, pause):
+        self.now += pause
+
+    @rule()
+    def asks(self):
+        step = self.core.next_step(self.now)
+        if isinstance(step, Pause):
+            assert 0.0 < step.pause_ms <= 2.0 * following.MOST_BUSY_MS
+            return
+        if self.call:
+            self.abandoned = self.call.number
+        self.call = step
+        if isinstance(step, FollowCall):
+            assert step.request.in_force == self.highest
+            self.loaded.clear()
+
+    @rule(answer=ANSWERS, draw=DRAWS)
+    def late_answer(self, answer, draw):
+        before = self.core.in_force
+        if self.abandoned:
+            assert self.core.answered(self.abandoned, answer, self.now, draw) is None
+        assert self.core.in_force == before
+
+    @precondition(lambda self: self.call)
+    @rule(failure=st.sampled_from(list(Failure)), draw=DRAWS)
+    def fails(self, failure, draw):
+        self.core.failed(self.call.number, failure, self.now, draw)
+        self.call = None
+
+    @precondition(lambda self: self.call)
+    @rule(answer=ANSWERS, draw=DRAWS, good=st.booleans(), right=st.booleans())
+    def answers(self, answer, draw, good, right):
+        if right and isinstance(self.call, ChunkCall):
+            wanted = self.call.request
+            answer = Chunk(wanted.revision, (b"",) * len(wanted.buckets))
+        work = self.core.answered(self.call.number, answer, self.now, draw)
+        self.call = None
+        if isinstance(work, ApplyRecords):
+            numbers = [one.revision for one in work.records]
+            assert numbers == list(range(self.highest + 1, self.highest + 1 + len(numbers))) and numbers
+            self.ends(numbers[-1], good, draw)
+        elif isinstance(work, LoadBuckets):
+            loaded = self.loaded.setdefault(work.offer.digest, set())
+            assert not loaded & set(work.places)
+            loaded |= set(work.places)
+            if work.last:
+                ours, theirs = self.core.in_force.buckets, work.offer.buckets
+                assert loaded == {n for n in range(BUCKETS) if ours[n] != theirs[n]}
+                self.ends(work.offer.revision, good, draw)
+
+    def ends(self, revision, good, draw):
+        assert revision > self.highest
+        if good:
+            self.core.put_in_force(position(revision))
+            self.highest = revision
+        else:
+            self.core.rejected(Failure.MISMATCH, self.now, draw)
+
+    @invariant()
+    def never_goes_back(self):
+        assert self.core.in_force == position(self.highest)
+
+
+TestStorms = Storms.TestCase
+TestStorms.settings = settings(max_examples=60, stateful_step_count=60, deadline=None)
