--- a/brackenloft/configuration/messages.py
+++ b/brackenloft/configuration/messages.py
@@ -12,6 +12,9 @@
 from brackenloft.configuration.model import Delta, Record, Standing
 
 LONGEST_ANSWER_BYTES = 8 * 1024 * 1024  # of any answer, as it is decompressed
+# Of a FollowAnswer as it is decompressed: what a gateway decodes in well under 1 ms. A control server answers
+# a SnapshotOffer where the records after a revision are more, as a snapshot comes in small buckets.
+LONGEST_FOLLOW_ANSWER_BYTES = 128 * 1024
 LONGEST_REQUEST_BYTES = 8 * 1024 * 1024  # of any request: a change may touch all tenants
 FOLLOW_PATH = "/v1/follow"
 CHUNK_PATH = "/v1/chunk"
@@ -54,7 +57,10 @@
 
 
 class Changes(msgspec.Struct, frozen=True, tag=True):
-    """The records after the revision in force, in order and without a gap. More may come after them."""
+    """The records after the revision in force, in order and without a gap. More may come after them.
+
+    No more of them than fit into ``LONGEST_FOLLOW_ANSWER_BYTES``; where the first does not, it is a snapshot.
+    """
 
     records: tuple[Record, ...]
     verified_ms: float
