--- a/brackenloft/lab/scale/page.py
+++ b/brackenloft/lab/scale/page.py
@@ -175,6 +175,6 @@
     return f"""## The run
 
 `{where.command}` on {where.cores} cores ({where.processor}), {where.memory_gb:g} GB, Python
-{where.python}, at commit {where.commit}; load average {where.load_average:g} as it began, of other work on the
-same cores.
+{where.python}, at commit {where.commit}; load average {where.load_average:g} as it began, of other work
+on the same cores.
 """
