--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -5,6 +5,9 @@
 
 As they stood: the even part alone under late readings, six out at a node at first, a pool that no slow
 attempt cuts, no free attempt after a failed connect, cold nodes at 0.825 of their even share times warmth.
+Classes, tenants and the tries at restarted gateways are those of ``benchmarks.fleet_days``, which
+defines ``restart_lost``, ``restart_unsent_share``, ``class_margin_min`` and ``tenant_margin_min``. Runs in
+virtual time are spread over ``WORKERS`` processes; what is measured on real processes comes after them.
 The doubt after a single slow attempt is not taken back here. Connects and reads of whole lists are counted
 over the fleet, in the worst second. A real process without traffic stands beside the program before (the
 commit of ``benchmarks.ops``), and one that meets new customers all along says how it grows.
@@ -20,8 +23,8 @@
 import tempfile
 from collections import Counter
 from collections.abc import Iterator
-from concurrent.futures import ProcessPoolExecutor
-from dataclasses import replace
+from concurrent.futures import Future, ProcessPoolExecutor
+from dataclasses import dataclass, replace
 from math import sqrt
 from pathlib import Path
 from typing import Any
@@ -30,7 +33,7 @@
 import msgspec
 import uvloop
 
-from benchmarks import ops
+from benchmarks import fleet_days, ops
 from brackenloft import Gateway, Outcome, Status
 from brackenloft import interface as api
 from brackenloft.edge import Edge
@@ -49,6 +52,7 @@
 OLD_COLD = 0.33  # of the tipping budget that a full fleet's even share could use
 SHOWN = ("service", "net", "served_share", "refused_with_room", "beyond_quota", "cold", "errors")
 MEANS = SHOWN[:5]
+WORKERS = 4  # runs in virtual time beside each other
 
 _again = Gateway._again
 
@@ -89,8 +93,22 @@
         yield
 
 
-def play(name: str, seed: int) -> dict[str, float]:
-    """One run: its figures, failed answers, and the most that a cold node was sent of its tipping budget."""
+@dataclass(frozen=True, slots=True)
+class Played:
+    """One run: its figures, and what it was by class, tenant and restart."""
+
+    row: dict[str, float]
+    day: fleet_days.Day
+
+
+def play(name: str, seed: int, ours: bool = True) -> Played:
+    """One run, by the rules of today or as they stood."""
+    with contextlib.nullcontext() if ours else as_it_stood():
+        return _play(name, seed)
+
+
+def _play(name: str, seed: int) -> Played:
+    """Its figures, failed answers, and the most that a cold node was sent of its tipping budget."""
     count: Counter[str] = Counter()
     worst = [0.0]
 
@@ -108,13 +126,15 @@
 
     counting = nodes.Node._count
     with mock.patch.object(nodes.Node, "_count", counted):
-        world = World(spec.load(Path(name))[0], Counted, seed).run()
+        world = fleet_days.DayWorld(spec.load(Path(name))[0], Counted, seed)
+        world.run()
     figures = world.oracle.figures()
-    return {key: figures[key] for key in MEANS} | {
+    row = {key: figures[key] for key in MEANS} | {
         "rules": float(sum(world.oracle.rules.values())), "cold": worst[0], "errors": float(count["error"]),
         "attempts": float(sum(count.values())),
         "connects": float(max(world.connects.values())), "lists": float(max(world.list_reads.values())),
     }
+    return Played(row, world.day)
 
 
 def cold_falls(gateways: int, seed: int) -> tuple[int, float]:
@@ -196,8 +216,9 @@
     """What real processes cost: idle, beside the program before, and growing."""
     with tempfile.TemporaryDirectory() as directory:
         old = ops.before(Path(directory))
-        now = await idle_ms(ops.ROOT)
-        ratio = None if old is None else round(now / await idle_ms(old), 3)
+        idle = [idle_ms(root) for root in (ops.ROOT, old) if root]
+        now, *before = await asyncio.gather(*idle)  # beside each other: both only wait
+        ratio = round(now / before[0], 3) if before else None
     return {"idle_cpu_ratio": ratio, "idle_cpu_ms_a_s": round(now, 3)} | await growth_mb()
 
 
@@ -229,16 +250,88 @@
             return len(node.commands) - 1
 
 
-def watched() -> dict[str, float]:
-    """Who is sent on for nobody, beside a program that is blind to who is not read; how late lists may be."""
+def told_s_max() -> float:
+    """How late a change of the list may be told, behind any two calls that fail."""
     logging.disable(logging.CRITICAL)  # each call that fails is a line
     try:
-        late = max(watches.told_s(chain) for length in (1, 2) for chain in watches.chains(length))
+        return max(watches.told_s(chain) for length in (1, 2) for chain in watches.chains(length))
     finally:
         logging.disable(logging.NOTSET)
+
+
+def watched() -> dict[str, float]:
+    """Who is sent on for nobody, beside a program that is blind to who is not read."""
     return {
         "sent_for_gone_late": uvloop.run(sent_for_gone(True)),
-        "sent_for_gone_late_unwatched": uvloop.run(sent_for_gone(False)), "told_s_max": round(late, 2)}
+        "sent_for_gone_late_unwatched": uvloop.run(sent_for_gone(False))}
+
+
+class Runs:
+    """All runs in virtual time, beside each other."""
+
+    def __init__(self, seeds: range) -> None:
+        self.seeds = seeds
+        with ProcessPoolExecutor(WORKERS) as pool:
+            mass = {name: pool.submit(play, name, 1) for name in MASS}  # the longest first
+            late_seeing = {name: pool.submit(fleet_days.late_seeing_day, name, 1) for name in MASS}
+            mass_stood = pool.submit(play, "mass_herd", 1, False)
+            events = {
+                (name, ours): [pool.submit(play, name, seed, ours) for seed in seeds]
+                for name in EVENTS for ours in (False, True)}
+            falls = {count: [pool.submit(cold_falls, count, seed) for seed in seeds] for count in COLD_FLEETS}
+            told = pool.submit(told_s_max)
+        self.mass = {name: each.result() for name, each in mass.items()}
+        self.late_seeing = {name: each.result() for name, each in late_seeing.items()}
+        self.mass_stood = mass_stood.result().row
+        self.events = {key: _rows(played) for key, played in events.items()}
+        self.cold_falls = {count: sum(each.result()[0] for each in fell) for count, fell in falls.items()}
+        self.told_s_max = told.result()
+
+    def rows(self, ours: bool) -> list[dict[str, float]]:
+        """Of all events."""
+        return [row for name in EVENTS for row in self.events[name, ours]]
+
+    def days(self) -> list[tuple[fleet_days.Day, fleet_days.Day]]:
+        """Ours, and the same day under the policy that sees late."""
+        return [(played.day, self.late_seeing[name]) for name, played in self.mass.items()]
+
+
+def _rows(played: list[Future[Played]]) -> list[dict[str, float]]:
+    return [each.result().row for each in played]
+
+
+def show(runs: Runs) -> None:
+    """A line of figures for each event and day."""
+    print(f"{'':12}{'':9}" + "".join(f"{key:>19}" for key in SHOWN))
+    for (name, ours), rows in runs.events.items():
+        mean = {key: sum(row[key] for row in rows) / len(rows) for key in rows[0]}
+        print(f"{name:12}{'ours' if ours else 'as stood':9}"
+              + "".join(f"{mean[key]:19.3f}" for key in SHOWN))
+    for name, played in runs.mass.items():
+        print(f"{name:12}{'ours':9}" + "".join(f"{played.row[key]:19.3f}" for key in SHOWN))
+
+
+def virtual(runs: Runs) -> dict[str, Any]:
+    """The last line's figures of virtual time."""
+    ours, stood, mass = runs.rows(True), runs.rows(False), [played.row for played in runs.mass.values()]
+    herd = runs.mass["mass_herd"].row
+
+    def ratio(key: str) -> float:
+        return round(sum(row[key] for row in ours) / max(1e-9, sum(row[key] for row in stood)), 3)
+
+    return {
+        "served_ratio": ratio("served_share"), "net_ratio": ratio("net"),
+        "cold_overload_max": round(max(row["cold"] for row in ours), 3),
+        "bad_server_attempts_ratio": round(ratio("errors") / ratio("attempts"), 3),
+        "rules_broken": int(sum(row["rules"] for row in ours + mass)),
+        "peak_connects_ratio": ratio("connects"), "peak_list_reads_ratio": ratio("lists"),
+        "peak_connects_ratio_200": round(herd["connects"] / runs.mass_stood["connects"], 3),
+        "peak_list_reads_ratio_200": round(herd["lists"] / runs.mass_stood["lists"], 3),
+        "beyond_quota_200": round(sum(row["beyond_quota"] for row in mass) / len(mass), 3),
+        **fleet_days.figures(runs.days()),
+        **{f"cold_falls_{count}": fell for count, fell in runs.cold_falls.items()},
+        "told_s_max": round(runs.told_s_max, 2),
+    }
 
 
 def main() -> None:
@@ -250,38 +343,9 @@
     if options.cold:
         many_cold(options.cold)
         return
-    seeds = range(1, 6 if options.long else 2)
-    rows: dict[bool, list[dict[str, float]]] = {True: [], False: []}
-    print(f"{'':12}{'':9}" + "".join(f"{key:>19}" for key in SHOWN))
-    for name in EVENTS:
-        for ours in (False, True):
-            with contextlib.nullcontext() if ours else as_it_stood():
-                played = [play(name, seed) for seed in seeds]
-            rows[ours] += played
-            mean = {key: sum(row[key] for row in played) / len(played) for key in played[0]}
-            print(f"{name:12}{'ours' if ours else 'as stood':9}"
-                  + "".join(f"{mean[key]:19.3f}" for key in SHOWN))
-
-    mass = [(name, play(name, 1)) for name in MASS]
-    for name, row in mass:
-        print(f"{name:12}{'ours':9}" + "".join(f"{row[key]:19.3f}" for key in SHOWN))
-    with as_it_stood():
-        stood = play("mass_herd", 1)
-
-    def ratio(key: str) -> float:
-        return round(sum(row[key] for row in rows[True]) / max(1e-9, sum(row[key] for row in rows[False])), 3)
-
-    print(json.dumps({
-        "served_ratio": ratio("served_share"), "net_ratio": ratio("net"),
-        "cold_overload_max": round(max(row["cold"] for row in rows[True]), 3),
-        "bad_server_attempts_ratio": round(ratio("errors") / ratio("attempts"), 3),
-        "rules_broken": int(sum(row["rules"] for row in rows[True] + [row for _, row in mass])),
-        "peak_connects_ratio": ratio("connects"), "peak_list_reads_ratio": ratio("lists"),
-        "peak_connects_ratio_200": round(dict(mass)["mass_herd"]["connects"] / stood["connects"], 3),
-        "peak_list_reads_ratio_200": round(dict(mass)["mass_herd"]["lists"] / stood["lists"], 3),
-        "beyond_quota_200": round(sum(row["beyond_quota"] for _, row in mass) / len(mass), 3),
-        **{f"cold_falls_{count}": sum(cold_falls(count, seed)[0] for seed in seeds) for count in COLD_FLEETS},
-    } | watched() | uvloop.run(processes())))
+    runs = Runs(range(1, 6 if options.long else 2))
+    show(runs)
+    print(json.dumps(virtual(runs) | watched() | uvloop.run(processes())))
 
 
 if __name__ == "__main__":
