--- a/brackenloft/lab/configuration/events.py
+++ b/brackenloft/lab/configuration/events.py
@@ -104,10 +104,10 @@
 
 
 class CutOff(msgspec.Struct, frozen=True):
-    """A run that a status names as silent, with the newest revision that it may be serving."""
+    """A run that a status names as silent, with the revision that it is said to serve by, or a later one."""
 
     run: str
-    at_most: int
+    at_least: int
 
 
 class StatusTold(msgspec.Struct, frozen=True, tag=True):
