net/servers.py by noun: attempt, protocol, replies, one connection, the pool

The code is moved, not changed; a connection names what it needs of the pool as a protocol class, so that no two files import each other. Two tests that took sockets away through the module take them away from `socket` itself, which is the same object.

--- a/benchmarks/graphql.py
+++ b/benchmarks/graphql.py
@@ -41,7 +41,7 @@
 from brackenloft.graphql.limits import Limits as Bounds
 from brackenloft.graphql.nodes import DOOR, Answers, Readings
 from brackenloft.graphql.schema import Priced, load
-from brackenloft.net.servers import Speech
+from brackenloft.net.server_protocol import Speech
 from brackenloft.standins import BoardNode, Fault, at_random
 from brackenloft.standins.graphql import GraphqlBoard
 
--- a/benchmarks/ordinary.py
+++ b/benchmarks/ordinary.py
@@ -62,7 +62,7 @@
 LAYERS = {
     "net/clients.py": "clients", "net/resp.py": "parse", "net/wire.py": "encode", "checks.py": "parse",
     "net/driver.py": "driver", "net/lag.py": "driver", "net/timers.py": "timers", "answers.py": "encode",
-    "net/servers.py": "servers", "policy/": "decisions",
+    "net/attempt.py": "servers", "net/server": "servers", "policy/": "decisions",
     "interface.py": "decisions", "admission/": "clients", "edge/": "driver"}
 # These and what they call go by the time that passes, not by the requests: a layer of its own, not compared.
 BY_CLOCK = {"_fire", "_arm", "_on_beat", "_next", "_note", "_sweep", "_look", "_have_rested"}
--- a/brackenloft/__main__.py
+++ b/brackenloft/__main__.py
@@ -20,7 +20,7 @@
 from brackenloft import interface as api
 from brackenloft.edge.asks import Room
 from brackenloft.edge.edge import Edge
-from brackenloft.net.servers import Address
+from brackenloft.net.address import Address
 from brackenloft.settings import settings_from
 
 if TYPE_CHECKING:
--- a/brackenloft/edge/asks.py
+++ b/brackenloft/edge/asks.py
@@ -11,7 +11,7 @@
 from brackenloft import interface as api
 from brackenloft.answers import Answer, Granted
 from brackenloft.checks import FieldError
-from brackenloft.net.servers import Reply
+from brackenloft.net.attempt import Reply
 
 if TYPE_CHECKING:
     from brackenloft.edge.edge import Edge
--- a/brackenloft/edge/edge.py
+++ b/brackenloft/edge/edge.py
@@ -24,11 +24,13 @@
 from brackenloft.lifecycle import FACTS, Event, Lifecycle, State
 from brackenloft.net import driver as driving
 from brackenloft.net import wire
+from brackenloft.net.address import Address
 from brackenloft.net.clients import Clients
 from brackenloft.net.discovery import Discovery
 from brackenloft.net.driver import Clock, Driver
 from brackenloft.net.resp import LONGEST_VALUE
-from brackenloft.net.servers import Address, Servers, Speech
+from brackenloft.net.server_protocol import Speech
+from brackenloft.net.servers import Servers
 from brackenloft.policy import Gateway
 
 log = logging.getLogger(__name__)
--- a/brackenloft/fleet/tasks/probe.py
+++ b/brackenloft/fleet/tasks/probe.py
@@ -14,7 +14,7 @@
 from brackenloft.fleet.tasks.runner import Run
 from brackenloft.fleet.tasks.verdicts import Hints, Verdicts
 from brackenloft.interface import ProbeResult, Status
-from brackenloft.net.servers import Address
+from brackenloft.net.address import Address
 
 log = logger(__name__)
 
--- a/brackenloft/graphql/config.py
+++ b/brackenloft/graphql/config.py
@@ -17,7 +17,7 @@
 from brackenloft.graphql.limits import Limits, Turned
 from brackenloft.graphql.nodes import DOOR, Answers, Readings
 from brackenloft.graphql.schema import SchemaError, load
-from brackenloft.net.servers import Speech
+from brackenloft.net.server_protocol import Speech
 
 MOST_FILE = 1024 * 1024  # bytes of a schema or a document
 
--- a/brackenloft/graphql/nodes.py
+++ b/brackenloft/graphql/nodes.py
@@ -17,8 +17,8 @@
 import httptools
 
 from brackenloft import interface as api
+from brackenloft.net.attempt import Reply
 from brackenloft.net.resp import ProtocolError
-from brackenloft.net.servers import Reply
 
 DOOR = "graphql"  # the name of these connections beside those of RESP2
 MOST_ANSWER = 1024 * 1024  # bytes of a body: sixteen times a value by PROTOCOL, as its servers send too
--- a/brackenloft/graphql/run.py
+++ b/brackenloft/graphql/run.py
@@ -16,7 +16,7 @@
 from brackenloft.graphql.limits import Code
 from brackenloft.graphql.plan import Part, Plan
 from brackenloft.graphql.requests import error
-from brackenloft.net.servers import Reply
+from brackenloft.net.attempt import Reply
 
 HOST = "board"  # of the commands: nodes are addressed, not named
 LEAST_UNITS = 1e-6  # of a paid part: units say its worth beside others, and nothing can be worth nothing
--- /dev/null
+++ b/brackenloft/net/address.py
@@ -0,0 +1,3 @@
+"""Network addresses."""
+
+Address = tuple[str, int]  # host and port
--- /dev/null
+++ b/brackenloft/net/attempt.py
@@ -0,0 +1,64 @@
+"""One attempt of a request at a server, and the reply or failure that it ends with."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from math import inf
+from typing import Any, Protocol
+
+from brackenloft import interface as api
+from brackenloft.net.streams import Stream
+
+
+@dataclass(slots=True)
+class Reply:
+    """What an attempt came to."""
+
+    status: api.Status
+    value: bytes | None = None
+    used: float | None = None
+    cost: float | None = None
+    load: tuple[float, ...] | None = None
+    parsed: Any = None  # the value as its protocol has read it, where it has
+
+
+class Carrier(Protocol):
+    """The connection that an attempt is on."""
+
+    handed: bool
+
+    def close(self, status: api.Status) -> None:
+        """Close the connection; the attempt on it ends with this status."""
+
+
+class Attempt:
+    """A command on its way to a server; ``done`` is called once with what came of it."""
+
+    __slots__ = ("payload", "done", "connection", "due", "written", "began", "waits", "opened", "streams",
+                 "request_id", "number", "server")
+
+    def __init__(
+        self, payload: bytes, done: Callable[[Reply], None], due: float = inf,
+        opened: Callable[[Attempt, Stream], bool] | None = None,
+    ) -> None:
+        self.payload = payload
+        self.opened = opened  # takes a long value as a stream, unless nobody wants it any more
+        self.streams = False  # it has been taken
+        self.request_id, self.number, self.server = "", 0, 0  # whose it is, for ``opened``
+        # All by time.monotonic(): not written from ``due`` on, when it was written, when it was asked for.
+        self.due, self.written, self.began = due, inf, time.monotonic()
+        self.done: Callable[[Reply], None] | None = done
+        self.connection: Carrier | None = None
+        self.waits = False  # for a connection of its host
+
+    def finish(self, reply: Reply) -> None:
+        """Tell the outcome, the first only.
+
+        The command is let go. Guards against bodies that are kept until the attempt's time is up, as the
+        timer that would end it knows the attempt.
+        """
+        done, self.done, self.connection, self.payload = self.done, None, None, b""
+        if done:
+            done(reply)
--- a/brackenloft/net/discovery.py
+++ b/brackenloft/net/discovery.py
@@ -11,8 +11,8 @@
 import httptools
 
 from brackenloft import interface as api
+from brackenloft.net.address import Address
 from brackenloft.net.objects import MalformedError, Objects
-from brackenloft.net.servers import Address
 
 log = logging.getLogger(__name__)
 
--- a/brackenloft/net/driver.py
+++ b/brackenloft/net/driver.py
@@ -12,8 +12,9 @@
 
 from brackenloft import interface as api
 from brackenloft.answers import FAILED, SERVED, Answer, Granted, Opened, Refused, Served, Tally
+from brackenloft.net.attempt import Attempt, Reply
 from brackenloft.net.lag import Lag
-from brackenloft.net.servers import Attempt, Reply, Servers
+from brackenloft.net.servers import Servers
 from brackenloft.net.streams import Stream
 from brackenloft.net.timers import Handle, Timers
 from brackenloft.policy import Gateway
--- /dev/null
+++ b/brackenloft/net/server_connection.py
@@ -0,0 +1,323 @@
+"""One connection to a server: connecting, idle, or with one attempt out.
+
+What an attempt came to is told once, by PROTOCOL's table: an attempt whose last byte was not handed to
+the kernel never ran, one that was may have, whatever became of it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import socket
+import time
+from collections import deque
+from collections.abc import Callable
+from contextlib import suppress
+from typing import Protocol, cast
+
+from brackenloft import interface as api
+from brackenloft.admission.rate import Least, Pace
+from brackenloft.net.address import Address
+from brackenloft.net.attempt import Attempt, Reply
+from brackenloft.net.resp import ProtocolError
+from brackenloft.net.server_protocol import Speech
+from brackenloft.net.streams import STREAM_FROM, Stream, Streams
+
+log = logging.getLogger(__name__)
+
+# For an answer on its way to a connection, twice that by the kernel. Guards against reads of a quarter of a
+# megabyte on each of many connections whose values nobody takes yet.
+RECEIVES = 32 * 1024
+STALLED_S = 15.0  # a server that sends nothing of a stream for so long has died
+
+
+class Pool(Protocol):
+    """What a connection needs of the pool that it belongs to."""
+
+    loop: asyncio.AbstractEventLoop
+    speech: Speech
+    streams: Streams
+    connect_timeout_s: float
+    tries: int
+    watcher: Callable[[int, bool], None] | None
+
+    def fail_waiting(self, host: Host) -> None:
+        """A connection to this server did not come up: fail the attempts that wait for one."""
+
+    def give_back(self, connection: Connection) -> None:
+        """An attempt has ended well: keep its connection, unless the server changed meanwhile."""
+
+    def hold(self, size: int, connection: Connection) -> None:
+        """Count bytes held for an answer; raises ProtocolError where there is no memory for it."""
+
+    def look_at(self, connection: Connection) -> None:
+        """Watch the pace of a command or an answer that did not go or come at once."""
+
+    def forget(self, connection: Connection) -> None:
+        """A connection that is closing counts no more."""
+
+
+class Host:
+    """A server as discovery last told it. Each change that makes old connections useless is an epoch."""
+
+    __slots__ = ("address", "started", "ready", "idle", "epoch", "coming_up", "waiting", "timer")
+
+    def __init__(self) -> None:
+        self.address: Address = ("", 0)
+        self.started, self.ready, self.epoch = 0.0, False, 0
+        self.idle: list[Connection] = []  # the most recently used last
+        self.coming_up = 0  # connections that are not up yet
+        self.waiting: deque[Attempt] = deque()  # for one of these or an idle one that has rested
+        self.timer: asyncio.TimerHandle | None = None  # for the latter
+
+
+def _is_up(sock: socket.socket) -> bool:
+    """Whether it is connected. Guards against blaming a server for a loop that was held up meanwhile."""
+    try:
+        sock.getpeername()
+    except OSError:
+        return False
+    return True
+
+
+class Connection(asyncio.Protocol):
+    """One connection to a server: connecting, idle, or with one attempt out."""
+
+    def __init__(self, servers: Pool, host: Host, attempt: Attempt) -> None:
+        self.servers, self.host, self.epoch = servers, host, host.epoch
+        self.attempt: Attempt | None = attempt
+        self.transport: asyncio.Transport | None = None
+        self.socket: socket.socket | None = None
+        self.task: asyncio.Task[None] | None = None
+        self.reader = servers.speech.reader()
+        self.held = 0  # bytes of an answer that is not whole yet
+        self.handed = False  # the attempt's last byte to the kernel: written whole; never, while it is not
+        self.pace: Pace | None = None  # of a command or an answer that is under way for a while
+        self.stream: Stream | None = None  # the value of its answer, passed on as it comes
+        self.reading = True
+        self.unsent = 0
+        self.number = attempt.server  # the server's
+        self.idle_since = 0.0
+        # The loop has taken over the socket. Guards against closing the transport before that: uvloop closes
+        # the descriptor then, and Python's socket does so once more, when it may be another connection's.
+        self.up = False
+        self.closed = False
+        attempt.connection = self
+
+    # ---- Coming up
+
+    async def open(self) -> None:
+        """Connect within the time-out of the settings, then send the attempt that asked for it."""
+        loop, sock = self.servers.loop, None
+        try:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVES)
+            try:
+                async with asyncio.timeout(self.servers.connect_timeout_s):
+                    await loop.sock_connect(sock, self.host.address)
+            except TimeoutError:
+                if not _is_up(sock):
+                    raise
+            self.socket = sock
+            await loop.create_connection(lambda: self, sock=sock)
+            self.up = True
+            if self.closed and self.transport:
+                self.transport.abort()
+            if self.servers.watcher:
+                self.servers.watcher(self.number, True)
+        except (OSError, TimeoutError):  # out of descriptors is an OSError too: an outcome, not a crash
+            if self.servers.watcher and sock:
+                self.servers.watcher(self.number, False)
+            self.close(api.Status.CONNECT_FAILED)
+            self.servers.fail_waiting(self.host)
+        finally:
+            if sock and self.socket is None:
+                sock.close()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        # uvloop's transports are not asyncio.Transport by class: no isinstance here
+        self.transport = cast(asyncio.Transport, transport)
+        # With a limit of 0 the loop tells when the last byte has gone to the kernel (resume_writing).
+        self.transport.set_write_buffer_limits(0)
+        if self.closed or self.attempt is None:
+            self.close(api.Status.CANCELLED)
+        elif self.epoch != self.host.epoch or not self.host.ready:
+            # Guards against a first byte to a server that began to drain, left or moved meanwhile.
+            self.close(api.Status.CONNECT_FAILED)
+        elif time.monotonic() >= self.attempt.due:
+            # Guards against a send after its time, by a loop that was held up while this one came up.
+            self.close(api.Status.NOT_SENT)
+        else:
+            self._write(self.attempt)
+
+    # ---- An attempt
+
+    def send(self, attempt: Attempt) -> None:
+        """Send on an idle connection."""
+        self.attempt, attempt.connection = attempt, self
+        self._write(attempt)
+
+    def _write(self, attempt: Attempt) -> None:
+        assert self.transport is not None
+        self.handed, attempt.written = False, time.monotonic()
+        self.transport.write(attempt.payload)
+        self.unsent = self.transport.get_write_buffer_size()
+        self.handed = self.unsent == 0
+        self.servers.tries += self.handed
+        if not self.handed:
+            self.servers.look_at(self)
+
+    def resume_writing(self) -> None:
+        self.servers.tries += not self.handed
+        self.handed, self.pace = True, None
+
+    def too_slow(self, now: float, late: float) -> bool:
+        """Whether what is under way moves below the least rate; a command by what the kernel takes."""
+        if self.pace is None:
+            return False
+        self.pace.excuse(late)
+        if not self.handed and self.transport:
+            size = self.transport.get_write_buffer_size()
+            self.pace.moved(max(0, self.unsent - size), now)
+            self.unsent = size
+        return self.pace.too_slow(now)
+
+    def data_received(self, data: bytes) -> None:
+        """An answer, or a part of one; it is judged before the connection is used again.
+
+        Guards against answers that can't be read, and against bytes behind an answer or out of turn, which
+        would be taken for the answer to a later request: the connection is of no further use.
+        """
+        if self.closed:
+            return
+        if self.attempt is None:
+            self.close(api.Status.RESET)
+            return
+        if self.stream is None:
+            self.reader.feed(data)
+        elif self._pass_on(data):
+            return
+        try:
+            answer = self.reader.answer()
+            if answer is None:
+                self._more(data)
+                return
+            self.pace = None
+            self.servers.hold(-self.held, self)
+            reply = self.servers.speech.judge.reply(answer)
+        except ProtocolError as error:
+            log.warning("an answer that can't be read: %s: %.60r", error, data[:60])
+            self.close(api.Status.ERROR)  # it may have run
+            return
+        attempt, self.attempt = self.attempt, None
+        if self.stream:
+            self.stream, reply.value = None, None
+            self.resume()
+        if self.reader.left:
+            self.close(api.Status.RESET)
+        else:
+            self.servers.give_back(self)
+        attempt.finish(reply)
+
+    # ---- A long value, passed on as it comes
+
+    def _more(self, data: bytes) -> None:
+        """An answer is not whole yet: a long value is passed on from here, others are held."""
+        attempt = self.attempt
+        if attempt and attempt.opened and self.stream is None:
+            opening = self.reader.opening(STREAM_FROM)
+            if opening:
+                self._open(attempt, *opening)
+                return
+        self.servers.hold(self.reader.left - self.held, self)
+        if self.pace:
+            self.pace.moved(len(data), time.monotonic())
+        self.servers.look_at(self)
+
+    def _open(self, attempt: Attempt, size: int, piece: bytes) -> None:
+        assert attempt.opened
+        self.servers.hold(-self.held, self)
+        self.stream = Stream(size, self, self.servers.streams)
+        attempt.streams = True
+        self.pace = Pace(Least(1.0, STALLED_S, STALLED_S), time.monotonic())
+        if not attempt.opened(attempt, self.stream):
+            self.close(api.Status.CANCELLED)
+            return
+        self.servers.look_at(self)
+        self.stream.came(piece)
+
+    def _pass_on(self, data: bytes) -> bool:
+        """Pass on what belongs to the value; whether that is all there is."""
+        assert self.stream
+        if self.pace:
+            self.pace.moved(len(data), time.monotonic())
+        piece = self.reader.piece(data)
+        if piece:
+            self.stream.came(piece)
+        return self.closed or not self.reader.left
+
+    def pause(self) -> None:
+        """The client takes no more now: read no further, which stops the server in time."""
+        if self.reading and self.transport and not self.closed:
+            self.reading = False
+            self.transport.pause_reading()
+            if self.pace:
+                self.pace.pause(time.monotonic())
+
+    def resume(self) -> None:
+        """Read on."""
+        if not self.reading and self.transport and not self.closed:
+            self.reading = True
+            self.transport.resume_reading()
+            if self.pace:
+                self.pace.resume(time.monotonic())
+
+    def abandon(self) -> None:
+        """Nobody wants the rest."""
+        self.close(api.Status.CANCELLED)
+
+    def alive(self) -> bool:
+        """Whether the server has not closed it, or written out of turn, while it was idle.
+
+        Guards against writing to a connection whose end has come but was not read yet: the request would
+        end as a reset, which is fatal for an unsafe one.
+        """
+        assert self.socket is not None
+        if self.closed:
+            return False
+        try:
+            self.socket.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+    # ---- The end
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.close(api.Status.RESET if self.handed else api.Status.CONNECT_FAILED)
+
+    def close(self, status: api.Status) -> None:
+        """Close at once; the attempt on it, if any, ends with this status.
+
+        The socket is shut down before the outcome is told, so that a further attempt, which the outcome
+        may bring about, never finds this one still out.
+        """
+        attempt, self.attempt = self.attempt, None
+        if not self.closed:
+            self.closed = True
+            self.servers.hold(-self.held, self)
+            self.servers.forget(self)
+            if self.socket is None and self.task:
+                self.task.cancel()
+            elif self.transport:
+                with suppress(OSError):
+                    if self.socket:
+                        self.socket.shutdown(socket.SHUT_RDWR)
+                if self.up:
+                    self.transport.abort()
+        if attempt:
+            attempt.finish(Reply(status))
--- /dev/null
+++ b/brackenloft/net/server_protocol.py
@@ -0,0 +1,42 @@
+"""What a protocol of servers provides to the connections: a reader of answers, and a judge of each answer."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+from brackenloft.net.attempt import Reply
+
+
+class Reader(Protocol):
+    """Reads answers from what comes on a connection; ``left``: bytes that are not done with."""
+
+    left: int
+
+    def feed(self, data: bytes) -> None:
+        """Take in what has come."""
+
+    def answer(self) -> Any:
+        """The next answer, or None until it is whole; raises ProtocolError."""
+
+    def opening(self, least: int) -> tuple[int, bytes] | None:
+        """Size and first bytes of a long value that begins to come, where it can be passed on."""
+
+    def piece(self, data: bytes) -> bytes:
+        """What of this belongs to that value."""
+
+
+class Judge(Protocol):
+    """Says what an answer came to."""
+
+    def reply(self, answer: Any) -> Reply:
+        """An answer, in the decisions' terms."""
+
+
+@dataclass(frozen=True, slots=True)
+class Speech:
+    """A protocol of servers: what is said to them is written elsewhere, by who asks."""
+
+    reader: Callable[[], Reader]
+    judge: Judge
--- a/brackenloft/ops/station.py
+++ b/brackenloft/ops/station.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from brackenloft.edge.edge import Edge
-from brackenloft.net.servers import Address
+from brackenloft.net.address import Address
 from brackenloft.ops.address import SecondAddress
 from brackenloft.ops.calls import Response, respond
 from brackenloft.ops.figures import Standing, document
--- a/tests/test_graphql.py
+++ b/tests/test_graphql.py
@@ -29,7 +29,7 @@
 from brackenloft.graphql.nodes import DOOR, MOST_ANSWER, Answers, HttpAnswer, Readings, command
 from brackenloft.graphql.schema import load
 from brackenloft.net.resp import ProtocolError
-from brackenloft.net.servers import Speech
+from brackenloft.net.server_protocol import Speech
 from brackenloft.standins import BoardNode, Fault, in_order
 from brackenloft.standins.graphql import GraphqlBoard
 
--- a/tests/test_net_servers.py
+++ b/tests/test_net_servers.py
@@ -9,7 +9,8 @@
 
 from brackenloft import Limits, ListKind, ServerEntry, ServerState, Status
 from brackenloft.net import servers as module
-from brackenloft.net.servers import Attempt, Readings, Reply
+from brackenloft.net.attempt import Attempt, Reply
+from brackenloft.net.server_replies import Readings
 
 COMMAND = resp("CALL.GET", "00000000b4d65521", "00000000000000aa", "c=read,t=free,d=10")
 
@@ -311,7 +312,7 @@
                 raise OSError(errno.EMFILE, "too many open files")
             ends = Ends()
             with monkeypatch.context() as patch:
-                patch.setattr(module.socket, "socket", none_left)
+                patch.setattr(socket, "socket", none_left)
                 gateway.servers.start(1, ends.attempt())
                 assert await ends.status() is Status.CONNECT_FAILED
             gateway.servers.start(1, ends.attempt())
--- a/tests/test_net_slow.py
+++ b/tests/test_net_slow.py
@@ -150,7 +150,7 @@
         first, other = FakeServer(), FakeServer()
 
         def hang_up(words):
-            monkeypatch.setattr(servers_module.socket, "socket", none_left)
+            monkeypatch.setattr(socket, "socket", none_left)
             return b""
 
         async with node() as gateway:
