Clients that have gone are asked for before a connection's first request is taken

Change: before the first request of a connection is taken, and before one that finds nothing in hand (the loop's lag is not measured then), the kernel is asked whether the peer has closed (POLLRDHUP). The same pair for the ASGI fronts: the server has four turns of the loop to read the end behind a request.

Weighed and not taken: an age of connections by since when the listener stood still. As a lower bound it is known for the head of the queue alone (the kernel's queue length is told by TCP_INFO again, which is what it was to do without); as an upper bound it takes time from clients who have only just come, and costs answers.

--- a/brackenloft/asgi/middleware.py
+++ b/brackenloft/asgi/middleware.py
@@ -25,6 +25,9 @@
 App = Callable[[Scope, Receive, Send], Awaitable[None]]
 
 
+CLOSE_TURNS = 4  # of the loop: a server reads the end behind a request's last byte in one, and hands it on
+
+
 class Incoming:
     """What comes from the client, watched for its leaving while the application does not read yet.
 
@@ -59,6 +62,27 @@
             if message.get("more_body"):
                 await asyncio.Event().wait()
 
+    async def closed_behind_request(self) -> bool:
+        """Whether the client had closed its connection before its whole request was read.
+
+        A connection that waited in the listener's backlog brings a request and the end behind it at once, and
+        the server reads the end one turn of the loop later. Guards against attempts for clients that left.
+        """
+        for _ in range(CLOSE_TURNS):
+            if self._task is None:
+                self._task = asyncio.ensure_future(self._receive())
+            await asyncio.sleep(0)
+            if not self._task.done() or self._task.exception():
+                continue
+            message = self._task.result()
+            if message["type"] == "http.disconnect":
+                return True
+            if message.get("more_body"):
+                return False  # it streams: who reads it hears of the end
+            self._kept.append(message)
+            self._task = None
+        return False
+
     async def body(self, most: int) -> bytes | None:
         """The whole body; None if the client left before its end. ValueError beyond so many bytes."""
         parts, size = [], 0
@@ -220,7 +244,8 @@
         except ValueError:
             await problems.too_large(LONGEST_VALUE).send(send)
             return
-        if body is None:
+        if body is None or await incoming.closed_behind_request():
+            await incoming.close()
             return  # nothing was asked yet
         if body:
             call = replace(call, body=body)
--- a/brackenloft/graphql/front.py
+++ b/brackenloft/graphql/front.py
@@ -118,8 +118,8 @@
             media_type = found
             caller = self.callers(scope)
             asked = await self._read(scope, incoming)
-            if asked is None:
-                return  # the client left before its request was whole
+            if asked is None or await incoming.closed_behind_request():
+                return  # the client has left
             prepared = await self._document(asked, caller)
             plan, run = self._prepare(prepared, asked, caller, self._key(scope))
             joined = await self._answer(run, incoming)
--- a/brackenloft/net/client.py
+++ b/brackenloft/net/client.py
@@ -205,7 +205,10 @@
     def _take(self, command: list[bytes], size: int) -> None:
         name = command[0].upper()
         if name in (b"CALL.GET", b"CALL.POST"):
-            self._call(command, size)
+            if self._may_have_closed() and has_gone(self.socket):
+                self.departed()
+            else:
+                self._call(command, size)
             return
         self.hold(-size, in_hand=False)
         if name == b"PING":
@@ -213,6 +216,17 @@
         else:
             self._refuse("unknown command")
 
+    def _may_have_closed(self) -> bool:
+        """Whether the peer may have closed the connection long before its command was read.
+
+        A connection that waited in the listener's backlog, or a process that stood still, brings a command
+        and the FIN behind it in one turn of the loop, and the FIN is read later in that turn or in the next.
+        While the loop's lag is watched, ``Driver`` asks the kernel where the loop was held up. Guards against
+        attempts for clients that have gone; costs one ``poll`` for a connection's first request, or for a
+        request that finds nothing in hand.
+        """
+        return not self.asked or not self.clients.driver.lag.watching
+
     def _call(self, command: list[bytes], size: int) -> None:
         driver = self.clients.driver
         try:
--- a/brackenloft/net/lag.py
+++ b/brackenloft/net/lag.py
@@ -76,6 +76,11 @@
             self.beat.cancel()
         self.beat, self.due, self.last = None, inf, NO_STALL
 
+    @property
+    def watching(self) -> bool:
+        """Whether it beats, so that a loop that is held up is noticed."""
+        return self.beat is not None
+
     def held_up(self) -> bool:
         """Whether what is handled in this turn has waited for the loop: the beat is late as well."""
         return time.monotonic() - self.due > self.least
--- a/tests/test_asgi.py
+++ b/tests/test_asgi.py
@@ -1,6 +1,7 @@
 """The middleware: what passes untouched, what is turned away and how; under uvicorn, with httpx."""
 
 import asyncio
+import socket
 from contextlib import asynccontextmanager
 from dataclasses import replace
 
@@ -297,6 +298,28 @@
     run(test())
 
 
+@pytest.mark.parametrize("half_close", [False, True])
+def test_client_whose_end_stood_behind_its_request_in_the_backlog_is_not_sent_on(half_close):
+    async def test():
+        server = await FakeServer().start()
+        app, edge = made(mapper=lambda scope: HeaderMapper(SETTINGS, forward=True)(scope))
+        async with serving(app) as client:
+            entry, address = server.entry(1)
+            edge.told(ServerList(ListKind.FULL, (entry,)), {1: address})
+            port = client.base_url.port
+            with socket.create_connection(("127.0.0.1", port)) as gone:
+                fields = "".join(f"{name}: {value}\r\n" for name, value in WHO.items())
+                gone.sendall(f"GET /any HTTP/1.1\r\nhost: x\r\n{fields}\r\n".encode())
+                if half_close:
+                    gone.shutdown(socket.SHUT_WR)
+            assert (await client.get("/any", headers=WHO)).status_code == 200
+            await until(lambda: not edge.driver.calls)
+            assert len(server.commands) == 1 and edge.driver.counters.attempts == 1
+            clean(edge)
+
+    run(test())
+
+
 def test_failed_is_a_bad_gateway_and_a_closed_edge_no_room():
     async def test():
         server = await FakeServer(lambda words: b"-ERR failed\r\n").start()
--- a/tests/test_graphql.py
+++ b/tests/test_graphql.py
@@ -447,6 +447,26 @@
     run(test())
 
 
+def test_a_query_whose_client_had_closed_behind_it_is_not_sent_on():
+    async def test():
+        async with world() as made:
+            messages, sent = [{"type": "http.request", "body": json.dumps({"query": BUY}).encode()},
+                              {"type": "http.disconnect"}], []
+
+            async def receive():
+                return messages.pop(0)
+
+            async def send(message):
+                sent.append(message)
+
+            scope = {"type": "http", "method": "POST", "path": "/graphql", "query_string": b"", "headers": [
+                (b"x-customer", WHO.encode()), (b"x-plan", b"free"), (b"content-type", b"application/json")]}
+            await made.front(scope, receive, send)
+            assert not sent and not made.edge.driver.counters.requests
+
+    run(test())
+
+
 def test_a_client_that_leaves_before_its_request_is_whole_is_answered_nothing(caplog):
     async def test():
         async with world() as made:
--- a/tests/test_net_departures.py
+++ b/tests/test_net_departures.py
@@ -1,6 +1,7 @@
 """Clients that leave at a moment at which nobody reads what they send: nothing goes out for them any more."""
 
 import asyncio
+import os
 import socket
 import struct
 from dataclasses import replace
@@ -154,3 +155,100 @@
             assert len(server.commands) == 1
 
     run(test())
+
+
+def connect(gateway):
+    """A plain socket: what it sends and its end are in the gateway's kernel when the call returns."""
+    return socket.create_connection(gateway.clients.listener.getsockname())
+
+
+def end(sock, how):
+    if how == "reset":
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    if how == "half-close":
+        sock.shutdown(socket.SHUT_WR)
+    else:
+        sock.close()
+
+
+@pytest.mark.parametrize("sent", [call(2), call(2) + call(4, "buy"), call(2, "buy") + call(4)[:20]])
+@pytest.mark.parametrize("how", ["close", "half-close", "reset"])
+def test_client_that_left_while_its_connection_was_in_the_backlog_is_not_sent_on(how, sent):
+    async def test():
+        server = FakeServer(lambda words: None)
+        async with node(server, most_connections=1) as gateway:
+            first = await gateway.peer()
+            first.send(call(1))
+            await server.until(lambda: len(server.commands) == 1)  # it holds the only place
+            second = connect(gateway)
+            second.sendall(sent)
+            end(second, how)
+            server.writers[0].write(array(b"v"))
+            assert await first.reply() == b"v"
+            first.writer.close()
+            third = await gateway.peer()
+            third.send(call(3))
+            await server.until(lambda: any(int(words[2], 16) == 3 for words in server.commands))
+            assert [int(words[2], 16) for words in server.commands] == [1, 3]
+            assert gateway.driver.counters.attempts == 2  # none was begun and stopped
+            assert list(gateway.driver.calls) == [f"{3:016x}"]
+            second.close()
+
+    run(test())
+
+
+def test_client_that_left_before_a_successor_took_over_the_listener_is_not_sent_on():
+    async def test():
+        server = FakeServer()
+        async with node(server) as gateway:
+            with socket.create_server(("127.0.0.1", 0)) as listener:
+                gone = socket.create_connection(listener.getsockname())
+                gone.sendall(call(1))
+                gone.close()
+                stays = socket.create_connection(listener.getsockname())
+                stays.sendall(call(2))
+                gateway.clients._close_listener()
+                gateway.edge.inherit(os.dup(listener.fileno()))
+                await server.until(lambda: bool(server.commands))
+                await until(lambda: not gateway.driver.calls)
+                assert [int(words[2], 16) for words in server.commands] == [2]
+                assert gateway.driver.counters.attempts == 1
+                stays.close()
+
+    run(test())
+
+
+def test_client_that_left_behind_the_second_half_of_its_first_command_is_not_sent_on():
+    async def test():
+        server = FakeServer()
+        async with node(server) as gateway:
+            sock, command = connect(gateway), call(1)
+            sock.sendall(command[:20])
+            await until(lambda: any(client.within for client in gateway.clients.connections))
+            sock.sendall(command[20:])
+            sock.close()
+            await until(lambda: not gateway.clients.connections)
+            assert await (await gateway.peer()).ask(call(2)) == b"%016x" % 2
+            assert [int(words[2], 16) for words in server.commands] == [2]
+            assert gateway.driver.counters.attempts == 1
+
+    run(test())
+
+
+def test_client_that_left_while_the_process_stood_still_with_nothing_in_hand_is_not_sent_on():
+    """Nothing in hand: the loop's lag is not watched, and nothing else tells that it stood still."""
+    async def test():
+        server = FakeServer()
+        async with node(server) as gateway:
+            sock = connect(gateway)
+            sock.sendall(call(1))
+            await server.until(lambda: len(server.commands) == 1)
+            await until(lambda: not gateway.driver.calls and not gateway.driver.lag.watching)
+            sock.sendall(call(2))
+            sock.close()
+            await until(lambda: not gateway.clients.connections)
+            assert await (await gateway.peer()).ask(call(3)) == b"%016x" % 3
+            assert [int(words[2], 16) for words in server.commands] == [1, 3]
+            assert gateway.driver.counters.attempts == 2
+
+    run(test())
