--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -10,7 +10,7 @@
 import json
 from pathlib import Path
 
-from brackenloft.lab.scale import agreement, decisions, documents, page, registry, slopes
+from brackenloft.lab.scale import agreement, decisions, documents, page, registry, slopes, trees
 from brackenloft.lab.scale.measuring import COMMAND, environment
 
 STORED = Path(__file__).parent / "capacity" / "slopes.json"
@@ -20,7 +20,8 @@
 def measure() -> slopes.Measured:
     """All slopes, one axis at a time."""
     where = environment(COMMAND)
-    found = [*decisions.slopes(), *documents.slopes(), *agreement.slopes(), *registry.slopes()]
+    parts = (decisions, documents, agreement, registry, trees)
+    found = [slope for part in parts for slope in part.slopes()]
     return slopes.Measured(where, tuple(found))
 
 
