--- a/brackenloft/configuration/model.py
+++ b/brackenloft/configuration/model.py
@@ -23,14 +23,14 @@
     TENANTS = "tenants"
 
 
-class Service(msgspec.Struct, frozen=True):
+class Service(msgspec.Struct, frozen=True, gc=False):
     """A group of servers that routes lead to."""
 
     name: str
     description: str = ""
 
 
-class Match(msgspec.Struct, frozen=True):
+class Match(msgspec.Struct, frozen=True, gc=False):
     """Which requests a route takes; an empty field matches anything."""
 
     request_class: str = ""
@@ -39,7 +39,7 @@
     tenant: str = ""
 
 
-class Target(msgspec.Struct, frozen=True):
+class Target(msgspec.Struct, frozen=True, gc=False):
     """A service that a route leads to, with its share of the route's requests by weight."""
 
     service: str
@@ -54,7 +54,7 @@
     targets: tuple[Target, ...]
 
 
-class Plan(msgspec.Struct, frozen=True):
+class Plan(msgspec.Struct, frozen=True, gc=False):
     """A plan's quota per tenant over all gateways, with the fields of ``interface.Plan``.
 
     Rates are units a second; 0 for a rate, an in-flight limit or a ceiling means that there is none.
@@ -72,7 +72,7 @@
     ceiling_slack: float = 0.0
 
 
-class Tenant(msgspec.Struct, frozen=True):
+class Tenant(msgspec.Struct, frozen=True, gc=False):
     """A customer and its plan; ``name`` is the customer's id on the wire."""
 
     name: str
