--- a/brackenloft/configuration/following.py
+++ b/brackenloft/configuration/following.py
@@ -61,6 +61,9 @@
     INTERNAL = "internal"  # a fault of this process
 
 
+TOO_MUCH = (Failure.TOO_LONG, Failure.GARBAGE)  # of an answer that may have been longer than is read
+
+
 @dataclass(frozen=True, slots=True)
 class Endpoint:
     """A control server's name and region."""
@@ -192,7 +195,7 @@
         """The next call, or how long to wait before one. A call that is still out is abandoned by this."""
         if now_ms < self._asked_at_ms + LEAST_GAP_MS:
             return Pause(self._asked_at_ms + LEAST_GAP_MS - now_ms)
-        server = next((one for one in self.servers.values() if one.retry_at_ms <= now_ms), None)
+        server = self._choose(now_ms)
         if server is None:
             return Pause(min(one.retry_at_ms for one in self.servers.values()) - now_ms)
         self._number += 1
@@ -202,6 +205,21 @@
             return ChunkCall(self._number, self.followed, chunk, CHUNK_TIMEOUT_MS)
         return self._follow_call(server)
 
+    def _choose(self, now_ms: float) -> _Server | None:
+        """Which of the servers that are not paused is asked.
+
+        After a failure the one with the fewest in a row, so that a second stalled server is not tried before
+        one that answers. After an answer the preferred one, which is how a gateway returns to its region;
+        but a snapshot is fetched on from the server that gives it.
+        """
+        ready = [server for server in self.servers.values() if server.retry_at_ms <= now_ms]
+        last = self.servers.get(self.followed)
+        if last and last.failures:
+            return min(ready, key=lambda server: server.failures, default=None)
+        if self._snapshot and last in ready:
+            return last
+        return next(iter(ready), None)
+
     def _follow_call(self, server: _Server) -> FollowCall:
         """A server that was not heard yet is not given time: one that is stalled costs less."""
         wait_ms = self.wait_ms if server.answers else 0
@@ -220,6 +238,8 @@
             self._snapshot.failures += 1
             if self._snapshot.failures >= SNAPSHOT_FAILURES:
                 self._snapshot = None
+        elif failure in TOO_MUCH:
+            self._wants_snapshot = True
         self._set_back(failure, now_ms, draw)
 
     def rejected(self, failure: Failure, now_ms: float, draw: float) -> None:
@@ -305,7 +325,7 @@
 
     def _offer(self, answer: SnapshotOffer, now_ms: float, draw: float) -> Work | None:
         if answer.revision <= self.in_force.revision:
-            self._set_back(Failure.OLDER, now_ms, draw)
+            self._no_newer_offer(answer, now_ms, draw)
             return None
         if len(answer.buckets) != len(self.in_force.buckets):
             self._set_back(Failure.GARBAGE, now_ms, draw)
@@ -317,6 +337,13 @@
         self._snapshot = _Snapshot(answer, missing)
         return None
 
+    def _no_newer_offer(self, answer: SnapshotOffer, now_ms: float, draw: float) -> None:
+        """It is right to offer what is in force where a snapshot was asked for, and wrong else."""
+        expected, self._wants_snapshot = self._wants_snapshot, False
+        same = answer.revision == self.in_force.revision and answer.digest == self.in_force.digest
+        if not (expected and same):
+            self._set_back(Failure.OLDER, now_ms, draw)
+
     def _chunk(self, answer: Chunk | Compacted, now_ms: float, draw: float) -> Work | None:
         snapshot = self._snapshot
         if snapshot is None:
--- a/tests/test_configuration_following.py
+++ b/tests/test_configuration_following.py
@@ -114,6 +114,24 @@
     assert clock.call().server == asked[0]
 
 
+def test_one_call_at_most_is_lost_to_stalled_servers_once_another_answers():
+    """Both servers of the region stall: between two failures another region's is heard."""
+    core = begin()
+    clock = Clock(core)
+    asked = []
+    for _ in range(100):
+        call = clock.call()
+        stalled = call.server in ("e0", "e1")
+        asked.append(stalled)
+        clock.now += call.timeout_ms if stalled else call.request.wait_ms
+        if stalled:
+            core.failed(call.number, Failure.TIMEOUT, clock.now, 0.0)
+        else:
+            core.answered(call.number, Unchanged(0, 0.0), clock.now, 0.0)
+    assert asked[:3] == [True, True, False] and True in asked[3:]
+    assert not any(first and second for first, second in zip(asked[2:], asked[3:], strict=False))
+
+
 def test_time_to_wait_is_given_only_to_a_server_that_has_answered():
     core = begin()
     clock = Clock(core)
@@ -234,6 +252,19 @@
     assert clock.call().request.digest == position(2).digest
 
 
+@pytest.mark.parametrize("failure", [Failure.TOO_LONG, Failure.GARBAGE])
+def test_after_an_answer_that_was_too_long_a_snapshot_is_asked_for_until_it_shows_nothing_new(failure):
+    core = begin(4)
+    clock = Clock(core)
+    core.failed(clock.call().number, failure, clock.now, 1.0)
+    call = clock.call()
+    assert call.request.digest == b""
+    assert core.answered(call.number, offer(4), clock.now, 1.0) is None
+    after = clock.call()
+    assert after.server == call.server and after.request.digest == position(4).digest
+    assert core.failures == {failure: 1}
+
+
 def test_a_snapshot_is_fetched_bucket_by_bucket_and_continued_at_another_server():
     core = begin()
     clock = Clock(core)
@@ -260,6 +291,18 @@
     assert isinstance(clock.call(), FollowCall)
 
 
+def test_a_snapshot_is_fetched_on_where_it_is_given_while_a_preferred_server_stalls():
+    core = begin()
+    clock = Clock(core)
+    core.answered(clock.call().number, offer(7), clock.now, 0.0)
+    core.failed(clock.call().number, Failure.TIMEOUT, clock.now, 0.0)
+    servers = set()
+    while not isinstance(call := clock.call(), FollowCall):
+        servers.add(call.server)
+        core.answered(call.number, Chunk(7, (b"",) * len(call.request.buckets)), clock.now, 0.0)
+    assert len(servers) == 1 and servers != {call.server}
+
+
 def test_only_buckets_that_differ_are_fetched():
     core = begin(4)
     there = position(4).buckets[:-2] + (b"new", b"new too")
