--- a/brackenloft/lab/cli.py
+++ b/brackenloft/lab/cli.py
@@ -114,7 +114,7 @@
 
 def _run_real(file: File, seeds: int, policies: list[str], workers: int, as_json: bool) -> None:
     """On sockets, each seed beside the same one in the world; never returns."""
-    from brackenloft.lab.real import beside, sockets
+    from brackenloft.lab.real import beside, limits
 
     experiment, _ = _load(file)
     try:
@@ -122,7 +122,7 @@
             raise ExperimentError("policy: gateway processes have none but ours")
         variants = [variant for _, variant in spec.variants(experiment)]
         for variant in variants:
-            sockets.check(variant)
+            limits.check(variant)
         numbers = list(range(1, seeds + 1)) or experiment.seeds
         rows = list(beside.sweep([(variant, seed) for variant in variants for seed in numbers], workers))
     except ExperimentError as error:
--- a/brackenloft/lab/real/sockets.py
+++ b/brackenloft/lab/real/sockets.py
@@ -16,39 +16,19 @@
 from typing import Any
 
 from brackenloft import interface as api
-from brackenloft.lab.customers import Customer
 from brackenloft.lab.nodes import Job, Node
+from brackenloft.lab.real.commands import command, understood
 from brackenloft.lab.real.gateways import GatewayProcess, ran_and_queued_s
-from brackenloft.lab.real.links import Door, Line, Listener, Slot, Wrong
-from brackenloft.lab.spec import Experiment, ExperimentError
+from brackenloft.lab.real.limits import check
+from brackenloft.lab.real.links import Door, Line, Listener, Slot
+from brackenloft.lab.spec import Experiment
 from brackenloft.lab.stage import Ask, Seat, Stage
 from brackenloft.standins.discovery import row
-from brackenloft.standins.peer import array, resp
+from brackenloft.standins.peer import array
 
-MOST_GATEWAYS = 16  # processes at a time
-MOST_ADDRESSES = 256  # gateways times nodes: a listener each
-MOST_PER_S = 1500.0  # requests a second that one process of clients and nodes can play
-MOST_S = 120.0  # of a run, in real time
 SLACK_MS = 500.0  # that an answer may be late: beyond it no busy machine explains it, and it counts as lost
 OVERLAP_MS = 100.0  # for which two attempts may seem to be out: the end of one is seen after the next
 LATE_MS = 20.0  # an alarm so late makes the run's own times doubtful
-KEY_SPACE = 1 << 64
-
-
-def check(experiment: Experiment) -> None:
-    """Whether it can be played in real time; ExperimentError says what is too much."""
-    gateways, nodes = experiment.gateways.count, experiment.nodes.count
-    limits = (
-        ("gateways.count", gateways, MOST_GATEWAYS),
-        ("nodes.count", gateways * nodes, MOST_ADDRESSES),
-        ("length_ms", experiment.length_ms / 1000.0, MOST_S),
-        ("load", experiment.expected_per_s(), MOST_PER_S),
-    )
-    words = {"nodes.count": "gateways times nodes", "length_ms": "seconds", "load": "requests a second"}
-    for key, value, most in limits:
-        if value > most:
-            raise ExperimentError(f"{key}: {value:.0f} {words.get(key, 'processes')}, "
-                                  f"{most:.0f} at most on sockets")
 
 
 class Sockets(Stage):
@@ -391,31 +371,6 @@
             self.oracle.unanswered(self.now, ask)
 
 
-def command(ask: Ask, wait_ms: float, width: int) -> bytes:
-    """A try as a client writes it."""
-    kind, customer = ask.kind, ask.customer
-    key = f"k={keyed(customer, ask.first_at)}," if kind.effect is api.Effect.KEYED else ""
-    listed = (f"c={kind.name},t={customer.plan.name},d={max(1, int(wait_ms))},{key}units={kind.units:g},"
-              f"spread={width},first={customer.first}")
-    words = [f"{customer.number:016x}", f"{int(ask.name[1:]):016x}", listed]
-    return resp("CALL.GET", *words) if kind.effect is api.Effect.SAFE else resp("CALL.POST", *words, b"body")
-
-
-def keyed(customer: Customer, first_at: float) -> str:
-    """The key of a wish: the same for all its tries, and for no other."""
-    return f"{(customer.number << 40 | round(first_at * 1000.0)) % KEY_SPACE:016x}"
-
-
-def understood(answer: Any) -> tuple[str, float]:
-    """An answer in one word, and the advice of a refusal in milliseconds."""
-    if isinstance(answer, bytes):
-        return "served", 0.0
-    if isinstance(answer, Wrong) and str(answer).startswith("BUSY"):
-        advice = str(answer)[4:].strip()
-        return "refused", float(advice) if advice.isdecimal() else 0.0
-    return "failed", 0.0
-
-
 async def play(experiment: Experiment, seed: int) -> Sockets:
     """One run on sockets."""
     with TemporaryDirectory(prefix="lab-") as folder:
--- a/tests/test_lab_real.py
+++ b/tests/test_lab_real.py
@@ -19,7 +19,7 @@
 
 from brackenloft.lab import cli, spec
 from brackenloft.lab.nodes import Node
-from brackenloft.lab.real import beside, sockets
+from brackenloft.lab.real import beside, commands, sockets
 from brackenloft.lab.real.gateways import GatewayProcess, configuration
 from brackenloft.lab.real.links import Door, Listener, Slot, Wrong
 from brackenloft.standins.discovery import Agent
@@ -303,13 +303,13 @@
     (Wrong("ERR failed"), ("failed", 0.0)), (Wrong("BUSY x"), ("refused", 0.0)), (None, ("failed", 0.0)),
 ])
 def test_answers_in_one_word(answer, word):
-    assert sockets.understood(answer) == word
+    assert commands.understood(answer) == word
 
 
 def test_a_key_is_the_wishs_own():
     customer = type("Customer", (), {"number": 3})
-    keys = {sockets.keyed(customer, at) for at in (1.0, 1.001, 2.0)}
-    assert len(keys) == 3 and sockets.keyed(customer, 1.0) in keys
+    keys = {commands.keyed(customer, at) for at in (1.0, 1.001, 2.0)}
+    assert len(keys) == 3 and commands.keyed(customer, 1.0) in keys
 
 
 @pytest.mark.parametrize(("change", "word"), [
