Configuration trials: hollow followers as processes, three guards of theirs found when taken out

Followers run the program's own client, wrapped from outside, and look tenants up as requests would. Before a server that offers older revisions and damages records they keep all promises; an older revision taken is found by went_back, a swap before the last slice and a digest that is not compared by torn.

--- a/tests/test_configuration_trials.py
+++ b/tests/test_configuration_trials.py
@@ -9,16 +9,24 @@
 
 import msgspec
 import pytest
+from control import ControlFake
 
 from brackenloft.configuration import validation
 from brackenloft.configuration.builder import apply
+from brackenloft.configuration.messages import Changes, SnapshotOffer
 from brackenloft.configuration.model import Record, Section
 from brackenloft.configuration.tree import Tree
 from brackenloft.lab.configuration import changes, checkers, schedule
+from brackenloft.lab.configuration.checkers import Promise
+from brackenloft.lab.configuration.events import InForce, RecordRead, Served, read_events
+from brackenloft.lab.configuration.followers import FollowersOrder, ServerPlace
 from brackenloft.lab.configuration.nemesis import Nemesis
 from brackenloft.lab.configuration.schedule import Fault, Schedule
+from brackenloft.lab.fleet.control import Helper
 from brackenloft.lab.fleet.links import Link
 
+trials = pytest.mark.trials  # processes: not beside tests that wait for times (README.md)
+
 # ---- Schedules, changes
 
 
@@ -172,3 +180,72 @@
 def test_a_process_that_was_killed_while_it_was_stopped_is_not_resumed_before_it_is_there():
     notes = played(Fault(0.0, "stop", ("c0",), 60.0), Fault(1.0, "kill", ("c0",), 5.0))
     assert notes[:3] == [("stop", "c0"), ("kill", "c0"), ("start", "c0")]
+
+
+# ---- Followers and mutants of theirs, before a control server that spoils some answers
+
+
+class SpoilingServer(ControlFake):
+    """Offers an older snapshot now and then, as a server that is behind would, and damages a record."""
+
+    answers = 0
+
+    async def follow(self, request):
+        answer = await super().follow(request)
+        self.answers += 1
+        if self.answers % 5 == 2 and request.in_force > 2:
+            older = self.trees[request.in_force - 2]
+            return SnapshotOffer(request.in_force - 2, older.digest, older.bucket_digests, 0.0)
+        if self.answers % 5 == 4 and isinstance(answer, Changes):
+            *rest, last = answer.records
+            put = msgspec.structs.replace(last.delta.put, tenants=last.delta.put.tenants[1:])
+            last = msgspec.structs.replace(last, delta=msgspec.structs.replace(last.delta, put=put))
+            return Changes((*rest, last), 0.0)
+        return answer
+
+
+async def followed(folder, mutant, revisions=12, followers=3):
+    """The history of hollow followers, of a mutant or not, while changes come; and the records."""
+    dice, gateways = random.Random(3), [f"h0-{number}" for number in range(followers)]
+    order = FollowersOrder("h0", 1, 0, "east", followers, 12, [], str(folder / "h0.jsonl"), 1000.0, mutant)
+    async with SpoilingServer() as server:
+        order.servers = [ServerPlace("c0", f"http://127.0.0.1:{server.port}", "east")]
+        (folder / "h0.json").write_bytes(msgspec.json.encode(order))
+        process = Helper("brackenloft.lab.configuration.followers")
+        await process.start(str(folder / "h0.json"))
+        try:
+            for revision in range(1, revisions + 1):
+                change = changes.change(dice, revision - 1, f"m{revision}", float(revision), 12, 4)
+                await server.publish(change)
+                await server.until(lambda: any(server.in_force(name) == server.revision for name in gateways))
+            await server.until(lambda: all(server.in_force(name) == server.revision for name in gateways))
+        finally:
+            await process.end()
+    told = [RecordRead(0.0, "c0", record) for record in server.records]
+    return [*told, *read_events([folder / "h0.jsonl"])]
+
+
+def promises(history):
+    found = checkers.went_back(history) + checkers.torn(history) + checkers.not_a_chain(history)
+    return {breach.promise for breach in found}
+
+
+@trials
+def test_followers_of_a_server_that_offers_older_and_damaged_revisions_keep_all_promises(tmp_path):
+    history = asyncio.run(followed(tmp_path, ""))
+    assert promises(history) == set()
+    assert sum(isinstance(event, InForce) for event in history) > 12
+    assert sum(isinstance(event, Served) for event in history) > 50
+
+
+@trials
+@pytest.mark.parametrize(
+    "mutant, promise",
+    [
+        ("older_taken", Promise.NEVER_BACK),
+        ("early_swap", Promise.WHOLE),
+        ("digest_ignored", Promise.WHOLE),
+    ],
+)
+def test_a_guard_of_the_follower_that_is_taken_out_is_found(tmp_path, mutant, promise):
+    assert promise in promises(asyncio.run(followed(tmp_path, mutant)))
