--- a/brackenloft/cli.py
+++ b/brackenloft/cli.py
@@ -1,4 +1,4 @@
-"""``brackenloft SUBCOMMAND``: serve, check-config, demo, call, ops, fleet, lab, load."""
+"""``brackenloft SUBCOMMAND``: serve, check-config, demo, call, ops, config, fleet, lab, load."""
 
 from __future__ import annotations
 
@@ -29,6 +29,12 @@
 
 REFUSED, FAILED = 1, 2  # what `call` exits with
 MOST_DEMO_S = 600.0
+APART = {  # subcommands with a command line of their own: its module, and the extra that it wants
+    "config": ("brackenloft.configuration.cli", "control"),
+    "fleet": ("brackenloft.fleet.cli", "fleet"),
+    "lab": ("brackenloft.lab.cli", "lab"),
+    "load": ("brackenloft.load.cli", "load"),
+}
 
 
 def _parser() -> argparse.ArgumentParser:
@@ -55,6 +61,8 @@
     from brackenloft.ops import caller
     caller.add_to(commands.add_parser(
         "ops", help="call a gateway's second address: exits 0 yes, 1 no, 2 no answer"))
+    commands.add_parser(
+        "config", help="the configuration of all gateways: brackenloft config --help (extra [control])")
     commands.add_parser("fleet", help="tasks of all gateways: brackenloft fleet --help (extra [fleet])")
     commands.add_parser("lab", help="experiments in virtual time: brackenloft lab --help (extra [lab])")
     commands.add_parser("load", help="an open-loop load: brackenloft load --help (extra [load])")
@@ -64,7 +72,7 @@
 def main(arguments: list[str] | None = None) -> int:
     """Run a subcommand; its exit code. A wrong configuration is one line and 2."""
     words = sys.argv[1:] if arguments is None else arguments
-    if words[:1] in (["fleet"], ["lab"], ["load"]):
+    if words and words[0] in APART:
         return _apart(words[0], words[1:])
     options = _parser().parse_args(words)
     run = {"serve": _serve, "check-config": _check, "demo": _demo, "call": _call, "ops": _ops}
@@ -73,10 +81,11 @@
 
 def _apart(name: str, words: list[str]) -> int:
     """A subcommand with a command line and an extra of its own."""
+    module, extra = APART[name]
     try:
-        main: Callable[[list[str]], int] = import_module(f"brackenloft.{name}.cli").main
+        main: Callable[[list[str]], int] = import_module(module).main
     except ModuleNotFoundError as error:
-        print(f"brackenloft: {name} wants the extra [{name}]: {error.name} is missing", file=sys.stderr)
+        print(f"brackenloft: {name} wants the extra [{extra}]: {error.name} is missing", file=sys.stderr)
         return 2
     return main(words)
 
