A loop that was held up asks the kernel wherever an attempt may be written, and for long enough

The test showed three faults:

- Lag.held_up was False in the turn it is for.
Any outcome calls Lag.excuse, which notes the block and moves the beat's time; and uvloop calls the beat before it polls the sockets that came during a block in a socket's callback.
The older test patched held_up.
Now the loop counts as held up until a beat has come in time.
- A connection that came up was written to without a look at the client.
- So was an attempt that waited for a connection to have rested.

--- a/brackenloft/net/attempt.py
+++ b/brackenloft/net/attempt.py
@@ -37,7 +37,7 @@
     """A command on its way to a server; ``done`` is called once with what came of it."""
 
     __slots__ = ("payload", "done", "connection", "due", "written", "began", "waits", "opened", "streams",
-                 "request_id", "number", "server")
+                 "request_id", "number", "server", "before_write")
 
     def __init__(
         self, payload: bytes, done: Callable[[Reply], None], due: float = inf,
@@ -52,6 +52,13 @@
         self.done: Callable[[Reply], None] | None = done
         self.connection: Carrier | None = None
         self.waits = False  # for a connection of its host
+        self.before_write: Callable[[], None] | None = None  # may stop it, at the last moment
+
+    def still_wanted(self) -> bool:
+        """Whether it is to be written now; ``before_write`` may have stopped it."""
+        if self.before_write:
+            self.before_write()
+        return self.done is not None
 
     def finish(self, reply: Reply) -> None:
         """Tell the outcome, the first only.
--- a/brackenloft/net/driver.py
+++ b/brackenloft/net/driver.py
@@ -8,6 +8,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 from typing import Any, Protocol
 
 from brackenloft import interface as api
@@ -244,9 +245,7 @@
         wait = call.deadline - now
         if action.timeout_ms:
             wait = min(wait, action.timeout_ms)
-        if call.left and not call.answered and self.lag.held_up() and call.left():
-            # Guards against an attempt for a client whose end is read later in this turn of the loop.
-            self.client_gone(call.request_id)
+        self._notice_departure(call)
         if call.answered or wait <= 0.0:
             self._outcome(call, number, action.server, Reply(api.Status.NOT_SENT), 0.0)
             return
@@ -261,6 +260,14 @@
         if number in call.out:
             call.timers.append(self.timers.at(now + wait, self._time_out, call.out[number]))
 
+    def _notice_departure(self, call: Call) -> None:
+        """Withdraw the request if its client has gone, though the loop has yet to read that.
+
+        Guards against an attempt for a client whose end is read later in this turn of the loop.
+        """
+        if call.left and not call.answered and self.lag.held_up() and call.left():
+            self.client_gone(call.request_id)
+
     def _start(self, call: Call, number: int, server: int, wait_ms: float) -> None:
         def done(reply: Reply) -> None:
             call.out.pop(number, None)
@@ -274,6 +281,7 @@
         due = time.monotonic() + wait_ms / 1000.0
         attempt = Attempt(call.encode(wait_ms), done, due, self._opened if call.on_open else None)
         attempt.request_id, attempt.number, attempt.server = call.request_id, number, server
+        attempt.before_write = partial(self._notice_departure, call) if call.left else None
         self.counters.attempts += 1
         call.out[number] = attempt
         if self.tap:
--- a/brackenloft/net/lag.py
+++ b/brackenloft/net/lag.py
@@ -62,7 +62,10 @@
     ) -> None:
         self.loop, self.least, self.stalled, self.busy = loop, least_ms / 1000.0, stalled, busy
         self.stalls, self.last = Stalls(), NO_STALL
-        self.due = inf  # of the next beat, by time.monotonic()
+        # By time.monotonic(): of the next beat, or the end of a block that was noted before it came.
+        self.due = inf
+        self.set_for = inf  # of the next beat
+        self.caught_up = True  # a beat has come in time since the last block
         self.beat: asyncio.TimerHandle | None = None
 
     def watch(self) -> None:
@@ -74,7 +77,7 @@
         """Beat no more."""
         if self.beat:
             self.beat.cancel()
-        self.beat, self.due, self.last = None, inf, NO_STALL
+        self.beat, self.due, self.last, self.caught_up = None, inf, NO_STALL, True
 
     @property
     def watching(self) -> bool:
@@ -82,8 +85,12 @@
         return self.beat is not None
 
     def held_up(self) -> bool:
-        """Whether what is handled in this turn has waited for the loop: the beat is late as well."""
-        return time.monotonic() - self.due > self.least
+        """Whether what is handled in this turn may have waited for the loop.
+
+        The beat is late as well, or was the first after a block: what came meanwhile may be read behind it,
+        as uvloop calls timers before it polls sockets. Between two beats the loop polls them at least once.
+        """
+        return not self.caught_up or time.monotonic() - self.due > self.least
 
     def excuse(self, began: float, written: float, ended: float) -> float:
         """Seconds of an attempt that ends now for which the loop is to blame."""
@@ -95,12 +102,12 @@
         return self.stalls.excuse(began, written, ended, last)
 
     def _next(self) -> None:
-        self.due = time.monotonic() + BEAT_S
+        self.due = self.set_for = time.monotonic() + BEAT_S
         self.beat = self.loop.call_later(BEAT_S, self._on_beat)
 
     def _note(self, now: float) -> None:
         self.stalls.note(self.due, now)
-        self.last = (self.due, now)
+        self.last, self.caught_up = (self.due, now), False
         self.stalled(now - self.due)
         self.due = now  # the beat that is still to come counts from here
 
@@ -108,6 +115,7 @@
         now = time.monotonic()
         if now - self.due > self.least:
             self._note(now)
+        self.caught_up = now - self.set_for <= self.least
         if self.busy():
             self._next()
         else:
--- a/brackenloft/net/server_connection.py
+++ b/brackenloft/net/server_connection.py
@@ -149,7 +149,7 @@
         elif time.monotonic() >= self.attempt.due:
             # Guards against a send after its time, by a loop that was held up while this one came up.
             self.close(api.Status.NOT_SENT)
-        else:
+        elif self.attempt.still_wanted():
             self._write(self.attempt)
 
     # ---- An attempt
--- a/brackenloft/net/servers.py
+++ b/brackenloft/net/servers.py
@@ -119,6 +119,8 @@
             if time.monotonic() >= attempt.due:
                 host.waiting.popleft().finish(Reply(api.Status.NOT_SENT))
                 continue
+            if not attempt.still_wanted():
+                continue  # stopped just now, and taken out above
             connection = self._rested(host)
             if connection is None and (host.coming_up >= COMING_UP or self._short(host)):
                 if host.idle and host.timer is None:
