--- a/brackenloft/lab/scale/formulas.py
+++ b/brackenloft/lab/scale/formulas.py
@@ -51,6 +51,12 @@
     return sizes.at("list_full_collected_ms", servers) + sizes.at("list_read_ms", servers)
 
 
+def list_full_hold_ms(sizes: Sizes) -> float:
+    """The longest hold of the loop by a whole list: the worst rounds, as a request may wait for these."""
+    servers = sizes.target.servers
+    return sizes.worst("list_full_collected_ms", servers) + sizes.worst("list_read_ms", servers)
+
+
 def list_changes_cost_ms(sizes: Sizes, servers: float) -> float:
     """One message with news of many servers, read and taken in one go."""
     read = sizes.at("list_read_ms", servers)
--- a/brackenloft/lab/scale/gateway_rows.py
+++ b/brackenloft/lab/scale/gateway_rows.py
@@ -67,11 +67,12 @@
             Role.GATEWAY,
             "server list: longest hold of the loop",
             "ms",
-            "one change read and taken; a rack in one message; a whole list in one go, with the collector",
+            "one change read and taken; a rack in one message; a whole list in one go, the worst round with "
+            "the collector's turns",
             Periods(
                 f.list_change_cost_ms,
                 lambda s: f.list_changes_cost_ms(s, s.assumed.servers_per_rack),
-                f.list_full_cost_ms,
+                f.list_full_hold_ms,
             ),
             POLICY,
             (*LIST_SLOPES, "list_changes_ms"),
--- a/brackenloft/lab/scale/measuring.py
+++ b/brackenloft/lab/scale/measuring.py
@@ -18,6 +18,7 @@
 
 COMMAND = "python -m benchmarks.capacity --slopes"
 LEAST_ROUNDS, MOST_ROUNDS = 3, 200
+SHORT_HASH = 7
 ROUNDS_S = 0.4  # so long rounds go on at one size
 
 
@@ -33,7 +34,9 @@
 
 
 def timed_ms(prepare: Callable[[], Any], call: Callable[[Any], Any], collects: bool = False) -> list[float]:
-    """Milliseconds of each round; ``prepare`` makes what a round needs and is not counted.
+    """Milliseconds of a processor that each round takes; ``prepare`` makes what it needs and is not counted.
+
+    Processor time, as other work on the same cores would count in a wall clock's.
 
     ``collects``: the collector of cycles takes its turns, as it does before `serve` has frozen its state.
     """
@@ -42,14 +45,14 @@
     with nullcontext() if collects else no_collection():
         while len(rounds) < LEAST_ROUNDS or (len(rounds) < MOST_ROUNDS and time.perf_counter() < ends):
             given = prepare()
-            began = time.perf_counter()
+            began = time.thread_time()
             call(given)
-            rounds.append((time.perf_counter() - began) * 1000.0)
+            rounds.append((time.thread_time() - began) * 1000.0)
     return rounds
 
 
 def repeated_ms(call: Callable[[], Any]) -> list[float]:
-    """Milliseconds of each round of a call that needs nothing prepared."""
+    """As ``timed_ms``, of a call that needs nothing prepared."""
     return timed_ms(lambda: None, lambda _: call())
 
 
@@ -88,15 +91,14 @@
         (line.split(":")[1].strip() for line in info if line.startswith("model name")), "unknown"
     )
     memory_kb = int(Path("/proc/meminfo").read_text().split()[1])
-    commit = subprocess.run(
-        ["git", "rev-parse", "--short", "HEAD"], capture_output=True, text=True, check=False
-    )
+    ask = ["git", "merge-base", "HEAD", "main"]  # a commit that stays, also where this one is rebased
+    commit = subprocess.run(ask, capture_output=True, text=True, check=False).stdout.strip()[:SHORT_HASH]
     return Environment(
         processor,
         os.cpu_count() or 1,
         round(memory_kb / 1e6, 1),
         platform.python_version(),
-        commit.stdout.strip() or "unknown",
+        commit or "unknown",
         command,
         round(os.getloadavg()[0], 1),
     )
--- a/brackenloft/lab/scale/page.py
+++ b/brackenloft/lab/scale/page.py
@@ -165,7 +165,8 @@
     head = ("slope", "measures", "axis", "unit", "size: median", "exponent", "growth", "run")
     return f"""## Slopes
 
-An exponent of 1 is linear, 0 flat; it is fitted by least squares on logarithmic axes.
+An exponent of 1 is linear, 0 flat; it is fitted by least squares on logarithmic axes. Times are of the
+processor, medians of some rounds: on an idle machine a call holds the loop for as long.
 
 {_table(head, rows)}"""
 
@@ -175,6 +176,6 @@
     return f"""## The run
 
 `{where.command}` on {where.cores} cores ({where.processor}), {where.memory_gb:g} GB, Python
-{where.python}, at commit {where.commit}; load average {where.load_average:g} as it began, of other work
-on the same cores.
+{where.python}, on top of commit {where.commit}; load average {where.load_average:g} as it began, by other
+work on the same cores.
 """
--- a/brackenloft/lab/scale/rows.py
+++ b/brackenloft/lab/scale/rows.py
@@ -50,6 +50,13 @@
             raise NotMeasuredError(name)
         return slope.at(size)
 
+    def worst(self, name: str, size: float) -> float:
+        """The worst round of a slope at a size; NotMeasuredError if there is no such slope."""
+        slope = self.measured.get(name)
+        if slope is None:
+            raise NotMeasuredError(name)
+        return slope.worst_at(size)
+
 
 Formula = Callable[[Sizes], float]
 
--- a/brackenloft/lab/scale/trees.py
+++ b/brackenloft/lab/scale/trees.py
@@ -52,10 +52,10 @@
 
 
 def step_times_ms(steps: Iterator[None]) -> list[float]:
-    """How long each step holds the loop."""
-    found, before = [], time.perf_counter()
+    """Milliseconds of a processor that each step takes."""
+    found, before = [], time.thread_time()
     for _ in steps:
-        now = time.perf_counter()
+        now = time.thread_time()
         found.append((now - before) * 1000.0)
         before = now
     return found
