edge/calls names what it needs of the edge; no circle with edge/edge any more

edge/asks.py and edge/edge.py imported each other, the one for types. The calls of a host state as protocol classes what they need of their edge, and the edge imports them.

--- a/brackenloft/__main__.py
+++ b/brackenloft/__main__.py
@@ -18,7 +18,7 @@
 import uvloop
 
 from brackenloft import interface as api
-from brackenloft.edge.asks import Room
+from brackenloft.edge.calls import Room
 from brackenloft.edge.edge import Edge
 from brackenloft.net.address import Address
 from brackenloft.settings import settings_from
--- a/brackenloft/edge/__init__.py
+++ b/brackenloft/edge/__init__.py
@@ -7,7 +7,7 @@
 
 from brackenloft.answers import Answer, Failed, Granted, Refused, Served
 from brackenloft.checks import FieldError
-from brackenloft.edge.asks import Admission, Call, EdgeClosed, Pending, Room
+from brackenloft.edge.calls import Admission, Call, EdgeClosed, Pending, Room
 from brackenloft.edge.edge import Edge
 from brackenloft.edge.sources import Node
 
--- a/brackenloft/edge/asks.py
+++ b/brackenloft/edge/calls.py
@@ -1,4 +1,4 @@
-"""What a host asks of an edge, what it may take of the host, and what is owed for it."""
+"""Calls of a host to its edge: the call, its pending answer, an admission, and the limits of the edge."""
 
 from __future__ import annotations
 
@@ -6,16 +6,13 @@
 from collections.abc import Callable
 from dataclasses import asdict, dataclass
 from types import TracebackType
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 from brackenloft import interface as api
 from brackenloft.answers import Answer, Granted
 from brackenloft.checks import FieldError
 from brackenloft.net.attempt import Reply
 
-if TYPE_CHECKING:
-    from brackenloft.edge.edge import Edge
-
 MEGABYTE = 1 << 20
 
 
@@ -72,7 +69,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Via:
+class CallRoute:
     """Another protocol than RESP2 for a call: the door's name, how the command is written (from its request
     id and the time left), and what tells the cost of a good answer.
     """
@@ -82,12 +79,39 @@
     weigh: Callable[[Reply], None] | None = None
 
 
+class Outcomes(Protocol):
+    """Where the end of a request is reported that its caller withdraws, or that the host serves itself."""
+
+    def client_gone(self, request_id: str, failed: bool = False) -> None:
+        """The caller does not wait any more."""
+
+    def release(self, request_id: str, status: api.Status, units: float | None = None) -> None:
+        """The host's own work on an admitted request has ended."""
+
+
+class CallOwner(Protocol):
+    """What calls need of the edge that they were made on."""
+
+    loop: asyncio.AbstractEventLoop
+    granted_now: int
+
+    @property
+    def driver(self) -> Outcomes:
+        """Where the end of a request is reported."""
+
+    def begin(self, call: Call, local: bool = False) -> Pending:
+        """Start a request; ``local``: the host serves it itself once it is admitted."""
+
+    def done(self, pending: Pending) -> None:
+        """The answer of a request has been taken."""
+
+
 class Pending:
     """A request whose one answer is owed. ``value`` is None until it is there."""
 
     __slots__ = ("edge", "request_id", "value", "_waiter")
 
-    def __init__(self, edge: Edge, request_id: str) -> None:
+    def __init__(self, edge: CallOwner, request_id: str) -> None:
         self.edge, self.request_id = edge, request_id
         self.value: Answer | None = None
         self._waiter: asyncio.Future[None] | None = None
@@ -126,7 +150,7 @@
 
     __slots__ = ("edge", "answer", "request_id", "units", "failed", "open")
 
-    def __init__(self, edge: Edge, answer: Answer, request_id: str) -> None:
+    def __init__(self, edge: CallOwner, answer: Answer, request_id: str) -> None:
         self.edge, self.answer, self.request_id = edge, answer, request_id
         self.units: float | None = None  # what the work has taken, where the request's units were a guess
         self.failed = False  # set it where the work failed without an exception
@@ -158,7 +182,7 @@
 
     __slots__ = ("edge", "call", "admission")
 
-    def __init__(self, edge: Edge, call: Call) -> None:
+    def __init__(self, edge: CallOwner, call: Call) -> None:
         self.edge, self.call = edge, call
 
     async def __aenter__(self) -> Admission:
--- a/brackenloft/edge/edge.py
+++ b/brackenloft/edge/edge.py
@@ -19,7 +19,7 @@
 from brackenloft.admission.budget import Budget, Side
 from brackenloft.answers import Answer, Tally
 from brackenloft.checks import CLIENT_MARGIN_MS, Checks, FieldError
-from brackenloft.edge.asks import Admitting, Call, EdgeClosed, Pending, Room, Via
+from brackenloft.edge.calls import Admitting, Call, CallRoute, EdgeClosed, Pending, Room
 from brackenloft.edge.sources import Node, listing
 from brackenloft.lifecycle import FACTS, Event, Lifecycle, State
 from brackenloft.net import driver as driving
@@ -273,23 +273,23 @@
         """
         return Admitting(self, call)
 
-    def begin(self, call: Call, local: bool = False, via: Via | None = None) -> Pending:
+    def begin(self, call: Call, local: bool = False, route: CallRoute | None = None) -> Pending:
         """Ask without waiting, for fronts that wait for other things too. ``local``: for an admission.
 
-        ``via``: in another protocol; the call has no body then.
+        ``route``: in another protocol; the call has no body then.
 
         Who begins one waits for it or withdraws it.
         """
         request = self._request(call, local)
-        encode = _nothing if local else self._encoder(call, request, via)
+        encode = _nothing if local else self._encoder(call, request, route)
         pending = Pending(self, request.request_id)
         if len(self._own) >= self.room.in_hand:
             pending.value = self.driver.turn_away(request.class_name)
             return pending
         self._own[request.request_id] = pending
         driven = driving.Call(request.request_id, encode, pending.tell)
-        if via:
-            driven.door, driven.weigh = via.door, via.weigh
+        if route:
+            driven.door, driven.weigh = route.door, route.weigh
         self.driver.request(driven, request, request.patience_ms)
         return pending
 
@@ -345,12 +345,12 @@
         self._next_id = (self._next_id + 1) % ID_SPACE
         return f"{self._next_id:016x}"
 
-    def _encoder(self, call: Call, request: api.Request, via: Via | None) -> wire.Encoder:
+    def _encoder(self, call: Call, request: api.Request, route: CallRoute | None) -> wire.Encoder:
         key = self.checks.key(call.key, self.checks.classes[request.class_name])
-        if via:
-            if via.door not in self.driver.doors:
-                raise FieldError("via", f"there is no such door: {via.door!r:.60}")
-            return lambda wait_ms: via.encode(request.request_id, wait_ms)
+        if route:
+            if route.door not in self.driver.doors:
+                raise FieldError("route", f"there is no such door: {route.door!r:.60}")
+            return lambda wait_ms: route.encode(request.request_id, wait_ms)
         if not isinstance(call.body, bytes) or len(call.body) > LONGEST_VALUE:
             raise FieldError("body", f"not bytes, or more than {LONGEST_VALUE} of them")
         if call.body and not request.is_write:
--- a/brackenloft/graphql/run.py
+++ b/brackenloft/graphql/run.py
@@ -9,7 +9,7 @@
 
 from brackenloft.answers import Answer, Refused, Served
 from brackenloft.edge import Call, Edge, Pending
-from brackenloft.edge.asks import Via
+from brackenloft.edge.calls import CallRoute
 from brackenloft.graphql import cost as costs
 from brackenloft.graphql import nodes
 from brackenloft.graphql.cost import Cost, Walk
@@ -131,7 +131,7 @@
             whole = (self.plan.cost.total if number == 0 else part.cost.total) - less
             reply.cost = max(self.least if number == 0 else 0.0, whole / self.per_unit)
 
-        return edge.begin(call, via=Via(nodes.DOOR, encode, weigh))
+        return edge.begin(call, route=CallRoute(nodes.DOOR, encode, weigh))
 
 
 def _is_null(result: Result) -> bool:
--- a/tests/test_graphql.py
+++ b/tests/test_graphql.py
@@ -19,7 +19,7 @@
 from brackenloft import Plan, Request, Status
 from brackenloft.cli import main
 from brackenloft.edge import Call, Edge, FieldError, Node, Room, Served
-from brackenloft.edge.asks import Via
+from brackenloft.edge.calls import CallRoute
 from brackenloft.graphql import documents as documents_module
 from brackenloft.graphql import front as front_module
 from brackenloft.graphql.allowance import Reading
@@ -657,7 +657,7 @@
                 raise ZeroDivisionError
 
             call = Call("read-board", "hundred", WHO, units=5.0)
-            answer = await made.edge.begin(call, via=Via(DOOR, encode, weigh)).wait()
+            answer = await made.edge.begin(call, route=CallRoute(DOOR, encode, weigh)).wait()
             assert isinstance(answer, Served) and made.excess("hundred") == pytest.approx(5.0, abs=0.01)
 
     run(test())
@@ -669,7 +669,7 @@
             with pytest.raises(ValueError, match="open already"):
                 made.edge.open_door(DOOR, Speech(Answers, Readings()), lambda address: address)
             with pytest.raises(FieldError, match="no such door"):
-                made.edge.begin(Call("read-board", "free", WHO), via=Via("window", lambda *_: b""))
+                made.edge.begin(Call("read-board", "free", WHO), route=CallRoute("window", lambda *_: b""))
             made.edge.open_door("late", Speech(Answers, Readings()), lambda address: address)
             assert made.edge.driver.doors["late"].hosts.keys() == made.edge.servers.hosts.keys()
 
