--- a/benchmarks/fleet_days.py
+++ b/benchmarks/fleet_days.py
@@ -30,9 +30,9 @@
 
 from brackenloft import interface as api
 from brackenloft.lab import spec, textbook
+from brackenloft.lab.client_try import ClientTry, Seat
 from brackenloft.lab.customers import Customer
 from brackenloft.lab.spec import Class
-from brackenloft.lab.stage import Ask, Seat
 from brackenloft.lab.world import Desk, Make, World
 
 RESTARTING_MS = 2000.0  # from a new process's start; fronts come back to it within that time
@@ -130,7 +130,7 @@
         super().rise(index)
         self.rose_at[index] = self.now
 
-    def taken(self, seat: Desk, ask: Ask) -> None:
+    def taken(self, seat: Desk, ask: ClientTry) -> None:
         """A try has reached a gateway."""
         if self.now - self.rose_at.get(seat.index, -RESTARTING_MS) < RESTARTING_MS:
             self.tries_after_restart.add(ask.name)
@@ -140,7 +140,7 @@
     def settle(
         self,
         seat: Seat,
-        ask: Ask,
+        ask: ClientTry,
         what: str,
         advice_ms: float = 0.0,
         over_quota: bool | None = None,
@@ -161,7 +161,7 @@
                 part.offered += worth(customer, kind) if inside else 0.0
         super()._try(customer, kind, first_at, tries, inside)
 
-    def _given_up(self, which: tuple[Desk, Ask]) -> None:
+    def _given_up(self, which: tuple[Desk, ClientTry]) -> None:
         seat, ask = which
         if not ask.ended and seat.up:
             self.day.restarts["lost", self._place(ask.name)] += 1
--- a/brackenloft/lab/conformance/virtual.py
+++ b/brackenloft/lab/conformance/virtual.py
@@ -6,10 +6,10 @@
 from collections.abc import Iterator
 
 from brackenloft import interface as api
+from brackenloft.lab.client_try import ClientTry, Seat
 from brackenloft.lab.conformance.script import Answers, Asks, Script, Trace
 from brackenloft.lab.nodes import Job, Node
 from brackenloft.lab.spec import Class, Clients, Experiment, Gateways, Nodes, PlanSpec
-from brackenloft.lab.stage import Ask, Seat
 from brackenloft.lab.world import World
 
 KIND = Class(name="kind", aim_ms=10_000.0, deadline_ms=10_000.0)
@@ -62,14 +62,14 @@
 
     def _asks(self, asks: Asks) -> None:
         gives_up = self.now + asks.patience_ms
-        ask = Ask(asks.name, self.customers[0], KIND, self.now, 9, self.now, gives_up, True)
+        ask = ClientTry(asks.name, self.customers[0], KIND, self.now, 9, self.now, gives_up, True)
         ask.gateway = 0
         self.hand_over(ask)
         if asks.leaves:
             self.later(asks.leaves, self.leave, ask)
 
     def settle(
-        self, seat: Seat, ask: Ask, what: str, advice_ms: float = 0.0, over_quota: bool | None = None
+        self, seat: Seat, ask: ClientTry, what: str, advice_ms: float = 0.0, over_quota: bool | None = None
     ) -> None:
         """A client has its answer."""
         self.played.answered(ask.name, what)
--- a/brackenloft/lab/oracle.py
+++ b/brackenloft/lab/oracle.py
@@ -8,16 +8,13 @@
 
 from collections import Counter, defaultdict
 from collections.abc import Iterable
-from typing import TYPE_CHECKING
 
 from brackenloft.interface import Effect, ServerEntry, ServerState
+from brackenloft.lab.client_try import ClientTry
 from brackenloft.lab.customers import Customer
+from brackenloft.lab.nodes import Node
 from brackenloft.lab.spec import Class, Experiment, Fault, PlanSpec
 
-if TYPE_CHECKING:
-    from brackenloft.lab.nodes import Node
-    from brackenloft.lab.stage import Ask
-
 DRAIN_MS = 1000.0  # after being told, the last moment for something new
 NEVER_TOLD = (ServerState.READY, 0.0)
 SLACK_MS = 8.0  # that a final answer may be late
@@ -74,7 +71,7 @@
         self.refusals: Counter[str] = Counter()
         self.latencies: list[float] = []
         self.seconds: dict[int, Counter[str]] = defaultdict(Counter)
-        self.chains: dict[str, list[Ask]] = {}  # the tries of one wish, for classes with an effect
+        self.chains: dict[str, list[ClientTry]] = {}  # the tries of one wish, for classes with an effect
         self.faults: list[tuple[float, str]] = []
 
     def broken(self, rule: str, why: str) -> None:
@@ -92,7 +89,7 @@
             if self.said.get(key, NEVER_TOLD)[0] is not entry.state:
                 self.said[key] = (entry.state, now)
 
-    def sent(self, now: float, gateway: int, ask: Ask, node: Node, inside: bool) -> None:
+    def sent(self, now: float, gateway: int, ask: ClientTry, node: Node, inside: bool) -> None:
         """An attempt goes out."""
         state, since = self.said.get((gateway, node.number), (ServerState.READY, 0.0))
         if state is not ServerState.READY and now > since + DRAIN_MS:
@@ -133,13 +130,13 @@
             self.seconds[int(now // 1000)]["inside" if inside else "outside"] += 1
         return inside
 
-    def taken(self, now: float, gateway: int, ask: Ask) -> None:
+    def taken(self, now: float, gateway: int, ask: ClientTry) -> None:
         """A gateway has a try in hand."""
         self.counts["tries"] += 1
         if ask.kind.effect is not Effect.SAFE:
             self.chains.setdefault(ask.chain(), []).append(ask)
 
-    def answered(self, now: float, ask: Ask, what: str, over_quota: bool | None) -> None:
+    def answered(self, now: float, ask: ClientTry, what: str, over_quota: bool | None) -> None:
         """A try's final answer."""
         self.counts[what] += 1
         if now > ask.gives_up + self.slack_ms:
@@ -158,15 +155,15 @@
             self.latencies.append(now - ask.first_at)
             second["served inside"] += ask.inside
 
-    def unanswered(self, now: float, ask: Ask) -> None:
+    def unanswered(self, now: float, ask: ClientTry) -> None:
         """A client's time was up with no answer."""
         self.broken("one answer in time", f"{ask.name} had none")
 
-    def died(self, ask: Ask) -> None:
+    def died(self, ask: ClientTry) -> None:
         """Its gateway died: the client's to try again, and nothing is promised."""
         self.counts["died"] += 1
 
-    def left(self, ask: Ask) -> None:
+    def left(self, ask: ClientTry) -> None:
         """Its client did not wait for the answer: nothing is owed any more."""
         self.counts["left"] += 1
 
--- a/brackenloft/lab/real/commands.py
+++ b/brackenloft/lab/real/commands.py
@@ -5,15 +5,15 @@
 from typing import Any
 
 from brackenloft import interface as api
+from brackenloft.lab.client_try import ClientTry
 from brackenloft.lab.customers import Customer
 from brackenloft.lab.real.links import Wrong
-from brackenloft.lab.stage import Ask
 from brackenloft.standins.peer import resp
 
 KEY_SPACE = 1 << 64
 
 
-def command(ask: Ask, wait_ms: float, width: int) -> bytes:
+def command(ask: ClientTry, wait_ms: float, width: int) -> bytes:
     """A try as a client writes it."""
     kind, customer = ask.kind, ask.customer
     key = f"k={keyed(customer, ask.first_at)}," if kind.effect is api.Effect.KEYED else ""
--- a/brackenloft/lab/real/links.py
+++ b/brackenloft/lab/real/links.py
@@ -16,8 +16,8 @@
 
 import hiredis
 
+from brackenloft.lab.client_try import ClientTry
 from brackenloft.lab.nodes import Job, Node
-from brackenloft.lab.stage import Ask
 
 BACKLOG = 1024
 FILL = 4  # connections of our own that fill the queue of a listener that is cut off: it holds one or two
@@ -28,7 +28,7 @@
 class Slot:
     """One command on a connection; answers keep the order of the commands."""
 
-    ask: Any  # whose it is: an Ask of the stage, or its name in a script
+    ask: Any  # whose it is: a ClientTry, or its name in a script
     job: Job | None = None
     text: bytes | None = None  # its answer; empty: the connection is reset
 
@@ -185,7 +185,7 @@
     def __init__(self, host: Host, gateway: int) -> None:
         self.host, self.gateway = host, gateway
         self.parser = hiredis.Reader(replyError=Wrong)
-        self.ask: Ask | None = None
+        self.ask: ClientTry | None = None
         self.open = False
         self.transport: asyncio.Transport
 
--- a/brackenloft/lab/real/sockets.py
+++ b/brackenloft/lab/real/sockets.py
@@ -16,13 +16,14 @@
 from typing import Any
 
 from brackenloft import interface as api
+from brackenloft.lab.client_try import ClientTry, Seat
 from brackenloft.lab.nodes import Job, Node
 from brackenloft.lab.real.commands import command, understood
 from brackenloft.lab.real.gateways import GatewayProcess, ran_and_queued_s
 from brackenloft.lab.real.limits import check
 from brackenloft.lab.real.links import Door, Line, Listener, Slot
 from brackenloft.lab.spec import Experiment
-from brackenloft.lab.stage import Ask, Seat, Stage
+from brackenloft.lab.stage import Stage
 from brackenloft.standins.discovery import row
 from brackenloft.standins.peer import array
 
@@ -52,9 +53,9 @@
             (seat.index, node.number): Listener(self._doors(seat.index, node))
             for seat in self.seats for node in self.nodes
         }
-        self.asks: dict[int, Ask] = {}  # by number, for what nodes are sent
-        self.out: dict[Ask, set[Slot]] = defaultdict(set)  # attempts at nodes
-        self.lines: dict[Ask, Line] = {}  # on which a client waits
+        self.asks: dict[int, ClientTry] = {}  # by number, for what nodes are sent
+        self.out: dict[ClientTry, set[Slot]] = defaultdict(set)  # attempts at nodes
+        self.lines: dict[ClientTry, Line] = {}  # on which a client waits
         self.idle: list[list[Line]] = [[] for _ in self.seats]
         self.tasks: set[asyncio.Task[Any]] = set()
         self.starting: dict[int, asyncio.Task[None]] = {}
@@ -247,7 +248,7 @@
         if status is not None:
             self._done(door, slot, status)
 
-    def _two_out(self, which: tuple[Ask, frozenset[Slot]]) -> None:
+    def _two_out(self, which: tuple[ClientTry, frozenset[Slot]]) -> None:
         ask, slots = which
         if self.behind > LATE_MS:  # we were held up: the end of the first may not have been read yet
             self.later(OVERLAP_MS, self._two_out, which)
@@ -290,7 +291,7 @@
 
     # ---- Clients
 
-    def taken(self, seat: Seat, ask: Ask) -> None:
+    def taken(self, seat: Seat, ask: ClientTry) -> None:
         """A client's try has reached its gateway."""
         self.oracle.taken(self.now, seat.index, ask)
         number = int(ask.name[1:])
@@ -304,7 +305,7 @@
                 return
         self._task(self._connect(seat, ask))
 
-    async def _connect(self, seat: Seat, ask: Ask) -> None:
+    async def _connect(self, seat: Seat, ask: ClientTry) -> None:
         try:
             _, line = await self.loop.create_connection(
                 lambda: Line(self, seat.index), "127.0.0.1", self.gateways[seat.index].port)
@@ -315,7 +316,7 @@
         self._tick()
         self._ask(line, ask)
 
-    def _ask(self, line: Line, ask: Ask) -> None:
+    def _ask(self, line: Line, ask: ClientTry) -> None:
         line.ask = ask
         self.lines[ask] = line
         line.transport.write(command(ask, ask.gives_up - self.now, self.spec.gateways.width))
@@ -345,7 +346,7 @@
             self._tick()
             self._died(self.seats[line.gateway], ask)
 
-    def _died(self, seat: Seat, ask: Ask) -> None:
+    def _died(self, seat: Seat, ask: ClientTry) -> None:
         """No answer: fair enough if the gateway was killed, a rule broken if it lives."""
         seat.asks.pop(ask.name, None)
         if ask.ended:
@@ -354,7 +355,7 @@
             self.oracle.unanswered(self.now, ask)
         self.died(ask)
 
-    def leave(self, ask: Ask) -> None:
+    def leave(self, ask: ClientTry) -> None:
         """A client closes its connection, if it still waits."""
         line = self.lines.get(ask)
         if line and not ask.ended:
@@ -363,7 +364,7 @@
             self.oracle.left(ask)
             line.transport.abort()
 
-    def _given_up(self, which: tuple[Seat, Ask]) -> None:
+    def _given_up(self, which: tuple[Seat, ClientTry]) -> None:
         seat, ask = which
         if not ask.ended and seat.up:
             ask.ended = True
--- a/brackenloft/lab/stage.py
+++ b/brackenloft/lab/stage.py
@@ -11,54 +11,21 @@
 from abc import ABC, abstractmethod
 from collections import OrderedDict
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from typing import Any
 
 import numpy as np
 
 from brackenloft import interface as api
 from brackenloft.lab import customers
+from brackenloft.lab.client_try import ClientTry, Seat
 from brackenloft.lab.customers import Customer
-from brackenloft.lab.nodes import Job, Node
+from brackenloft.lab.nodes import Node
 from brackenloft.lab.oracle import SLACK_MS, Oracle
 from brackenloft.lab.spec import Class, Experiment, Fault, zone
 
 STREAMS = ("customers", "network", "work", "clients", "front", "faults", "gateways")
 
 
-@dataclass(slots=True, eq=False)
-class Ask:
-    """One try of a client."""
-
-    name: str
-    customer: Customer
-    kind: Class
-    first_at: float  # of its first try
-    tries: int
-    at: float
-    gives_up: float
-    inside: bool  # whether the quota, seen as one, has room for the first try
-    gateway: int = -1
-    ended: bool = False
-    sends: int = 0
-    out: dict[int, tuple[Node, Job]] = field(default_factory=dict)
-    jobs: list[Job] = field(default_factory=list)  # those that reached a node
-    sent_at: list[float] = field(default_factory=list)
-
-    def chain(self) -> str:
-        """Its wish, the same for all tries; the idempotency key of a keyed class."""
-        return f"{self.customer.number}/{self.first_at:.6f}"
-
-
-class Seat:
-    """One gateway's process, as clients see it: whether it is up, and what it has in hand."""
-
-    def __init__(self, index: int) -> None:
-        self.index = index
-        self.asks: dict[str, Ask] = {}
-        self.up = True
-
-
 class Stage(ABC):
     """One run's surroundings of gateways; ``oracle`` keeps watch."""
 
@@ -123,11 +90,11 @@
         """The process that stands at this place now."""
 
     @abstractmethod
-    def taken(self, seat: Any, ask: Ask) -> None:
+    def taken(self, seat: Any, ask: ClientTry) -> None:
         """A client's try has reached its gateway."""
 
     @abstractmethod
-    def leave(self, ask: Ask) -> None:
+    def leave(self, ask: ClientTry) -> None:
         """A client closes its connection, if it still waits."""
 
     @abstractmethod
@@ -183,7 +150,7 @@
             / (customer.plan.rate * told.meter_ms / 1000.0)
         )
 
-    def count_use(self, ask: Ask) -> None:
+    def count_use(self, ask: ClientTry) -> None:
         """A request's first attempt has come to a node: the meter has it."""
         key = (ask.customer.number, int(self.now // self.spec.told.meter_ms))
         self.used[key] = self.used.get(key, 0.0) + ask.kind.units
@@ -205,7 +172,7 @@
     def _try(self, customer: Customer, kind: Class, first_at: float, tries: int, inside: bool) -> None:
         gateway = self.front.choose(customer, self.now, self.streams["front"])
         self.asked += 1
-        ask = Ask(
+        ask = ClientTry(
             f"q{self.asked}",
             customer,
             kind,
@@ -224,12 +191,12 @@
         if share and self.streams["clients"].random() < share:
             self.later(self.streams["clients"].random() * (ask.gives_up - self.now), self.leave, ask)
 
-    def hand_over(self, ask: Ask) -> None:
+    def hand_over(self, ask: ClientTry) -> None:
         """A client's try sets out for its gateway."""
         net = self.spec.network
         self.later(net.client_ms * (1.0 + net.jitter * self.streams["network"].random()), self._reaches, ask)
 
-    def _reaches(self, ask: Ask) -> None:
+    def _reaches(self, ask: ClientTry) -> None:
         seat = self.seat_at(ask.gateway)
         if seat.up:
             seat.asks[ask.name] = ask
@@ -238,7 +205,7 @@
             self.lost(ask)
 
     def settle(
-        self, seat: Seat, ask: Ask, what: str, advice_ms: float = 0.0, over_quota: bool | None = None
+        self, seat: Seat, ask: ClientTry, what: str, advice_ms: float = 0.0, over_quota: bool | None = None
     ) -> None:
         """A try has its final answer."""
         ask.ended = True
@@ -247,13 +214,13 @@
         if what != "served":
             self._again(ask, what, advice_ms)
 
-    def died(self, ask: Ask) -> None:
+    def died(self, ask: ClientTry) -> None:
         """Its gateway died under it."""
         ask.ended = True
         self.oracle.died(ask)
         self._again(ask, "failed", 0.0)
 
-    def _again(self, ask: Ask, what: str, advice_ms: float) -> None:
+    def _again(self, ask: ClientTry, what: str, advice_ms: float) -> None:
         """A client tries again by itself: after a refusal always, after a failure what is safe or keyed."""
         clients = self.spec.clients
         if ask.tries > clients.retries or (what == "failed" and ask.kind.effect is api.Effect.UNSAFE):
@@ -264,10 +231,10 @@
             wait = max(wait, advice_ms)
         self.later(wait, self._retry, ask)
 
-    def _retry(self, ask: Ask) -> None:
+    def _retry(self, ask: ClientTry) -> None:
         self._try(ask.customer, ask.kind, ask.first_at, ask.tries + 1, ask.inside)
 
-    def lost(self, ask: Ask) -> None:
+    def lost(self, ask: ClientTry) -> None:
         """Nobody took it: the client comes again."""
         self._again(ask, "refused", 0.0)
 
--- a/brackenloft/lab/world.py
+++ b/brackenloft/lab/world.py
@@ -13,9 +13,10 @@
 from typing import Any, Protocol
 
 from brackenloft import interface as api
+from brackenloft.lab.client_try import ClientTry, Seat
 from brackenloft.lab.nodes import Job, Node
 from brackenloft.lab.spec import Experiment
-from brackenloft.lab.stage import Ask, Seat, Stage
+from brackenloft.lab.stage import Stage
 
 MOST_EVENTS = 50_000_000  # of one run: one that never ends is ended, and says so
 IDLE_MS = 12_000.0  # after which a gateway retires a connection: its share of what the settings allow
@@ -183,12 +184,12 @@
                 return
         self.connects[int(self.now // 1000)] += 1
 
-    def _not_sent(self, which: tuple[Desk, Ask, int, int]) -> None:
+    def _not_sent(self, which: tuple[Desk, ClientTry, int, int]) -> None:
         seat, ask, number, server = which
         self._tell(seat, api.Outcome(ask.name, number, server, api.Status.NOT_SENT, 0.0, ask.ended))
         self._drop_if_done(seat, ask)
 
-    def _arrives(self, which: tuple[Desk, Ask, int]) -> None:
+    def _arrives(self, which: tuple[Desk, ClientTry, int]) -> None:
         seat, ask, number = which
         found = ask.out.get(number)
         if found is None:
@@ -204,7 +205,7 @@
         if status is not None:
             self._done(seat, ask, node, job, status)
 
-    def _done(self, seat: Desk, ask: Ask, node: Node, job: Job, status: api.Status) -> None:
+    def _done(self, seat: Desk, ask: ClientTry, node: Node, job: Job, status: api.Status) -> None:
         if not self.apart(seat, node):
             self.later(
                 self.way(seat.index % self.spec.nodes.zones, node.zone),
@@ -212,7 +213,7 @@
                 (seat, ask, job.number, status, job),
             )
 
-    def _ended(self, which: tuple[Desk, Ask, int, api.Status, Job]) -> None:
+    def _ended(self, which: tuple[Desk, ClientTry, int, api.Status, Job]) -> None:
         """What an attempt came to has reached the gateway; the first such word counts."""
         seat, ask, number, status, job = which
         found = ask.out.pop(number, None)
@@ -241,7 +242,7 @@
         )
         self._drop_if_done(seat, ask)
 
-    def _timed_out(self, which: tuple[Desk, Ask, int]) -> None:
+    def _timed_out(self, which: tuple[Desk, ClientTry, int]) -> None:
         seat, ask, number = which
         if number in ask.out:
             self._stop(seat, ask, number, api.Status.TIMEOUT)
@@ -251,12 +252,12 @@
         if ask and action.attempt in ask.out:
             self.later(0.0, self._cancelled, (seat, ask, action.attempt))
 
-    def _cancelled(self, which: tuple[Desk, Ask, int]) -> None:
+    def _cancelled(self, which: tuple[Desk, ClientTry, int]) -> None:
         seat, ask, number = which
         if number in ask.out:
             self._stop(seat, ask, number, api.Status.CANCELLED)
 
-    def _stop(self, seat: Desk, ask: Ask, number: int, status: api.Status) -> None:
+    def _stop(self, seat: Desk, ask: ClientTry, number: int, status: api.Status) -> None:
         node, job = ask.out[number]
         if not self.apart(seat, node):
             node.cancel(job)
@@ -264,7 +265,7 @@
 
     # ---- Clients
 
-    def taken(self, seat: Desk, ask: Ask) -> None:
+    def taken(self, seat: Desk, ask: ClientTry) -> None:
         """A client's try has reached its gateway."""
         self.note("ask", seat.index, ask.name, ask.customer.number, ask.kind.name)
         self.oracle.taken(self.now, seat.index, ask)
@@ -284,21 +285,21 @@
             ),
         )
 
-    def _given_up(self, which: tuple[Desk, Ask]) -> None:
+    def _given_up(self, which: tuple[Desk, ClientTry]) -> None:
         """The client's time is up; what is still in hand then has been lost by the gateway."""
         seat, ask = which
         if not ask.ended and seat.up:
             self.oracle.unanswered(self.now, ask)
             self._gone(seat, ask)
 
-    def leave(self, ask: Ask) -> None:
+    def leave(self, ask: ClientTry) -> None:
         """A client closes its connection, if it still waits."""
         seat = self.seats[ask.gateway]
         if not ask.ended and seat.asks.get(ask.name) is ask:
             self.oracle.left(ask)
             self._gone(seat, ask)
 
-    def _gone(self, seat: Desk, ask: Ask) -> None:
+    def _gone(self, seat: Desk, ask: ClientTry) -> None:
         ask.ended = True
         self.note("gone", seat.index, ask.name)
         self._tell(seat, api.ClientGone(ask.name))
@@ -314,6 +315,6 @@
         self.settle(seat, ask, what, advice_ms, over_quota)
         self._drop_if_done(seat, ask)
 
-    def _drop_if_done(self, seat: Desk, ask: Ask) -> None:
+    def _drop_if_done(self, seat: Desk, ask: ClientTry) -> None:
         if ask.ended and not ask.out:
             seat.asks.pop(ask.name, None)
