Status: the number of control servers as they know it themselves

An operator's file may name a part of the control servers. Their number decides how many have to answer before a revision is told to be in force everywhere, so that such a file made too few answers enough: with 3 of 6 named, 2 instead of 3, and a gateway enrolled at the other four could be missing. ServerStatus says how many there are, and the larger number counts.

--- a/brackenloft/configuration/status_report.py
+++ b/brackenloft/configuration/status_report.py
@@ -83,10 +83,15 @@
     now_s: float,
     revision: int | None = None,
 ) -> Report:
-    """Merge what control servers told. ``now_s`` is Unix time; ``revision``: the newest by default."""
+    """Merge what control servers told. ``now_s`` is Unix time; ``revision``: the newest by default.
+
+    There are as many control servers as were asked, or more if one of them says so: a file that names a part of
+    them must not make fewer answers enough.
+    """
     view = View.of_all(statuses)
     wanted = view.standing if revision is None else revision
-    servers = len(statuses) + len(unanswered)
+    asked = len(statuses) + len(unanswered)
+    servers = max([asked, *(status.servers for status in statuses)])
     found = progress(view, wanted, servers, copies_of(servers))
     verified = [status.verified_ms for status in statuses if status.standing == view.standing]
     return Report(
--- a/tests/test_configuration_cli.py
+++ b/tests/test_configuration_cli.py
@@ -424,6 +424,16 @@
         assert [server.why for server in found.servers[:3]] != ["", "", ""]
 
 
+def test_a_file_that_names_a_part_of_the_servers_does_not_make_fewer_enough():
+    two = [status_of("a", 1), status_of("b", 1)]
+    assert report(two, [], NOW_S).everywhere
+    of_six = [msgspec.structs.replace(status, servers=6) for status in two]
+    found = report(of_six, [], NOW_S)
+    assert not found.everywhere and found.servers_needed == 3
+    assert report([two[0], of_six[1]], [], NOW_S).servers_needed == 3
+    assert report([*of_six, status_of("c", 1)], [], NOW_S).everywhere
+
+
 def test_an_old_word_of_the_stores_is_told():
     found = report([status_of("a", 1, verified_ms=9_000.0)], [], NOW_S)
     assert "no majority of stores was heard for 9 s: a newer revision may be published" in list(lines(found))
