--- a/brackenloft/configuration/status_report.py
+++ b/brackenloft/configuration/status_report.py
@@ -85,8 +85,8 @@
 ) -> Report:
     """Merge what control servers told. ``now_s`` is Unix time; ``revision``: the newest by default.
 
-    There are as many control servers as were asked, or more if one of them says so: a file that names a part of
-    them must not make fewer answers enough.
+    There are as many control servers as were asked, or more if one of them says so: a file that names a part
+    of them must not make fewer answers enough.
     """
     view = View.of_all(statuses)
     wanted = view.standing if revision is None else revision
