--- a/brackenloft/cli.py
+++ b/brackenloft/cli.py
@@ -1,4 +1,4 @@
-"""``brackenloft SUBCOMMAND``: serve, check-config, demo, call, ops, config, fleet, lab, load."""
+"""``brackenloft SUBCOMMAND``: serve, control, check-config, demo, call, ops, config, fleet, lab, load."""
 
 from __future__ import annotations
 
@@ -44,6 +44,8 @@
     check = commands.add_parser("check-config", help="read a configuration and say whether it can be used")
     for part in (serve, check):
         part.add_argument("--config", required=True, type=Path, metavar="FILE", help="TOML, or *.json")
+    control = commands.add_parser("control", help="run a control server until SIGTERM (extra [control])")
+    control.add_argument("--config", required=True, type=Path, metavar="FILE", help="as deploy/control.toml")
     demo = commands.add_parser("demo", help="a gateway, discovery, board nodes and clients on loopback")
     demo.add_argument("--seconds", type=float, default=10.0)
     demo.add_argument("--seed", type=int, default=1)
@@ -75,7 +77,8 @@
     if words and words[0] in APART:
         return _apart(words[0], words[1:])
     options = _parser().parse_args(words)
-    run = {"serve": _serve, "check-config": _check, "demo": _demo, "call": _call, "ops": _ops}
+    run = {"serve": _serve, "control": _control, "check-config": _check, "demo": _demo, "call": _call,
+           "ops": _ops}
     return run[options.command](options)
 
 
@@ -184,6 +187,15 @@
         return 2
 
 
+def _control(options: argparse.Namespace) -> int:
+    try:
+        from brackenloft.configuration import service
+    except ModuleNotFoundError as error:
+        print(f"brackenloft: control wants the extra [control]: {error.name} is missing", file=sys.stderr)
+        return 2
+    return service.main(options.config)
+
+
 async def _serve_until_told(config: Config, path: Path, parts: Parts) -> int:
     """Until SIGTERM or SIGINT. SIGHUP reads the file's servers again; what else changed is not taken over."""
     from brackenloft.edge import Edge
--- /dev/null
+++ b/brackenloft/configuration/enrolment.py
@@ -0,0 +1,173 @@
+"""Runs of gateways made known to enough control servers before they are answered for the first time."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from brackenloft.configuration import codec
+from brackenloft.configuration.disk import RosterEntry
+from brackenloft.configuration.messages import (
+    ENROL_PATH,
+    STATUS_PATH,
+    Enrolled,
+    EnrolRequest,
+    Follower,
+    ServerStatus,
+)
+from brackenloft.configuration.peers import PeerError, Peers
+from brackenloft.configuration.roster import (
+    MOST_RUNS,
+    Roster,
+    RosterFullError,
+    RunKey,
+    enough_servers,
+    key_of,
+)
+from brackenloft.configuration.storage import Storage
+from brackenloft.fleet.logs import logger
+
+log = logger(__name__)
+ENROL_TIMEOUT_S = 1.0  # of one peer; an enrolment that has too few answers by then counts for nothing
+# A server without its disk waits for longer than any enrolment that it took part in before may have taken.
+RECOVERY_WAIT_S = 3.0 * ENROL_TIMEOUT_S
+RECOVERY_RETRY_S = 1.0
+STATUS_TIMEOUT_S = 2.0
+
+
+class Enrolment:
+    """This server's roster, on its disk and at its peers."""
+
+    def __init__(
+        self, roster: Roster, storage: Storage, peers: Peers, copies: int, clock_ms: Callable[[], float]
+    ) -> None:
+        self._roster, self._storage, self._peers = roster, storage, peers
+        self._copies, self._clock_ms = copies, clock_ms
+        self._done: set[RunKey] = set()  # runs that enough servers told us to know
+        self._on_disk: set[RunKey] = set(roster.runs)
+        self._under_way: dict[RunKey, asyncio.Task[bool]] = {}
+        self._background: set[asyncio.Task[None]] = set()
+        self.failures = 0
+
+    def is_done(self, follower: Follower) -> bool:
+        """Whether this server has had the run enrolled at enough servers."""
+        return key_of(follower) in self._done
+
+    async def ensure(self, follower: Follower) -> bool:
+        """Have a run enrolled at enough servers; False if that failed."""
+        return self.is_done(follower) or await asyncio.shield(self.begin(follower))
+
+    def begin(self, follower: Follower) -> asyncio.Task[bool]:
+        """The enrolment of a run that is under way, or a new one."""
+        key = key_of(follower)
+        task = self._under_way.get(key)
+        if task is None:
+            task = asyncio.create_task(self._enrol(follower))
+            self._under_way[key] = task
+            task.add_done_callback(lambda _: self._under_way.pop(key, None))
+        return task
+
+    async def _enrol(self, follower: Follower) -> bool:
+        request = EnrolRequest(follower)
+        body = codec.encode(request)
+        calls = [asyncio.create_task(self._tell(peer, body)) for peer in self._peers.by_name]
+        stored = 0
+        try:
+            async with asyncio.timeout(ENROL_TIMEOUT_S):
+                for done in asyncio.as_completed([asyncio.create_task(self._store(request)), *calls]):
+                    stored += await done
+                    if stored >= self._copies:
+                        self._remember(key_of(follower))
+                        return True
+        except TimeoutError:
+            pass
+        self.failures += 1
+        log.warning("a run is not enrolled", gateway=follower.gateway, servers=stored, needed=self._copies)
+        return False
+
+    def _remember(self, key: RunKey) -> None:
+        self._done.add(key)
+        if len(self._done) > MOST_RUNS:
+            self._done &= self._roster.runs.keys()
+
+    async def _tell(self, peer: str, body: bytes) -> bool:
+        try:
+            await self._peers.send(peer, ENROL_PATH, body, Enrolled, ENROL_TIMEOUT_S)
+        except PeerError:
+            return False
+        return True
+
+    async def _store(self, request: EnrolRequest) -> bool:
+        try:
+            await self.take(request)
+        except (OSError, RosterFullError):
+            return False
+        return True
+
+    async def take(self, request: EnrolRequest) -> None:
+        """Know a run, on the disk when this returns; OSError or RosterFullError if it isn't."""
+        key, now_ms = key_of(request.follower), self._clock_ms()
+        self._roster.enrol(request.follower, now_ms)
+        if request.left:
+            self._roster.leave(request.follower, now_ms)
+        if request.left or key not in self._on_disk:
+            await self._storage.save_run(RosterEntry(request.follower, left=request.left))
+            self._on_disk.add(key)
+
+    async def leave(self, follower: Follower) -> None:
+        """A run ended: known here when this returns, and told to the peers. Errors as ``take``."""
+        request = EnrolRequest(follower, left=True)
+        body = codec.encode(request)
+        for peer in self._peers.by_name:
+            task = asyncio.create_task(self._tell_left(peer, body))
+            self._background.add(task)
+            task.add_done_callback(self._background.discard)
+        await self.take(request)
+
+    async def _tell_left(self, peer: str, body: bytes) -> None:
+        await self._tell(peer, body)
+
+    async def close(self) -> None:
+        """Tell nobody any more."""
+        tasks = [*self._background, *self._under_way.values()]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    # ---- A disk that was lost
+
+    async def recover(self, servers: int) -> None:
+        """Come to know all runs again that this server was told of: from enough others, or from all.
+
+        Enough are those that know every run that is enrolled. If others lost theirs too, all have to tell.
+        """
+        await asyncio.sleep(RECOVERY_WAIT_S if self._peers.by_name else 0.0)
+        enough = enough_servers(servers, self._copies)
+        while True:
+            statuses = await asyncio.gather(*map(self._status, self._peers.by_name))
+            known = [status for status in statuses if status]
+            complete = [status for status in known if status.complete]
+            if len(complete) >= enough or len(known) == len(self._peers.by_name):
+                try:
+                    await self._adopt(known)
+                    return
+                except (OSError, RosterFullError) as error:
+                    log.error("the roster can't be stored", error=error)
+            await asyncio.sleep(RECOVERY_RETRY_S)
+
+    async def _adopt(self, statuses: list[ServerStatus]) -> None:
+        for status in statuses:
+            self._roster.adopt(status.confirmations, self._clock_ms())
+        runs = dict(self._roster.runs)
+        await self._storage.replace_runs(
+            RosterEntry(run.follower, run.in_force, run.left) for run in runs.values()
+        )
+        self._on_disk |= runs.keys()
+        log.info("the roster is complete", runs=len(runs), servers=len(statuses))
+
+    async def _status(self, peer: str) -> ServerStatus | None:
+        try:
+            answer = await self._peers.send(peer, STATUS_PATH, b"", ServerStatus, STATUS_TIMEOUT_S)
+        except PeerError:
+            return None
+        return answer if isinstance(answer, ServerStatus) else None
--- a/brackenloft/configuration/log.py
+++ b/brackenloft/configuration/log.py
@@ -53,7 +53,7 @@
     ) -> None:
         self.start = start or Standing(FIRST_REVISION, Tree.empty().digest)
         self.bytes = 0
-        self._most_records = most_records
+        self.most_records = most_records
         self._most_bytes = most_bytes
         self._records: list[Record] = []
         self._sizes: list[int] = []
@@ -104,7 +104,7 @@
         return tuple(self._records[first:fitting])
 
     def _compact(self) -> None:
-        while len(self._records) > self._most_records or self.bytes > self._most_bytes:
+        while len(self._records) > self.most_records or self.bytes > self._most_bytes:
             gone = self._records.pop(0)
             self.bytes -= self._sizes.pop(0)
             self.start = Standing(gone.revision, gone.digest)
--- a/brackenloft/configuration/publishing.py
+++ b/brackenloft/configuration/publishing.py
@@ -249,6 +249,9 @@
         self.step = Step.STORING
         return (StoreHere(event.record),)
 
+    def _overtaken_before_swap(self, event: Overtaken) -> Actions:
+        return self._conflict(event.standing.revision)
+
     def _faults_found(self, event: FaultsFound) -> Actions:
         return self._finish(Invalid(event.faults))
 
@@ -326,6 +329,7 @@
     (Step.READING, Expired): Publishing._expired,
     (Step.VALIDATING, Prepared): Publishing._prepared,
     (Step.VALIDATING, FaultsFound): Publishing._faults_found,
+    (Step.VALIDATING, Overtaken): Publishing._overtaken_before_swap,
     (Step.VALIDATING, Expired): Publishing._expired,
     (Step.STORING, StoredHere): Publishing._stored_here,
     (Step.STORING, NotStoredHere): Publishing._failed_before_swap,
