--- a/brackenloft/lab/scale/page.py
+++ b/brackenloft/lab/scale/page.py
@@ -2,15 +2,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
 from dataclasses import asdict, dataclass
 
-from brackenloft.lab.scale import gateway_rows, shared_rows
+from brackenloft.lab.scale import gateway_rows, run_page, shared_rows
+from brackenloft.lab.scale.markdown import NOT_MEASURED, number, table
+from brackenloft.lab.scale.results import ScaleResult
 from brackenloft.lab.scale.rows import Period, Role, Row, Sizes
 from brackenloft.lab.scale.slopes import Measured, Slope, segment_exponents
 
-MISSING, NOT_MEASURED = "missing", "not measured"
-UNITS = ((1e9, "G"), (1e6, "M"), (1e3, "k"))
+MISSING = "missing"
 INTRODUCTION = """# Capacity at the target size
 
 Made by `python -m benchmarks.capacity --page` from `benchmarks/capacity/slopes.json`; do not edit it: a test
@@ -41,32 +41,16 @@
     return sorted(short, key=lambda each: -(each.miss or 0.0))
 
 
-def number(value: float | None) -> str:
-    """A figure with three digits that count."""
-    if value is None:
-        return NOT_MEASURED
-    for scale, letter in UNITS:
-        if abs(value) >= scale:
-            return f"{value / scale:.3g} {letter}"
-    return f"{value:.3g}"
-
-
-def render(measured: Measured) -> str:
-    """The page."""
+def render(measured: Measured, run: ScaleResult | None = None) -> str:
+    """The page; ``run``: the stored scale run, if there is one."""
     sizes = Sizes(measured)
     parts = [INTRODUCTION, _target(sizes), _ranking(sizes)]
+    parts += [run_page.section(run)] if run else []
     parts += [_role(role, sizes) for role in Role]
     parts += [_slopes(measured.slopes), _environment(measured)]
     return "\n".join(parts)
 
 
-def _table(head: Iterable[str], rows: Iterable[Iterable[str]]) -> str:
-    titles = list(head)
-    lines = ["| " + " | ".join(titles) + " |", "|" + " --- |" * len(titles)]
-    lines += ["| " + " | ".join(row) + " |" for row in rows]
-    return "\n".join(lines) + "\n"
-
-
 def _target(sizes: Sizes) -> str:
     given = ", ".join(f"{name} {value:,}" for name, value in asdict(sizes.target).items())
     budgets = ", ".join(f"{name} {value:,}" for name, value in asdict(sizes.budget).items())
@@ -101,14 +85,14 @@
                 missed,
             )
         )
-    table = _table(("", "role", "what", "state", "module", "worst figure", "budget", "over it by"), rows)
+    ranked = table(("", "role", "what", "state", "module", "worst figure", "budget", "over it by"), rows)
     first = ranking(sizes)[0].row
     return f"""## What is missing, by how far it misses
 
 First: **{first.quantity}** ({first.role}). *Missing*: no mechanism at all; the rows of one subject
 want one mechanism. *Falls short*: it works today at a smaller size. What has no figure comes last.
 
-{table}"""
+{ranked}"""
 
 
 NOT_STATED = "none stated"
@@ -134,7 +118,7 @@
             )
         )
     head = ("figure", "unit", *Period, "formula", "slopes", "mechanism", "budget", "margin", "breaks first")
-    return f"## {role.capitalize()}\n\n{_table(head, rows)}"
+    return f"## {role.capitalize()}\n\n{table(head, rows)}"
 
 
 def _slopes(slopes: tuple[Slope, ...]) -> str:
@@ -168,7 +152,7 @@
 An exponent of 1 is linear, 0 flat; it is fitted by least squares on logarithmic axes. Times are of the
 processor, medians of some rounds: on an idle machine a call holds the loop for as long.
 
-{_table(head, rows)}"""
+{table(head, rows)}"""
 
 
 def _environment(measured: Measured) -> str:
--- a/brackenloft/lab/scale/samples.py
+++ b/brackenloft/lab/scale/samples.py
@@ -10,6 +10,7 @@
 
 ZONES = tuple("abcdefg")
 PLANS = 12
+CUSTOMERS = 2**33  # ids on the wire are below this
 RESTED_MS = -3_600_000.0  # started an hour before the clock's zero: warm
 
 
@@ -64,8 +65,8 @@
             for number in range(PLANS)
         ),
         tenants=tuple(
-            Tenant(f"{draw.getrandbits(64):016x}", f"plan-{draw.randrange(PLANS):02d}")
-            for _ in range(tenants)
+            Tenant(f"{number:016x}", f"plan-{draw.randrange(PLANS):02d}")
+            for number in draw.sample(range(1, CUSTOMERS), tenants)
         ),
     )
 
--- a/brackenloft/lab/scale/traffic.py
+++ b/brackenloft/lab/scale/traffic.py
@@ -89,6 +89,7 @@
         self.reader = hiredis.Reader()
         self.answer: asyncio.Future[object] | None = None
         self.transport: Any = None
+        self.closed = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport
@@ -100,6 +101,7 @@
                 self.answer.set_result(found)
 
     def connection_lost(self, exc: Exception | None) -> None:
+        self.closed = True
         if self.answer and not self.answer.done():
             self.answer.set_exception(ConnectionError("the connection ended"))
 
@@ -146,6 +148,7 @@
             task.add_done_callback(self.tasks.discard)
 
     async def _request(self, due: float) -> None:
+        self._drop_closed()
         if not self.idle and self.open >= MOST_CONNECTIONS:
             self.skipped += 1
             return
@@ -168,6 +171,12 @@
         else:
             self.times_ms.append((time.perf_counter() - due) * 1000.0)
 
+    def _drop_closed(self) -> None:
+        """Connections that the other side has closed while they rested are no failures."""
+        while self.idle and self.idle[-1].closed:
+            self.idle.pop()
+            self.open -= 1
+
     async def _connect(self) -> LoadConnection:
         self.open += 1
         try:
@@ -200,7 +209,7 @@
     loads = {name: Load(port, seed) for seed, (name, port) in enumerate(ports.items())}
     tasks = [asyncio.ensure_future(load.run()) for load in loads.values()]
     await control.serve({}, lambda order: {name: load.window() for name, load in loads.items()})
-    for task in tasks:
+    for task in (*tasks, *(task for load in loads.values() for task in load.tasks)):
         task.cancel()
 
 
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -12,6 +12,7 @@
 from benchmarks import capacity
 from brackenloft.lab.scale import (
     formulas,
+    markdown,
     page,
     samples,
     slopes,
@@ -123,7 +124,7 @@
 
 
 def test_the_page_is_made_of_the_stored_slopes() -> None:
-    assert page.render(slopes.load(capacity.STORED)) == capacity.PAGE.read_text()
+    assert capacity.page_text() == capacity.PAGE.read_text()
 
 
 def test_the_page_differs_when_a_slope_does() -> None:
@@ -155,7 +156,7 @@
     row = Row(Role.GATEWAY, "a figure", "ms", "", Periods(steady=lambda s: s.at("nobody", 1)), "")
     assert [row.value(period, make_sizes()) for period in Period] == [None, None, None]
     assert row.miss(make_sizes()) is None
-    assert page.number(None) == "not measured"
+    assert markdown.number(None) == "not measured"
 
 
 def test_the_ranking_has_what_is_missing_or_misses_the_farthest_first(
@@ -173,7 +174,7 @@
     ("value", "text"), [(0.0, "0"), (0.0123456, "0.0123"), (999.0, "999"), (1_234.0, "1.23 k"), (5e9, "5 G")]
 )
 def test_figures_have_three_digits(value: float, text: str) -> None:
-    assert page.number(value) == text
+    assert markdown.number(value) == text
 
 
 # ---- Samples
--- a/tests/test_scale_runs.py
+++ b/tests/test_scale_runs.py
@@ -16,6 +16,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from brackenloft.configuration import validation
 from brackenloft.configuration.builder import Builder, apply
 from brackenloft.configuration.model import Delta, Items, Section, Tenant
 from brackenloft.configuration.model import Plan as ModelPlan
@@ -33,7 +34,9 @@
     now_ms,
     read_events,
 )
-from brackenloft.lab.scale import baselines, hollow, links, results, traffic, trees, verdict
+from brackenloft.lab.scale import baselines, changes, hollow, links, results, summary, traffic, trees, verdict
+from brackenloft.lab.scale.fleet import FleetPlan, shares
+from brackenloft.lab.scale.scenario import Observed, Usage
 from brackenloft.lab.scale.slopes import Environment
 
 LONGEST_S = 60.0  # of a test that waits for sockets: many times what it takes
@@ -320,3 +323,60 @@
     results.store(tmp_path / "full.json", found)
     assert results.load(tmp_path / "full.json") == found
     assert results.load(tmp_path / "none.json") is None
+
+
+# ---- What a run sums up to
+
+
+def usage(at_ms: float, link_bytes: int, cpu_s: float, servers: dict[str, float]) -> Usage:
+    """What was spent until then."""
+    return Usage(at_ms, link_bytes, cpu_s, servers)
+
+
+def test_rates_of_a_window_are_for_one_gateway_and_the_busiest_server() -> None:
+    before = usage(0.0, 1_000, 1.0, {"a": 1.0, "b": 2.0})
+    after = usage(10_000.0, 21_000, 3.0, {"a": 1.5, "c": 9.0})
+    assert summary.bytes_s(before, after, gateways=4) == 500.0
+    assert summary.spent_percent(before, after, gateways=4) == 5.0
+    assert summary.server_percent(before, after) == 5.0
+    assert summary.server_percent(before, usage(1.0, 0, 0.0, {})) is None
+
+
+def test_what_a_gateway_adds_is_over_the_relay_of_the_same_window() -> None:
+    window = {"gateway": {"p99": 5.0}, "relay": {"p99": 2.0}, "plain": {"p99": None}}
+    assert summary.added_ms(window) == 3.0
+    assert summary.added_ms(window, "plain") is None
+
+
+def test_a_run_without_real_gateway_leaves_its_figures_unmeasured() -> None:
+    observed = Observed(storm_from_ms=0.0, storm_revision=1)
+    events = history(started("a", 1.0), *published(1, 100.0), in_force("a", 350.0, 1))
+    found = summary.figures(FleetPlan(gateways=1), observed, events, machine_mb=1_000.0)
+    assert (found.in_force_s_worst, found.restart_storm_s, found.went_back) == (0.25, 0.35, 0)
+    assert found.control_memory_mb is None and found.added_ms_p99 is None and found.control_bytes_s is None
+
+
+def test_a_run_in_which_somebody_never_had_a_revision_tells_no_time() -> None:
+    events = history(started("a"), started("b"), *published(1, 100.0), in_force("a", 350.0, 1))
+    found = summary.figures(FleetPlan(gateways=2), Observed(storm_revision=1), events, 1_000.0)
+    assert (found.in_force_s_p99, found.in_force_s_worst, found.restart_storm_s) == (None, None, None)
+    assert summary.beside(FleetPlan(gateways=2), Observed(), events)["in_force_missed"] == 1
+
+
+def test_changes_of_a_run_are_valid_and_differ_from_each_other() -> None:
+    document = changes.Document(services=4, routes=10, tenants=40, seed=1)
+    kinds = document.whole, document.small, document.large, document.small
+    trees_seen, before = [], document.tree
+    for base, kind in enumerate(kinds):
+        delta = kind(base, f"m{base + 1}")
+        assert validation.faults(before, delta) == ()
+        before = document.take(delta)
+        trees_seen.append(before.digest)
+    assert len(set(trees_seen)) == len(kinds)
+    assert before.count(Section.TENANTS) == 40 and before.count(Section.ROUTES) == 10
+
+
+@given(total=st.integers(0, 2_000), parts=st.integers(1, 20))
+def test_shares_are_even_and_whole(total: int, parts: int) -> None:
+    found = shares(total, parts)
+    assert sum(found) == total and len(found) == parts and max(found) - min(found) <= 1
