Plans and customers' plans change while the gateway runs: PlansChanged (policy changed)

The running gateway had to be restarted for every change of a plan. With Settings.plans_change customers are kept under their names alone, the plan of a listed one is looked up in the revision in force, and the swap is three assignments however many plans there are: terms and customers follow as they are met. Requests in hand keep their terms; what is sent from then on is within the ceiling and the cap in force. A customer's excess is kept, and what it drew from a ceiling is carried over, both drained by the slower of the two plans since it was last seen, so that a move gives no fresh burst and no fresh ceiling. Rows know their plan, so that those of plans that are gone are forgotten like others.

tests/test_limits.py makes a Customer by hand and gives it a plan now, as it has one.

--- a/brackenloft/checks.py
+++ b/brackenloft/checks.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Callable, Collection
 from math import isfinite
 
 from brackenloft import interface as api
@@ -28,7 +29,8 @@
     def __init__(self, settings: api.Settings) -> None:
         self.gateways, self.largest = settings.gateways, settings.largest_units
         self.classes = {item.name: item for item in settings.classes}
-        self.plans = {item.name for item in settings.plans}
+        self.plans: Collection[str] = {item.name for item in settings.plans}
+        self.plan_of: Callable[[str], str] | None = None  # tells the plan of customers that are listed
 
     def kind(self, name: object) -> api.RequestClass:
         """The class of this name."""
@@ -37,12 +39,19 @@
             raise FieldError("class_name", f"no such class: {name!r:.60}")
         return found
 
-    def plan(self, name: object) -> str:
-        """The plan of this name."""
+    def plan(self, name: object, customer: object = "") -> str:
+        """The plan of this name; for a customer that is listed, its own if there is none of this name."""
         if not isinstance(name, str) or name not in self.plans:
-            raise FieldError("plan", f"no such plan: {name!r:.60}")
+            listed = self.listed_plan(customer)
+            if not listed:
+                raise FieldError("plan", f"no such plan: {name!r:.60}")
+            return listed
         return name
 
+    def listed_plan(self, customer: object) -> str:
+        """The plan of a customer that is listed with one, else an empty text."""
+        return self.plan_of(customer.lower()) if self.plan_of and isinstance(customer, str) else ""
+
     def patience(self, wait_ms: float, kind: api.RequestClass) -> float:
         """How long the answer may take, at most the class's deadline: timers are kept for that long."""
         if not self._number(wait_ms) or wait_ms <= 0.0:
--- a/brackenloft/edge/edge.py
+++ b/brackenloft/edge/edge.py
@@ -10,7 +10,7 @@
 import asyncio
 import logging
 import secrets
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import asdict, fields, replace
 from types import TracebackType
 from typing import Any
@@ -244,6 +244,24 @@
         """Wait for the first list of servers."""
         await self._ready.wait()
 
+    # ---- Plans
+
+    def put_plans(
+        self, plans: Mapping[str, api.Plan], names: Mapping[bytes, str], plan_of: Callable[[str], str],
+    ) -> None:
+        """Other plans are in force from now on: ``api.PlansChanged``; what is given may not change later.
+
+        ``names``: of the plans, by how they are written on the wire. ValueError: the settings rule it out.
+        """
+        self._check_open()
+        if not self.settings.plans_change:
+            raise ValueError("plans_change: is not set, so plans stay as they are")
+        requests = self.clients.requests
+        requests.plans = names
+        for checks in (self.checks, requests.checks):
+            checks.plans, checks.plan_of = plans, plan_of
+        self.driver.post(api.PlansChanged(plans, plan_of))
+
     # ---- Requests
 
     def listen(self, host: str, port: int) -> Address:
@@ -303,7 +321,7 @@
         self._check_open()
         width = self.checks.place("width", call.width, 1)
         gateway = self.driver.gateway
-        return gateway.allowance(self.checks.plan(call.plan), call.customer, width)
+        return gateway.allowance(self.checks.plan(call.plan, call.customer), call.customer, width)
 
     def counters(self) -> dict[str, float]:
         """What became of the requests so far, and what is in hand now."""
@@ -332,7 +350,7 @@
         if request_id in self.driver.calls:
             raise FieldError("request_id", "a request of this id is in hand")
         return api.Request(
-            request_id=request_id, class_name=kind.name, plan=checks.plan(call.plan),
+            request_id=request_id, class_name=kind.name, plan=checks.plan(call.plan, call.customer),
             customer=checks.local_customer(call.customer) if local else checks.customer(call.customer),
             patience_ms=checks.patience(wait, kind), units=checks.units(call.units),
             width=checks.place("width", call.width, 1),
--- a/brackenloft/handover/state.py
+++ b/brackenloft/handover/state.py
@@ -140,7 +140,7 @@
     plan, name, figures, times = _row(row, 4)
     if plan not in gateway.meter.plans:
         raise StateError("a plan that is not known here")
-    customer = Customer(now, 0.0)
+    customer = Customer(now, 0.0, gateway.meter.plans[plan])
     for field, value in zip(PLAIN, _row(figures, len(PLAIN)), strict=True):
         low = -LARGEST if field == "ceiling" else 1.0 if field == "width" else 0.0
         setattr(customer, field, _number(value, low))
@@ -217,7 +217,7 @@
             if plan is None or step not in (1, -1):
                 raise StateError("a charge that can't be read")
             if customer is None:
-                customer = meter.customers[key] = Customer(now, 0.0)
+                customer = meter.customers[key] = Customer(now, 0.0, plan)
             if taken:
                 meter.settle(customer, 0.0, taken)
                 meter.draw_ceiling(customer, plan, taken, now)
--- a/brackenloft/interface.py
+++ b/brackenloft/interface.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from enum import Enum
 from math import inf
@@ -173,7 +174,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Settings:
-    """All that a gateway is told at its start."""
+    """All that a gateway is told at its start.
+
+    ``plans_change``: plans and customers' plans are put in force while the gateway runs, by ``PlansChanged``;
+    a customer is then kept under its name alone, whatever its plan.
+    """
 
     gateways: int
     index: int
@@ -191,6 +196,7 @@
     counter_timeout_ms: float = 0.0
     tick_ms: float = 1.0
     cross_zone_price: float = 0.0
+    plans_change: bool = False
 
     def __post_init__(self) -> None:
         _check(self, 1, "gateways")
@@ -355,9 +361,22 @@
     lasts_ms: float
 
 
+@dataclass(frozen=True, slots=True)
+class PlansChanged:
+    """Other plans are in force from now on; only where ``Settings.plans_change`` says that this may come.
+
+    ``plans`` by name, never changed after; one that is as it was is the same object. ``plan_of`` tells the
+    plan of a customer, or "" where the request's own word for it counts. Requests in hand keep the terms that
+    they began with; what is sent from now on is within the ceiling and the in-flight cap now in force.
+    """
+
+    plans: Mapping[str, Plan]
+    plan_of: Callable[[str], str]
+
+
 Event = (
     ServerList | Request | Outcome | StreamStarted | ClientGone | TimerFired
-    | ProbeResult | PeerMessage | CounterReply | Reading | Stopping
+    | ProbeResult | PeerMessage | CounterReply | Reading | Stopping | PlansChanged
 )
 
 
--- a/brackenloft/net/requests.py
+++ b/brackenloft/net/requests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Mapping
 from typing import Any
 
 from brackenloft import interface as api
@@ -39,7 +40,7 @@
     def __init__(self, settings: api.Settings) -> None:
         self.checks = Checks(settings)
         self.classes = {item.name.encode(): item for item in settings.classes}
-        self.plans = {item.name.encode(): item.name for item in settings.plans}
+        self.plans: Mapping[bytes, str] = {item.name.encode(): item.name for item in settings.plans}
 
     def read(self, command: list[bytes]) -> tuple[api.Request, wire.Encoder]:
         """The request, and what encodes it for a server that has so many milliseconds."""
@@ -48,8 +49,9 @@
             raise CommandError(f"wrong number of arguments for {name.decode()}")
         _, customer, request_id, listed = command[:4]
         usual = USUAL.fullmatch(listed)
-        c, t, wait, key, units, spread, first, again = usual.groups() if usual else self._fields(listed)
-        kind, plan = self.classes.get(c), self.plans.get(t)
+        fields = usual.groups() if usual else self._fields(listed, customer)
+        c, t, wait, key, units, spread, first, again = fields
+        kind, plan = self.classes.get(c), self._plan(t, customer)
         if kind is None or plan is None:
             raise CommandError("unknown class or plan")
         if posts == (kind.effect is api.Effect.SAFE):
@@ -68,7 +70,11 @@
         )
         return request, wire.forwarded(name, command, listed)
 
-    def _fields(self, listed: bytes) -> tuple[Any, ...]:
+    def _plan(self, name: bytes, customer: bytes) -> str | None:
+        """The plan that a client names; if there is none of that name, that of a customer who is listed."""
+        return self.plans.get(name) or self.checks.listed_plan(customer.decode("latin-1")) or None
+
+    def _fields(self, listed: bytes, customer: bytes) -> tuple[Any, ...]:
         """The list in any other order, or with other names in it; checked alike."""
         fields: dict[bytes, bytes] = {}
         for part in listed.split(b","):
@@ -78,10 +84,11 @@
             fields[name] = value
         if fields.get(b"r", b"1") not in (b"0", b"1"):
             raise CommandError("bad value of r")
-        if self.classes.get(fields.get(b"c", b"")) is None or self.plans.get(fields.get(b"t", b"")) is None:
+        plan = self._plan(fields.get(b"t", b""), customer)
+        if self.classes.get(fields.get(b"c", b"")) is None or plan is None:
             raise CommandError("unknown class or plan")
         key = fields.get(b"k")
         return (
-            fields[b"c"], fields[b"t"], _field(fields, b"d", DECIMAL),
+            fields[b"c"], fields.get(b"t", b""), _field(fields, b"d", DECIMAL),
             key if key and ID.fullmatch(key) else None, _field(fields, b"units", DECIMAL),
             _field(fields, b"spread", WHOLE), _field(fields, b"first", WHOLE), fields.get(b"r"))
--- a/brackenloft/policy/crowd.py
+++ b/brackenloft/policy/crowd.py
@@ -39,8 +39,7 @@
         ``scarcity``: share of the places that is taken; ``turnover``: places that come free in a second, when
         all are held as long as they may be. ``now`` in milliseconds.
         """
-        fair = self._fair(customer, weight)
-        if fair < 1.0 and draw() >= fair:
+        if (fair := self._fair(customer, weight)) < 1.0 and draw() >= fair:
             value *= SURPLUS
         away = scarcity > CROWD_FROM and self._rank(value, draw) < 1.0 - self._kept(scarcity, turnover, now)
         self._note(value, customer, weight, now)
--- a/brackenloft/policy/gateway.py
+++ b/brackenloft/policy/gateway.py
@@ -39,6 +39,8 @@
         self.settings, self.random = settings, random.Random(seed)
         self.terms = {(kind.name, plan.name): Terms(kind, plan)
                       for kind in settings.classes for plan in settings.plans}
+        self.kinds = {kind.name: kind for kind in settings.classes}
+        self.plan_of: Callable[[str], str] | None = None  # where the customer's name tells its plan
         self.meter = Meter(settings)
         self.fleet = Fleet(settings, self.random, self._log_once)
         self.flights: dict[str, Flight] = {}
@@ -53,7 +55,7 @@
             api.Request: self._on_request, api.Outcome: self._on_outcome, api.TimerFired: self._on_timer,
             api.ServerList: self._on_list, api.ClientGone: self._on_gone, api.StreamStarted: self._on_stream,
             api.ProbeResult: self._on_probe, api.Stopping: self._on_stopping,
-            api.Reading: lambda event: self.meter.grant(event, self.now),
+            api.PlansChanged: self._on_plans, api.Reading: lambda event: self.meter.grant(event, self.now),
         }
 
     def handle(self, now_ms: float, event: api.Event) -> list[api.Action]:
@@ -63,19 +65,33 @@
         self.now = self.fleet.now = now_ms
         self.actions = []
         self.meter.started_at = min(self.meter.started_at, now_ms)
-        handler = self.handlers.get(type(event))
-        if handler:
+        if handler := self.handlers.get(type(event)):
             handler(event)
         return self.actions
 
     def allowance(self, plan_name: str, customer_name: str, width: int = 1) -> api.Allowance:
         """What a customer could have now; changes nothing. KeyError: there is no such plan."""
-        return self.meter.allowance(plan_name, customer_name, width, self.now)
+        return self.meter.allowance(self._plan_name(customer_name, plan_name), customer_name, width, self.now)
+
+    # ---- Plans
+
+    def _on_plans(self, event: api.PlansChanged) -> None:
+        """At once, however many: terms and customers follow as they are met."""
+        self.meter.plans, self.plan_of, self.terms = event.plans, event.plan_of, {}
+
+    def _plan_name(self, customer: str, named: str) -> str:
+        return self.plan_of and self.plan_of(customer) or named
+
+    def _terms(self, event: api.Request) -> Terms | None:
+        key = name, plan_name = event.class_name, self._plan_name(event.customer, event.plan)
+        if key not in self.terms and name in self.kinds and plan_name in self.meter.plans:
+            self.terms[key] = Terms(self.kinds[name], self.meter.plans[plan_name])
+        return self.terms.get(key)
 
     # ---- Requests in
 
     def _on_request(self, event: api.Request) -> None:
-        terms = self.terms.get((event.class_name, event.plan))
+        terms = self._terms(event)
         if event.request_id in self.flights:
             return  # it is in hand already, and may have run: a refusal here would be its answer
         if terms is None:
@@ -130,14 +146,17 @@
 
     def _release(self, flight: Flight) -> None:
         """First send: within the in-flight cap and the ceiling, to a server; else parked until it may go."""
-        customer, plan, meter = flight.customer, flight.plan, self.meter
+        customer, meter = flight.customer, self.meter
+        if self.plan_of:
+            name = self._plan_name(flight.request.customer, flight.request.plan)
+            meter.adapt(customer, meter.plans.get(name, customer.plan), self.now)
+        plan = customer.plan
         wait = meter.ceiling_wait(customer, plan, flight.request.charge, self.now)
         if wait >= flight.deadline - self.now:
             self._answer(flight)
             return
         capped = customer.out >= meter.in_flight_cap(customer, plan, self.now)
-        server = None if wait or capped else self.fleet.choose(flight)
-        if server:
+        if server := None if wait or capped else self.fleet.choose(flight):
             self.parked.drop(flight)
             self._send(flight, server)
             return
@@ -171,7 +190,7 @@
         """Release who may go now: who waits for a place of this customer's, and as many as there is room."""
         if customer:
             for flight in self.parked.of(customer):
-                if customer.out >= self.meter.in_flight_cap(customer, flight.plan, self.now):
+                if customer.out >= self.meter.in_flight_cap(customer, customer.plan, self.now):
                     break
                 if flight in self.parked:  # the one before may have taken its place among those that wait
                     self._release(flight)
@@ -185,7 +204,7 @@
     def _send(self, flight: Flight, server: Server) -> None:
         request, number = flight.request, flight.sends
         if number == 0:
-            self.meter.draw_ceiling(flight.customer, flight.plan, request.charge, self.now)
+            self.meter.draw_ceiling(flight.customer, flight.customer.plan, request.charge, self.now)
         flight.sends += 1
         flight.out[number] = (server, self.now)
         flight.customer.out += 1
@@ -207,8 +226,7 @@
         return flight.sends < self.settings.limits.max_attempts and self.retries >= 1.0
 
     def _on_outcome(self, event: api.Outcome) -> None:
-        flight = self.flights.get(event.request_id)
-        if flight is None or event.attempt not in flight.out:
+        if (flight := self.flights.get(event.request_id)) is None or event.attempt not in flight.out:
             return
         attempt = flight.out.pop(event.attempt)
         server, fleet = attempt[0], self.fleet
@@ -218,7 +236,7 @@
             fleet.judge(flight, server, event.status)
             fleet.press(server, flight.kind, event)
             fleet.report(server, event.load)
-        if event.used_percent is not None:
+        if event.used_percent is not None and flight.plan is flight.customer.plan:
             self.meter.read(flight.customer, event.used_percent / 100.0, self.now)
         if event.status is api.Status.OK:
             if server is not fleet.here:
@@ -278,8 +296,7 @@
             flight.maybe_ran = (server, sent)
         if not self._may_resend(flight) or self.fleet.full():
             return
-        other = self.fleet.choose(flight)
-        if other and other is not server and self.settings.limits.may_duplicate:
+        if (other := self.fleet.choose(flight)) and other is not server and twice:
             self._send(flight, other)
         elif other and self.settings.limits.can_cancel:
             self.actions.append(api.Cancel(flight.request.request_id, number))
@@ -296,8 +313,7 @@
             self._answer(flight)
 
     def _on_stream(self, event: api.StreamStarted) -> None:
-        flight = self.flights.get(event.request_id)
-        if flight and flight.hears(Trigger.STREAM):
+        if (flight := self.flights.get(event.request_id)) and flight.hears(Trigger.STREAM):
             flight.move(State.STREAMING)
             self.fleet.young.discard((event.request_id, event.attempt))  # it has been answered in time
             self._retry_parked()
@@ -313,8 +329,7 @@
         self._close(flight)
 
     def _on_gone(self, event: api.ClientGone) -> None:
-        flight = self.flights.get(event.request_id)
-        if flight and not flight.closed:
+        if (flight := self.flights.get(event.request_id)) and not flight.closed:
             self._close(flight)
 
     def _close(self, flight: Flight) -> None:
@@ -366,13 +381,11 @@
     def _ask(self, kind: api.ListKind) -> None:
         """Subscribe at the start and after a failure; ask again well within the time the rules give."""
         if kind in (api.ListKind.CACHED, api.ListKind.FAILED):
-            again = self.settings.contract.ask_within_ms * ASK_SHARE
-            delay = 0.0 if kind is api.ListKind.CACHED else again
+            delay = 0.0 if kind is api.ListKind.CACHED else self.settings.contract.ask_within_ms * ASK_SHARE
             self._arm(delay, lambda _: self.actions.append(api.Subscribe(True)), None)
 
     def _on_probe(self, event: api.ProbeResult) -> None:
-        server = self.fleet.servers.get(event.server)
-        if server:
+        if server := self.fleet.servers.get(event.server):
             self.fleet.report(server, event.load)
             if event.status in (api.Status.TIMEOUT, api.Status.CONNECT_FAILED):
                 self.fleet.hint(server)
@@ -380,15 +393,12 @@
     # ---- Timers and notes
 
     def _on_timer(self, event: api.TimerFired) -> None:
-        call = self.timers.pop(event.token, None)
-        if call:
+        if call := self.timers.pop(event.token, None):
             call[0](call[1])
 
-    def _arm(
-        self, delay: float, call: Callable[[Any], None], argument: Any, flight: Flight | None = None,
-    ) -> None:
+    def _arm(self, delay: float, run: Callable[[Any], None], item: Any, flight: Flight | None = None) -> None:
         self.tokens += 1
-        self.timers[self.tokens] = (call, argument)
+        self.timers[self.tokens] = (run, item)
         if flight:
             flight.timers.append(self.tokens)
         self.actions.append(api.SetTimer(self.tokens, delay, flight.request.request_id if flight else ""))
--- a/brackenloft/policy/meter.py
+++ b/brackenloft/policy/meter.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from math import exp, inf
 
 from brackenloft.interface import Allowance, Plan, Reading, Request, RequestClass, Settings
@@ -27,9 +28,10 @@
     """What this gateway knows of one customer: its excess, its late metered use, what it has out."""
 
     __slots__ = ("excess", "touched", "largest", "width", "used", "used_at", "mean", "own", "own_at", "out",
-                 "ceiling", "ceiling_at", "asked", "asked_at", "rush", "granted", "granted_until")
+                 "ceiling", "ceiling_at", "asked", "asked_at", "rush", "granted", "granted_until", "plan")
 
-    def __init__(self, now: float, ceiling: float) -> None:
+    def __init__(self, now: float, ceiling: float, plan: Plan) -> None:
+        self.plan = plan  # by which its figures were last kept
         self.excess, self.touched, self.largest, self.width = 0.0, now, 0.0, 1
         self.used, self.used_at = 0.0, -inf  # the last reading, as a share of the quota
         self.mean = 1.0  # of the readings: all of the quota, as far as is known
@@ -48,8 +50,9 @@
         self.meter_period_ms = settings.meter_period_ms
         self.limits, self.gateways = settings.limits, settings.gateways
         self.news_ms = NEWS_PERIODS * settings.meter_period_ms
-        self.plans = {item.name: item for item in settings.plans}
+        self.plans: Mapping[str, Plan] = {item.name: item for item in settings.plans}
         self.customers: dict[tuple[str, str], Customer] = {}
+        self.joint = settings.plans_change  # customers are kept under their names alone
         self.started_at = inf
         worths = [item.worth for item in settings.classes]
         self.cheap = min(worths) if min(worths) < max(worths) else 0.0  # the least worth, where worths differ
@@ -57,18 +60,43 @@
 
     # ---- Customers
 
+    def key(self, plan_name: str, customer_name: str) -> tuple[str, str]:
+        """What a customer is kept under."""
+        return ("" if self.joint else plan_name, customer_name)
+
     def customer(self, request: Request, plan: Plan, now: float) -> Customer:
         """The customer's state, as the last touched; the longest untouched is forgotten once it is as new."""
-        key = (request.plan, request.customer)
-        customer = self.customers.pop(key, None)
-        if customer is None:
-            customer = Customer(now, self._fresh_ceiling(plan, request.width, now))
+        key = self.key(plan.name, request.customer)
+        if (customer := self.customers.pop(key, None)) is None:
+            customer = Customer(now, self._fresh_ceiling(plan, request.width, now), plan)
+        self.adapt(customer, plan, now)
         customer.width = min(request.width, self.gateways)
         customer.largest = max(customer.largest, request.units)
         self.customers[key] = customer
         self._forget(customer, now)
         return customer
 
+    def adapt(self, customer: Customer, plan: Plan, now: float) -> None:
+        """Keep a customer by another plan from now on: it still owes what it owed its bucket and its ceiling.
+
+        Guards against a fresh burst or ceiling for each change: since it was last seen the slower of the two
+        plans has drained and refilled. Readings are shares of another rate. Where there was no rate, or no
+        ceiling, nothing is known. Harm: who comes from a plan without a ceiling begins with an empty one.
+        """
+        old = customer.plan
+        if old is plan:
+            return
+        rate, refill = min(old.rate, plan.rate), min(old.ceiling_rate, plan.ceiling_rate)
+        drained = rate / customer.width * (now - customer.touched)
+        customer.excess, customer.touched = max(0.0, customer.excess - drained), now
+        scale = old.rate / plan.rate if rate and customer.used_at > -inf else 0.0
+        customer.used, customer.mean = customer.used * scale, customer.mean * scale or 1.0
+        customer.used_at = customer.used_at if scale else -inf
+        refilled = refill / customer.width * (now - customer.ceiling_at) / THOUSANDTHS
+        owed = max(0.0, old.ceiling_burst / customer.width - customer.ceiling - refilled)
+        customer.ceiling = plan.ceiling_burst / customer.width - owed if refill else 0.0
+        customer.ceiling_at, customer.plan = now, plan
+
     def _forget(self, current: Customer, now: float) -> None:
         """Keeps the state bounded: each request brings one customer at most and may take two away.
 
@@ -78,7 +106,7 @@
         over = len(self.customers) > self.limits.max_customers
         for _ in range(2):
             key = next(iter(self.customers))
-            old, plan = self.customers[key], self.plans[key[0]]
+            plan = (old := self.customers[key]).plan
             if old is current:
                 return
             idle = now - max(old.touched, old.used_at)
@@ -97,10 +125,6 @@
         """How long the even slice takes to drain the customer's largest request."""
         return customer.largest * customer.width * THOUSANDTHS / plan.rate if plan.rate else 0.0
 
-    def _drained(self, customer: Customer, plan: Plan, now: float) -> float:
-        """Units the even slice has drained of what the customer asked here."""
-        return plan.rate * (now - customer.asked_at) / customer.width / THOUSANDTHS
-
     def thin(self, customer: Customer, plan: Plan) -> bool:
         """Whether the even slice is less than a request, in its burst and in all the time that news lasts.
 
@@ -127,8 +151,7 @@
 
     def grant(self, event: Reading, now: float) -> None:
         """What a shared counter leaves here, while it is news; of a customer who is known."""
-        customer = self.customers.get((event.plan, event.customer))
-        if customer:
+        if customer := self.customers.get(self.key(event.plan, event.customer)):
             customer.granted, customer.granted_until = event.share, now + event.lasts_ms
 
     def _room(self, customer: Customer, lasts_ms: float, now: float) -> float:
@@ -210,14 +233,13 @@
             return 0.0
         rate = plan.rate * self.slice(customer, plan, now)
         burst = self._burst(customer, plan, now)
-        drained = self._drained(customer, plan, now)
+        drained = plan.rate * (now - customer.asked_at) / customer.width / THOUSANDTHS  # by the even slice
         customer.rush = self._rush(customer, now) + units
         customer.asked, customer.asked_at = max(0.0, customer.asked - drained) + units, now
         if self.thin(customer, plan) and customer.asked <= THIN_BURST * customer.largest:
             burst *= 1.0 + THIN_BURST * self._room(customer, self._drain_ms(customer, plan), now)
         burst *= self._worthier(kind, plan)
-        elapsed = now - customer.touched
-        excess = max(0.0, customer.excess - rate * elapsed + THOUSANDTHS * units)
+        excess = max(0.0, customer.excess - rate * (now - customer.touched) + THOUSANDTHS * units)
         if excess > 2.0 * burst:
             return inf
         customer.excess, customer.touched = excess, now
@@ -249,8 +271,7 @@
         plan = self.plans[plan_name]
         if not plan.rate:
             return Allowance(0.0, 0.0, 0.0, 0.0)
-        customer = self.customers.get((plan_name, customer_name))
-        if customer is None:
+        if (customer := self.customers.get(self.key(plan_name, customer_name))) is None:
             return Allowance(plan.burst / width, plan.burst, plan.rate, 0.0)
         rate = plan.rate * self.slice(customer, plan, now)
         excess = max(0.0, customer.excess - rate * (now - customer.touched))
--- a/brackenloft/policy/parked.py
+++ b/brackenloft/policy/parked.py
@@ -103,6 +103,5 @@
         request_id = flight.request.request_id
         if queue.open.pop(request_id, None) is None:
             queue.blocked.pop(request_id, None)
-        waiting = self.capped.get(flight.customer)
-        if waiting and waiting.pop(request_id, None) and not waiting:
+        if (waiting := self.capped.get(flight.customer)) and waiting.pop(request_id, None) and not waiting:
             del self.capped[flight.customer]
--- a/brackenloft/policy/servers.py
+++ b/brackenloft/policy/servers.py
@@ -6,18 +6,7 @@
 from collections.abc import Callable, Iterable
 from math import exp, inf
 
-from brackenloft.interface import (
-    HERE,
-    Effect,
-    ListKind,
-    Outcome,
-    RequestClass,
-    ServerEntry,
-    ServerList,
-    ServerState,
-    Settings,
-    Status,
-)
+import brackenloft.interface as api
 from brackenloft.policy.attempts import PAIR, Flight
 
 # Figures
@@ -71,7 +60,7 @@
     __slots__ = ("id", "zone", "cell", "ready", "started", "out", "ratio", "ratio_at", "queue", "queue_at",
                  "marks", "bad", "phase", "share")
 
-    def __init__(self, entry: ServerEntry) -> None:
+    def __init__(self, entry: api.ServerEntry) -> None:
         self.phase, self.share = 0.0, 1.0  # of all requests, those whose turns it is open to, from where on
         self.id = entry.server
         self.out: set[tuple[str, int]] = set()  # attempts out
@@ -84,19 +73,19 @@
         self.marks: dict[str, Mark] = {}
         self.bad: set[str] = set()  # those of them with failures
 
-    def update(self, entry: ServerEntry) -> None:
+    def update(self, entry: api.ServerEntry) -> None:
         """Take over what discovery says."""
         self.zone, self.cell, self.started = entry.zone, entry.cell, entry.started_ms
-        self.ready = entry.state is ServerState.READY
+        self.ready = entry.state is api.ServerState.READY
 
 
 class Fleet:
     """The servers, their figures and the choice. ``note`` takes lines for the people on call."""
 
-    def __init__(self, settings: Settings, draw: random.Random, note: Callable[[str], None]) -> None:
+    def __init__(self, settings: api.Settings, draw: random.Random, note: Callable[[str], None]) -> None:
         self.settings, self.random, self.note, self.now = settings, draw, note, -inf
         self.servers: dict[int, Server] = {}
-        self.here = Server(ServerEntry(HERE, settings.zone))  # the host that serves the work itself
+        self.here = Server(api.ServerEntry(api.HERE, settings.zone))  # the host that serves the work itself
         self.ready: list[Server] = []
         self.cold: list[Server] = []
         self.shared_at, self.capacity = -inf, 0.0
@@ -115,21 +104,21 @@
 
     # ---- The list
 
-    def take_list(self, event: ServerList) -> None:
+    def take_list(self, event: api.ServerList) -> None:
         """Discovery's news."""
-        if event.kind in (ListKind.FULL, ListKind.CACHED):
+        if event.kind in (api.ListKind.FULL, api.ListKind.CACHED):
             listed = {entry.server for entry in event.entries}
             self._remove(id for id in list(self.servers) if id not in listed)
         for entry in event.entries:
             self._take_entry(entry)
         self.ready = [server for server in self.servers.values() if server.ready]
         self._share_out()
-        if event.kind is ListKind.CACHED:
+        if event.kind is api.ListKind.CACHED:
             self.pool = FIRST_LIMIT * len(self.servers) / self.settings.gateways
 
-    def _take_entry(self, entry: ServerEntry) -> None:
+    def _take_entry(self, entry: api.ServerEntry) -> None:
         server = self.servers.get(entry.server)
-        if entry.state is ServerState.GONE:
+        if entry.state is api.ServerState.GONE:
             self._remove([entry.server])
         elif server is None:
             self.servers[entry.server] = Server(entry)
@@ -140,8 +129,7 @@
 
     def _remove(self, ids: Iterable[int]) -> None:
         for server_id in list(ids):
-            server = self.servers.pop(server_id, None)
-            if server:
+            if server := self.servers.pop(server_id, None):
                 server.ready = False
 
     # ---- Attempts out
@@ -172,7 +160,7 @@
             return inf
         return max(1.0, self.pool, self.pool * WAIT * self.shortest / max(LEAST_MS, self.mean))
 
-    def lost(self, kind: RequestClass, sent: float) -> bool:
+    def lost(self, kind: api.RequestClass, sent: float) -> bool:
         """Whether an attempt has been out for so long that its answer will hardly come any more."""
         return self.now - sent >= LOST * self.latency[kind.name]
 
@@ -180,22 +168,19 @@
 
     def _fade(self, then: Moment) -> float:
         """What is left of a figure: it fades with time, but not before each server could be met again."""
-        age = min((self.now - then[0]) / FADE_MS, (self.sends - then[1]) / max(1, len(self.servers)))
-        return exp(-age)
+        return exp(-min((self.now - then[0]) / FADE_MS, (self.sends - then[1]) / max(1, len(self.servers))))
 
-    def _note_in(
-        self, marks: dict[str, Mark], troubled: set[str], name: str, failed: bool, at: Moment,
-    ) -> None:
+    def _note_in(self, marks: dict[str, Mark], kept: set[str], name: str, failed: bool, at: Moment) -> None:
         bad, seen, then = marks.get(name, UNKNOWN)
         fade = self._fade(then) if seen else 0.0
         if failed:
             bad = bad * fade + 1.0
-            troubled.add(name)
+            kept.add(name)
         elif bad:
             bad *= fade
             if bad < FORGIVEN:
                 bad = 0.0
-                troubled.discard(name)
+                kept.discard(name)
         marks[name] = (bad, seen * fade + 1.0, at)
 
     def mark(self, server: Server, key: str, failed: bool, why: str = "") -> None:
@@ -230,7 +215,7 @@
         """How many of the list are avoided now: they drain, or are doubted for all."""
         return sum(not s.ready or self.share_failed(s, "") >= DOUBTED for s in self.servers.values())
 
-    def judge(self, flight: Flight, server: Server, status: Status) -> None:
+    def judge(self, flight: Flight, server: Server, status: api.Status) -> None:
         """Note an outcome; attempts that wait in vain are noted as they become slow.
 
         A server that turns one away as full may do so to its class and plan alone, and others go on there; if
@@ -238,21 +223,21 @@
         gateway found out anew for each class and plan.
         """
         whole, kind, both = flight.keys
-        if status is Status.OK:
+        if status is api.Status.OK:
             for key in flight.keys:
                 self.mark(server, key, failed=False)
-        elif status is Status.ERROR:
+        elif status is api.Status.ERROR:
             self.mark(server, kind, failed=True, why=status.value)
-        elif status is Status.FULL:
+        elif status is api.Status.FULL:
             self.mark(server, both, failed=True, why=status.value)
             if any(PAIR in name and name != both for name in server.bad):
                 self.mark(server, whole, failed=True, why=status.value)
-        elif status in (Status.CONNECT_FAILED, Status.RESET):
+        elif status in (api.Status.CONNECT_FAILED, api.Status.RESET):
             self.mark(server, whole, failed=True, why=status.value)
 
     # ---- What answers show
 
-    def press(self, server: Server, kind: RequestClass, event: Outcome) -> None:
+    def press(self, server: Server, kind: api.RequestClass, event: api.Outcome) -> None:
         """What may be out from here at all servers together, moved by every answer.
 
         Guards against any cause that makes servers slower than the aim: overload, neighbours, costly
@@ -261,7 +246,7 @@
         become slow, so that servers that hang don't stop the rest. Harm: few slow servers hold all back a
         little; where single requests take most of the aim by nature, it keeps too little out.
         """
-        if event.status is not Status.OK:
+        if event.status is not api.Status.OK:
             return
         known = self.quick[kind.name]
         known.pop(server.id, None)
@@ -277,7 +262,7 @@
         """An attempt is slow: less may be out. Told when it becomes so, as its answer may never come."""
         self.pool = max(LEAST_POOL, self.pool - POOL_CUT * min(1.0, self.pool))
 
-    def learn(self, server: Server, kind: RequestClass, latency: float) -> None:
+    def learn(self, server: Server, kind: api.RequestClass, latency: float) -> None:
         """Mean latency of the class and relative latency of the server, from one good answer."""
         self.answers += 1
         self.mean += max(LATENCY_STEP, 1.0 / self.answers) * (latency - self.mean)
@@ -333,8 +318,7 @@
 
     def _cold_turn(self, flight: Flight, server: Server) -> bool:
         """Whether this request may go to a cold server: only in its turn, drawn once for each request."""
-        turn = flight.turn * TURNS % 1.0
-        return server.share >= 1.0 or server.phase <= turn < server.phase + server.share
+        return server.share >= 1.0 or server.phase <= flight.turn * TURNS % 1.0 < server.phase + server.share
 
     # ---- Choice
 
@@ -376,7 +360,7 @@
                 return None  # a pool of 1.4: one out for each request, a second for four in ten
         else:
             few = [s for s in few if s.id not in flight.tried and flight.in_group(s, self.now)]
-            if not few and flight.kind.effect is Effect.KEYED:
+            if not few and flight.kind.effect is api.Effect.KEYED:
                 few = [s for s in self.ready if flight.in_group(s, self.now)]
         if len(few) > 2 * SAMPLE:
             quick = [s for s in self.quick[flight.kind.name].values() if not flight.sends or s in few]
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -34,7 +34,7 @@
 
 def flight(state):
     terms, request = Terms(CLASSES[0], PLANS[3]), Request("r", "safe", "free", "c", 1.0)
-    made = Flight(request, terms, Customer(0.0, 0.0), 0.0, 0.0)
+    made = Flight(request, terms, Customer(0.0, 0.0, terms.plan), 0.0, 0.0)
     made.state = state
     return made
 
