--- a/brackenloft/configuration/messages.py
+++ b/brackenloft/configuration/messages.py
@@ -225,8 +225,8 @@
     """What one control server knows: the standing revision and the gateways that ever followed.
 
     ``complete`` is False while a server that came up without its disk has not asked the others for the
-    gateways that it knew: it then doesn't count among those that say what is in force. ``servers`` is how many
-    control servers there are, this one among them, as its own file has it; 0 if it does not say.
+    gateways that it knew: it then doesn't count among those that say what is in force. ``servers`` is how
+    many control servers there are, this one among them, as its own file has it; 0 if it does not say.
     """
 
     server: str
