A client's connection names what it needs of its listener: no circle among four files

net/client, clients, replies and slots imported each other, three of them for types. `client_owner` states what a connection needs of the listener that accepted it, `slots` what a reply's place needs of its connection; imports go one way now. Nothing else changes: protocol classes exist for the type checker alone, and no call was added.

--- a/brackenloft/net/client.py
+++ b/brackenloft/net/client.py
@@ -8,11 +8,12 @@
 import time
 from collections import deque
 from dataclasses import replace
-from typing import TYPE_CHECKING, cast
+from typing import cast
 
 from brackenloft.admission.rate import Pace
 from brackenloft.answers import FAILED
 from brackenloft.net import wire
+from brackenloft.net.client_owner import ClientOwner
 from brackenloft.net.driver import Call
 from brackenloft.net.kernel import age_s, discard, has_gone, unread
 from brackenloft.net.replies import Replies
@@ -21,9 +22,6 @@
 from brackenloft.net.slots import Slot
 from brackenloft.net.streams import STREAM_FROM
 
-if TYPE_CHECKING:
-    from brackenloft.net.clients import Clients
-
 log = logging.getLogger(__name__)
 
 MOST_PIPELINED = 64  # commands of one connection in hand; what comes behind waits in the kernel
@@ -44,7 +42,9 @@
 class Client(Replies):
     """One client's connection: the half that reads, and its end."""
 
-    def __init__(self, clients: Clients, sock: socket.socket) -> None:
+    clients: ClientOwner[Client]
+
+    def __init__(self, clients: ClientOwner[Client], sock: socket.socket) -> None:
         super().__init__(clients)
         self.socket = sock
         self.reader = Commands()
--- /dev/null
+++ b/brackenloft/net/client_owner.py
@@ -0,0 +1,79 @@
+"""What a client's connection needs of the listener that accepted it."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Protocol, TypeVar
+
+from brackenloft.admission.intake import Intake
+from brackenloft.admission.roll import Roll
+from brackenloft.net.departures import Departures
+from brackenloft.net.driver import Driver
+from brackenloft.net.requests import Requests
+from brackenloft.policy.parked import Parked
+
+ClientT = TypeVar("ClientT")
+
+
+class BufferAccount(Protocol):
+    """The count of bytes that are buffered for all connections."""
+
+    held: int
+
+
+class ClientOwner(BufferAccount, Protocol[ClientT]):
+    """The connections of all clients, their shared limits, and the driver behind them."""
+
+    loop: asyncio.AbstractEventLoop
+    driver: Driver
+    requests: Requests
+    parked: Parked
+    roll: Roll[ClientT]
+    intake: Intake[ClientT]
+    departures: Departures[ClientT]
+    stuck: dict[ClientT, None]
+    most_held: int
+    asking: int
+    emptying: bool
+
+    def opened(self, client: ClientT) -> None:
+        """A connection has been made."""
+
+    def closed(self, client: ClientT) -> None:
+        """A connection has ended, and its descriptor is free."""
+
+    def sort(self, client: ClientT, within: bool, took: bool) -> None:
+        """Note whether a connection is within a command, and whether it took a whole one."""
+
+    def rests(self, client: ClientT) -> None:
+        """All that came on a connection has been answered."""
+
+    def next_long(self, client: ClientT) -> None:
+        """A long command is whole, or its connection has ended."""
+
+    def may_send_on(self, client: ClientT) -> bool:
+        """Whether a connection is read further, as far as memory goes."""
+
+    def relieve(self, reserve: int = 0) -> bool:
+        """Free memory where too much is buffered; whether there is room now, with a ``reserve`` in bytes."""
+
+    def look_after(self) -> None:
+        """Sweep until nothing is overdue and there is room."""
+
+    def depth(self) -> int:
+        """Commands that one connection may have in hand now."""
+
+    def scarcity(self) -> float:
+        """The share of the places for requests that is taken, 0 to 1."""
+
+    def turnover(self) -> float:
+        """Places for requests that come free in a second, when all are held for as long as they may be."""
+
+    def short(self) -> bool:
+        """Whether places are to be given up as soon as may be."""
+
+    def finishing(self) -> bool:
+        """Whether the process empties and its last commands have been taken."""
+
+    def pong(self) -> bytes:
+        """The reply to PING."""
--- a/brackenloft/net/replies.py
+++ b/brackenloft/net/replies.py
@@ -5,15 +5,12 @@
 import asyncio
 import time
 from collections import deque
-from typing import TYPE_CHECKING
 
 from brackenloft.admission.rate import Least, Pace
+from brackenloft.net.client_owner import BufferAccount
 from brackenloft.net.slots import Slot
 from brackenloft.net.streams import Stream
 
-if TYPE_CHECKING:
-    from brackenloft.net.clients import Clients
-
 STALLED_S = 15.0  # a client that takes no byte of its answers for so long is gone; a burst may save as much
 WRITE_RATE = 4 * 1024  # bytes a second that a client takes at least of answers that pile up here
 
@@ -21,7 +18,7 @@
 class Replies(asyncio.Protocol):
     """What is owed on a connection, and what of it is still to be written."""
 
-    def __init__(self, clients: Clients) -> None:
+    def __init__(self, clients: BufferAccount) -> None:
         self.clients = clients
         self.transport: asyncio.Transport | None = None
         self.slots: deque[Slot] = deque()
--- a/brackenloft/net/slots.py
+++ b/brackenloft/net/slots.py
@@ -2,15 +2,25 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 from brackenloft.answers import Answer, Opened
 from brackenloft.net import wire
 from brackenloft.net.driver import Call
 from brackenloft.net.streams import Stream
 
-if TYPE_CHECKING:
-    from brackenloft.net.replies import Replies
+
+class ReplyWriter(Protocol):
+    """The connection that a slot's reply is written on."""
+
+    def hold(self, size: int, in_hand: bool = True) -> None:
+        """Count bytes that are buffered for this connection, or less of them."""
+
+    def flush(self) -> None:
+        """Write the replies that are due, in the order of their commands."""
+
+    def turned_away(self) -> None:
+        """Nothing was sent on for a request."""
 
 
 class Slot:
@@ -19,7 +29,7 @@
     __slots__ = ("connection", "answer", "request_id", "size", "call", "stream")
 
     def __init__(
-        self, connection: Replies, answer: bytes | None = None, request_id: str = "", size: int = 0,
+        self, connection: ReplyWriter, answer: bytes | None = None, request_id: str = "", size: int = 0,
     ) -> None:
         self.connection, self.answer, self.request_id = connection, answer, request_id
         self.size = size  # bytes that it holds: the command, later the answer
