The request in hand and the clock in files of their own, out of net/driver.py

`Call` and who is told of it are `net/call.py`, `Tap` is `CallListener` (NAMES.md), the clock is `net/clock.py`; the code is moved, not changed.

--- a/benchmarks/ordinary.py
+++ b/benchmarks/ordinary.py
@@ -61,7 +61,8 @@
     load_fields=("utilisation", "queue"), meter_period_ms=1000.0, tick_ms=1.0)
 LAYERS = {
     "net/clients.py": "clients", "net/resp.py": "parse", "net/wire.py": "encode", "checks.py": "parse",
-    "net/driver.py": "driver", "net/lag.py": "driver", "net/timers.py": "timers", "answers.py": "encode",
+    "net/driver.py": "driver", "net/call.py": "driver", "net/clock.py": "driver", "net/lag.py": "driver",
+    "net/timers.py": "timers", "answers.py": "encode",
     "net/attempt.py": "servers", "net/server": "servers", "policy/": "decisions",
     "interface.py": "decisions", "admission/": "clients", "edge/": "driver"}
 # These and what they call go by the time that passes, not by the requests: a layer of its own, not compared.
--- a/brackenloft/edge/edge.py
+++ b/brackenloft/edge/edge.py
@@ -22,12 +22,13 @@
 from brackenloft.edge.calls import Admitting, Call, CallRoute, EdgeClosed, Pending, Room
 from brackenloft.edge.sources import Node, listing
 from brackenloft.lifecycle import FACTS, Event, Lifecycle, State
-from brackenloft.net import driver as driving
 from brackenloft.net import wire
 from brackenloft.net.address import Address
+from brackenloft.net.call import Call as DriverCall
 from brackenloft.net.clients import Clients
+from brackenloft.net.clock import Clock
 from brackenloft.net.discovery import Discovery
-from brackenloft.net.driver import Clock, Driver
+from brackenloft.net.driver import Driver
 from brackenloft.net.resp import LONGEST_VALUE
 from brackenloft.net.server_protocol import Speech
 from brackenloft.net.servers import Servers
@@ -305,7 +306,7 @@
             pending.value = self.driver.turn_away(request.class_name)
             return pending
         self._own[request.request_id] = pending
-        driven = driving.Call(request.request_id, encode, pending.tell)
+        driven = DriverCall(request.request_id, encode, pending.tell)
         if route:
             driven.door, driven.weigh = route.door, route.weigh
         self.driver.request(driven, request, request.patience_ms)
--- a/brackenloft/handover/channel.py
+++ b/brackenloft/handover/channel.py
@@ -19,7 +19,7 @@
 from brackenloft.handover.frames import Document, FrameError, Frames, encode
 from brackenloft.handover.state import Adopted, StateError, pending, tell
 from brackenloft.lifecycle import Event, State
-from brackenloft.net.driver import Call
+from brackenloft.net.call import Call
 
 log = logging.getLogger(__name__)
 
--- a/brackenloft/lab/conformance/wire.py
+++ b/brackenloft/lab/conformance/wire.py
@@ -14,7 +14,9 @@
 from brackenloft.lab.real.links import Door, Line, Listener, Slot
 from brackenloft.lab.spec import Nodes
 from brackenloft.net.attempt import Attempt
-from brackenloft.net.driver import Call, Clock, Driver
+from brackenloft.net.call import Call
+from brackenloft.net.clock import Clock
+from brackenloft.net.driver import Driver
 from brackenloft.net.servers import Servers
 from brackenloft.policy import Gateway
 from brackenloft.standins.peer import array, resp
--- /dev/null
+++ b/brackenloft/net/call.py
@@ -0,0 +1,60 @@
+"""A client's request in hand, and who is told of what becomes of it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol
+
+from brackenloft import interface as api
+from brackenloft.answers import Answer, Opened, Tally
+from brackenloft.net.attempt import Attempt, Reply
+from brackenloft.net.streams import Stream
+from brackenloft.net.timers import Handle
+
+
+class CallListener(Protocol):
+    """Who is told of attempts, as another process counts them too."""
+
+    def sent(self, call: Call) -> None:
+        """An attempt goes out."""
+
+    def ended(self, call: Call) -> None:
+        """It has ended."""
+
+
+class Usage(Protocol):
+    """Who is told of what customers use, where gateways count together."""
+
+    def sent(self, call: Call) -> None:
+        """A request goes on for the first time, to a server or to the host itself."""
+
+    def refused(self, call: Call) -> None:
+        """A request was turned away for its customer's quota."""
+
+    def settled(self, request_id: str, units: float) -> None:
+        """The units that it has really taken."""
+
+
+class Call:
+    """A client's request in hand, until it has been answered and no attempt is out."""
+
+    __slots__ = (
+        "request_id", "encode", "on_answer", "deadline", "sends", "out", "answered", "timers", "tally",
+        "request", "on_open", "stream", "first_ms", "door", "weigh", "left")
+
+    def __init__(
+        self, request_id: str, encode: Callable[[float], bytes], on_answer: Callable[[Answer], None],
+        on_open: Callable[[Opened], None] | None = None,
+    ) -> None:
+        self.on_open = on_open  # where a long value is taken as a stream, whose end is the answer
+        self.stream: Stream | None = None
+        self.first_ms = 0.0  # latency of its first bytes
+        self.door = ""  # through which its servers are spoken to, where it is not RESP2
+        self.weigh: Callable[[Reply], None] | None = None  # tells what a good answer has cost
+        self.left: Callable[[], bool] | None = None  # whether its client has gone, though nobody was told yet
+        self.request_id, self.encode, self.on_answer = request_id, encode, on_answer
+        self.deadline, self.sends, self.answered = 0.0, 0, False
+        self.out: dict[int, Attempt | None] = {}  # None: at the host itself
+        self.timers: list[Handle] = []
+        self.tally: Tally  # of its class, from when it is taken
+        self.request: api.Request
--- a/brackenloft/net/client.py
+++ b/brackenloft/net/client.py
@@ -13,8 +13,8 @@
 from brackenloft.admission.rate import Pace
 from brackenloft.answers import FAILED
 from brackenloft.net import wire
+from brackenloft.net.call import Call
 from brackenloft.net.client_owner import ClientOwner
-from brackenloft.net.driver import Call
 from brackenloft.net.kernel import age_s, discard, has_gone, unread
 from brackenloft.net.replies import Replies
 from brackenloft.net.requests import CommandError
--- a/brackenloft/net/driver.py
+++ b/brackenloft/net/driver.py
@@ -9,15 +9,16 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
-from typing import Any, Protocol
+from typing import Any
 
 from brackenloft import interface as api
 from brackenloft.answers import FAILED, SERVED, Answer, Granted, Opened, Refused, Served, Tally
 from brackenloft.net.attempt import Attempt, Reply
+from brackenloft.net.call import Call, CallListener, Usage
 from brackenloft.net.lag import Lag
 from brackenloft.net.servers import Servers
 from brackenloft.net.streams import Stream
-from brackenloft.net.timers import Handle, Timers
+from brackenloft.net.timers import Timers
 from brackenloft.policy import Gateway
 
 log = logging.getLogger(__name__)
@@ -26,67 +27,6 @@
 OWN_SHARE = 0.3  # of an attempt's time lost by the loop, from which a connect that failed is its doing
 
 
-class Clock:
-    """Unix time in milliseconds that never goes back.
-
-    Guards against a system clock that is set while the gateway runs: read once, then counted on.
-    """
-
-    def __init__(self) -> None:
-        self._offset = time.time() - time.monotonic()
-
-    def __call__(self) -> float:
-        return (time.monotonic() + self._offset) * 1000.0
-
-
-class Tap(Protocol):
-    """Who is told of attempts, as another process counts them too."""
-
-    def sent(self, call: Call) -> None:
-        """An attempt goes out."""
-
-    def ended(self, call: Call) -> None:
-        """It has ended."""
-
-
-class Usage(Protocol):
-    """Who is told of what customers use, where gateways count together."""
-
-    def sent(self, call: Call) -> None:
-        """A request goes on for the first time, to a server or to the host itself."""
-
-    def refused(self, call: Call) -> None:
-        """A request was turned away for its customer's quota."""
-
-    def settled(self, request_id: str, units: float) -> None:
-        """The units that it has really taken."""
-
-
-class Call:
-    """A client's request in hand, until it has been answered and no attempt is out."""
-
-    __slots__ = (
-        "request_id", "encode", "on_answer", "deadline", "sends", "out", "answered", "timers", "tally",
-        "request", "on_open", "stream", "first_ms", "door", "weigh", "left")
-
-    def __init__(
-        self, request_id: str, encode: Callable[[float], bytes], on_answer: Callable[[Answer], None],
-        on_open: Callable[[Opened], None] | None = None,
-    ) -> None:
-        self.on_open = on_open  # where a long value is taken as a stream, whose end is the answer
-        self.stream: Stream | None = None
-        self.first_ms = 0.0  # latency of its first bytes
-        self.door = ""  # through which its servers are spoken to, where it is not RESP2
-        self.weigh: Callable[[Reply], None] | None = None  # tells what a good answer has cost
-        self.left: Callable[[], bool] | None = None  # whether its client has gone, though nobody was told yet
-        self.request_id, self.encode, self.on_answer = request_id, encode, on_answer
-        self.deadline, self.sends, self.answered = 0.0, 0, False
-        self.out: dict[int, Attempt | None] = {}  # None: at the host itself
-        self.timers: list[Handle] = []
-        self.tally: Tally  # of its class, from when it is taken
-        self.request: api.Request
-
-
 @dataclass(slots=True)
 class Counters:
     """What became of the requests so far, beside the tallies: each ends in one of these, or is gone."""
@@ -107,7 +47,7 @@
         self.calls: dict[str, Call] = {}
         self.doors: dict[str, Servers] = {}  # connections to the same servers in other protocols, by name
         self.counters = Counters()
-        self.tap: Tap | None = None
+        self.tap: CallListener | None = None
         self.counting: Usage | None = None
         self.tallies = {kind.name: Tally() for kind in gateway.settings.classes}
         self.events: deque[api.Event] = deque()
--- a/brackenloft/net/slots.py
+++ b/brackenloft/net/slots.py
@@ -6,7 +6,7 @@
 
 from brackenloft.answers import Answer, Opened
 from brackenloft.net import wire
-from brackenloft.net.driver import Call
+from brackenloft.net.call import Call
 from brackenloft.net.streams import Stream
 
 
--- a/brackenloft/quota/client.py
+++ b/brackenloft/quota/client.py
@@ -21,7 +21,7 @@
 
 from brackenloft.edge import Edge
 from brackenloft.interface import Reading
-from brackenloft.net.driver import Call
+from brackenloft.net.call import Call
 from brackenloft.quota.core import REPORT_MS, Core, Key
 from brackenloft.quota.model import NonsenseError, Reply, Report, Run, beats_of, epoch_of, figures_of
 from brackenloft.quota.trust import State
--- a/tests/test_net_driver.py
+++ b/tests/test_net_driver.py
@@ -23,7 +23,8 @@
     Status,
     TimerFired,
 )
-from brackenloft.net.driver import Call, Clock
+from brackenloft.net.call import Call
+from brackenloft.net.clock import Clock
 from brackenloft.net.timers import Timers
 from brackenloft.net.wire import answer_line
 
