--- a/brackenloft/configuration/server.py
+++ b/brackenloft/configuration/server.py
@@ -23,6 +23,7 @@
 WRITE_TIMEOUT_S = 10.0  # of an answer, to a client that reads slowly or not at all
 KEEPALIVE_S = 60.0  # of a connection without a request
 SHUTDOWN_S = 2.0
+LINGER_S = 1.0  # after an answer to a request whose body was not read to its end
 BACKLOG = 1024
 READ_BYTES = 64 * 1024
 
@@ -39,7 +40,11 @@
             client_max_size=codec.most_encoded_bytes(LONGEST_REQUEST_BYTES), middlewares=[self._bounded]
         )
         self._runner = web.AppRunner(
-            self._app, access_log=None, keepalive_timeout=KEEPALIVE_S, shutdown_timeout=SHUTDOWN_S
+            self._app,
+            access_log=None,
+            keepalive_timeout=KEEPALIVE_S,
+            shutdown_timeout=SHUTDOWN_S,
+            lingering_time=LINGER_S,
         )
         self.address: Address = ("", 0)
 
