--- a/brackenloft/configuration/service.py
+++ b/brackenloft/configuration/service.py
@@ -199,6 +199,7 @@
         return ServerStatus(
             self.config.name, self.config.region, self.replica.standing.revision,
             self.replica.verified_ms_ago(now_ms), self.roster.confirmations(now_ms), self.complete,
+            self.config.servers,
         )  # fmt: skip
 
     def _metrics(self) -> bytes:
--- a/tests/test_configuration_server.py
+++ b/tests/test_configuration_server.py
@@ -156,6 +156,7 @@
     async def test():
         async with cluster(tmp_path) as servers:
             await servers.complete()
+            assert (await servers.status(3)).servers == 6
             digest = (await servers.publish(plans(0, "gold"))).digest
             await servers.reach(1)
             await servers.follow(0, follower("g1"))
