SIGTERM before a process's yes ends what it begins: the first list, each step of a handover

Each moment is forced: a process stops or ends itself at a step of the handover, or its list never comes. Three of the seven tests hung: a successor that was told to end first waited for its list (1 s) and for each step of the handover (1 s each), took over, accepted, and only then began to leave, while SIGKILL comes 3.7 s after SIGTERM. What it begins is cancelled now.

--- a/brackenloft/__main__.py
+++ b/brackenloft/__main__.py
@@ -9,7 +9,7 @@
 import os
 import signal
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, replace
 from math import inf
 from pathlib import Path
@@ -188,6 +188,22 @@
         raise SystemExit(f"can't accept clients at {where}: {error}") from error
 
 
+async def _unless(stop: asyncio.Event, beginning: Coroutine[Any, Any, None]) -> None:
+    """Wait for what begins, or until ``stop`` is set: then it is cancelled.
+
+    Guards against a SIGTERM that waits for the first list and for each step of a handover, when SIGKILL is on
+    its way, and against a process that takes over only to leave.
+    """
+    begins, stops = asyncio.ensure_future(beginning), asyncio.ensure_future(stop.wait())
+    await asyncio.wait((begins, stops), return_when=asyncio.FIRST_COMPLETED)
+    stops.cancel()
+    if begins.done():
+        begins.result()
+        return
+    begins.cancel()
+    await asyncio.wait((begins,))
+
+
 async def serve(config: Config) -> None:
     """Serve until SIGTERM, then see to what was taken and return."""
     loop = asyncio.get_running_loop()
@@ -201,7 +217,7 @@
     edge.known(config.known)
     edge.watch(config.discovery)
     if succession:
-        await succession.begin(lambda: _accept(config, edge))
+        await _unless(stop, succession.begin(lambda: _accept(config, edge)))
 
     async def reload() -> None:
         while True:
@@ -210,7 +226,8 @@
             _reload(config.path, edge)
 
     reloading = loop.create_task(reload())
-    log.info("listening")
+    if not stop.is_set():
+        log.info("listening")
     await stop.wait()
     log.info("stopping")
     await edge.close(_span_s(config.settings), ACCEPT_S)
