Capacity page: rows of the configuration's mechanism, and the other ways of it in a table of their own

Control servers, following and the operators' commands carry what was missing first; their rows read slopes and, as far as only a run shows it, the stored scale run, of which there is none yet: not measured.

--- a/brackenloft/lab/scale/gateway_rows.py
+++ b/brackenloft/lab/scale/gateway_rows.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
+from brackenloft.lab.scale import configuration_rows
 from brackenloft.lab.scale import formulas as f
 from brackenloft.lab.scale.rows import Periods, Role, Row, same, usual
 
 LIST_SLOPES = ("list_change_ms", "list_change_read_ms", "list_full_collected_ms", "list_read_ms")
 POLICY, READER, COUNTING = "policy/servers.py", "net/discovery.py", "quota/client.py"
-MISSING = ""
 
 
 def list_rows() -> tuple[Row, ...]:
@@ -102,88 +102,6 @@
     )
 
 
-def configuration_rows() -> tuple[Row, ...]:
-    """Configuration as it reaches a gateway today: by a file and a restart."""
-    return (
-        Row(
-            Role.GATEWAY,
-            "configuration: a change in force everywhere",
-            "s",
-            "gateways / machines replaced or failed a second: a restart is the only way, and this is today's "
-            "pace of restarts (what is done, not what could be)",
-            same(f.restarts_s),
-            MISSING,
-            (),
-            lambda budget: budget.in_force_s,
-            "everything: SIGHUP takes over `discovery` alone, and nobody can say what is in force where",
-        ),
-        Row(
-            Role.GATEWAY,
-            "configuration: restarts for it",
-            "restarts/day",
-            "changes/day x gateways, against the replacements that a day has",
-            same(lambda s: float(s.target.changes_per_day * s.target.gateways)),
-            MISSING,
-            (),
-            lambda budget: float(f.TARGET_REPLACEMENTS),
-            "each restart empties queues and what was learned",
-        ),
-        Row(
-            Role.GATEWAY,
-            "configuration sent whole: bytes in",
-            "bytes/s",
-            "changes/s x document_zlib_bytes; a burst of 50 changes in the worst minute; worst day: once "
-            "whole in a minute, after a start",
-            Periods(
-                f.whole_documents_s,
-                lambda s: f.config_burst_s(s) * f.whole_document_bytes(s),
-                lambda s: f.whole_document_bytes(s) / f.MINUTE_S,
-            ),
-            MISSING,
-            ("document_zlib_bytes",),
-            lambda budget: budget.control_bytes_s,
-            "a burst: each small change sends every route and tenant again",
-        ),
-        Row(
-            Role.GATEWAY,
-            "configuration sent whole: processor",
-            "% of a core",
-            "changes/s x document_decode_ms, as the bytes",
-            Periods(
-                lambda s: f.config_changes_s(s) * f.document_decode_percent(s),
-                lambda s: f.config_burst_s(s) * f.document_decode_percent(s),
-                lambda s: f.document_decode_percent(s) / f.MINUTE_S,
-            ),
-            MISSING,
-            ("document_decode_ms",),
-            lambda budget: budget.control_core_percent,
-            "a burst",
-        ),
-        Row(
-            Role.GATEWAY,
-            "configuration sent whole: longest hold of the loop",
-            "ms",
-            "document_decode_ms",
-            same(lambda s: s.at("document_decode_ms", s.target.tenants)),
-            MISSING,
-            ("document_decode_ms",),
-            lambda budget: budget.added_ms,
-            "the document is decoded in one go",
-        ),
-        Row(
-            Role.GATEWAY,
-            "configuration: state",
-            "bytes",
-            "2 x document_state_bytes: the old one and the new one while they are swapped",
-            same(lambda s: 2.0 * s.at("document_state_bytes", s.target.tenants)),
-            MISSING,
-            ("document_state_bytes",),
-            lambda budget: budget.control_memory_mb * 1e6,
-            "nothing near",
-        ),
-    )
-
-
 def counter_rows() -> tuple[Row, ...]:
     """The gateway's side of the shared counter."""
     return (
@@ -229,4 +147,4 @@
 
 def rows() -> tuple[Row, ...]:
     """All of them."""
-    return (*list_rows(), *request_rows(), *configuration_rows(), *counter_rows())
+    return (*list_rows(), *request_rows(), *configuration_rows.gateway_rows(), *counter_rows())
--- a/brackenloft/lab/scale/page.py
+++ b/brackenloft/lab/scale/page.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import asdict, dataclass
 
-from brackenloft.lab.scale import gateway_rows, run_page, shared_rows
+from brackenloft.lab.scale import configuration_rows, gateway_rows, run_page, shared_rows
+from brackenloft.lab.scale import formulas as f
 from brackenloft.lab.scale.markdown import NOT_MEASURED, number, table
 from brackenloft.lab.scale.results import ScaleResult
 from brackenloft.lab.scale.rows import Period, Role, Row, Sizes
@@ -43,10 +45,11 @@
 
 def render(measured: Measured, run: ScaleResult | None = None) -> str:
     """The page; ``run``: the stored scale run, if there is one."""
-    sizes = Sizes(measured)
+    sizes = Sizes(measured, run)
     parts = [INTRODUCTION, _target(sizes), _ranking(sizes)]
     parts += [run_page.section(run)] if run else []
     parts += [_role(role, sizes) for role in Role]
+    parts += [_other_ways(sizes)]
     parts += [_slopes(measured.slopes), _environment(measured)]
     return "\n".join(parts)
 
@@ -86,11 +89,13 @@
             )
         )
     ranked = table(("", "role", "what", "state", "module", "worst figure", "budget", "over it by"), rows)
-    first = ranking(sizes)[0].row
+    restarts_s = f.restarts_s(sizes)
     return f"""## What is missing, by how far it misses
 
-First: **{first.quantity}** ({first.role}). *Missing*: no mechanism at all; the rows of one subject
-want one mechanism. *Falls short*: it works today at a smaller size. What has no figure comes last.
+Before configuration was distributed, that was first: a restart of each gateway for each change takes
+{number(restarts_s)} s at today's pace, {restarts_s / sizes.budget.in_force_s:,.0f} times the
+{sizes.budget.in_force_s:g} s ("Other ways of configuration"; that ranking is in this page's history).
+What is left, the farthest first. *Missing*: no mechanism at all. *Falls short*: it works at a smaller size.
 
 {ranked}"""
 
@@ -99,26 +104,39 @@
 
 
 def _role(role: Role, sizes: Sizes) -> str:
+    return f"## {role.capitalize()}\n\n{_rows([row for row in all_rows() if row.role is role], sizes)}"
+
+
+def _other_ways(sizes: Sizes) -> str:
+    return f"""## Other ways of configuration
+
+What there was before, and what was weighed and left; margins as above.
+
+{_rows(configuration_rows.other_ways(), sizes)}"""
+
+
+def _rows(listed: Iterable[Row], sizes: Sizes) -> str:
     rows = []
-    for row in all_rows():
-        if row.role is not role:
-            continue
+    for row in listed:
         miss, budget = row.miss(sizes), row.budget
-        rows.append(
-            (
-                row.quantity,
-                row.unit,
-                *(number(row.value(period, sizes)) for period in Period),
-                row.formula,
-                ", ".join(f"`{name}`" for name in row.slopes) or "none needed",
-                row.mechanism or f"**{MISSING}**",
-                NOT_STATED if budget is None else number(budget(sizes.budget)),
-                "" if miss is None else f"{1.0 / miss:.2g}" if miss else "",
-                row.breaks_first,
-            )
-        )
-    head = ("figure", "unit", *Period, "formula", "slopes", "mechanism", "budget", "margin", "breaks first")
-    return f"## {role.capitalize()}\n\n{table(head, rows)}"
+        read = [f"`{name}`" for name in (*row.slopes, *row.ran)]
+        rows.append((
+            row.quantity, row.unit, *(number(row.value(period, sizes)) for period in Period), row.formula,
+            ", ".join(read) or "none needed", row.mechanism or f"**{MISSING}**",
+            NOT_STATED if budget is None else number(budget(sizes.budget)),
+            "" if miss is None else f"{1.0 / miss:.2g}" if miss else "", row.breaks_first))  # fmt: skip
+    head = (
+        "figure",
+        "unit",
+        *Period,
+        "formula",
+        "read from",
+        "mechanism",
+        "budget",
+        "margin",
+        "breaks first",
+    )
+    return table(head, rows)
 
 
 def _slopes(slopes: tuple[Slope, ...]) -> str:
--- a/brackenloft/lab/scale/rows.py
+++ b/brackenloft/lab/scale/rows.py
@@ -6,6 +6,9 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+import msgspec
+
+from brackenloft.lab.scale.results import ScaleResult
 from brackenloft.lab.scale.slopes import Measured
 from brackenloft.lab.scale.target import ASSUMPTIONS, BUDGET, TARGET, Assumptions, Budget, Target
 
@@ -39,6 +42,7 @@
     """What a formula is given: the target, what is assumed, the budgets and the measured slopes."""
 
     measured: Measured
+    run: ScaleResult | None = None
     target: Target = TARGET
     assumed: Assumptions = ASSUMPTIONS
     budget: Budget = BUDGET
@@ -50,6 +54,15 @@
             raise NotMeasuredError(name)
         return slope.at(size)
 
+    def ran(self, name: str) -> float:
+        """A figure of the stored scale run; NotMeasuredError if it has none."""
+        found = None
+        if self.run is not None:
+            found = (msgspec.structs.asdict(self.run.figures) | self.run.beside).get(name)
+        if found is None:
+            raise NotMeasuredError(name)
+        return float(found)
+
     def worst(self, name: str, size: float) -> float:
         """The worst round of a slope at a size; NotMeasuredError if there is no such slope."""
         slope = self.measured.get(name)
@@ -89,7 +102,8 @@
     """One figure of a role.
 
     ``slopes`` names what the formulas read; ``mechanism`` is the module that carries it, empty where there
-    is none.
+    is none. ``ran`` names figures of the scale run that they read. A row that is not ``taken``
+    tells of another way, for comparison.
     """
 
     role: Role
@@ -101,6 +115,8 @@
     slopes: tuple[str, ...] = ()
     budget: Callable[[Budget], float] | None = None
     breaks_first: str = ""
+    ran: tuple[str, ...] = ()
+    taken: bool = True
 
     def value(self, period: Period, sizes: Sizes) -> float | None:
         """The figure in a period; None where it was not measured."""
--- a/brackenloft/lab/scale/scenario.py
+++ b/brackenloft/lab/scale/scenario.py
@@ -70,6 +70,8 @@
     cuts: list[Cut] = field(default_factory=list)
     rest: tuple[Usage, Usage] | None = None
     changing: tuple[Usage, Usage] | None = None
+    bursting: tuple[Usage, Usage] | None = None
+    storming: tuple[Usage, Usage] | None = None
     start_s: float | None = None  # the first time that all gateways began
     storm_from_ms: float = 0.0
     storm_revision: int = 0
@@ -228,8 +230,10 @@
         """many changes in a few seconds"""
         assert self.real
         await self.real.window()
+        before = await self._usage()
         await self._publish_for(self.phases.burst, self.phases.burst_s / self.phases.burst)
         await self._all_at(self.operator.revision)
+        self.observed.bursting = before, await self._usage()
         self.observed.traffic["burst"] = await self.real.window()
 
     async def _large(self) -> None:
@@ -249,9 +253,11 @@
         """all gateways begin anew at once, with nothing, and nobody has said that it leaves"""
         self.observed.hollow = await ask_all(self.zones, "figures")
         self.observed.storm_revision = self.operator.revision
+        before = await self._usage()
         self.observed.storm_from_ms = now_ms()
         await ask_all(self.zones, "restart")
         await self._all_at(self.operator.revision)
+        self.observed.storming = before, await self._usage()
 
     async def _end(self) -> None:
         """What the operator is told at last."""
--- a/brackenloft/lab/scale/shared_rows.py
+++ b/brackenloft/lab/scale/shared_rows.py
@@ -2,43 +2,11 @@
 
 from __future__ import annotations
 
+from brackenloft.lab.scale import configuration_rows
 from brackenloft.lab.scale import formulas as f
 from brackenloft.lab.scale.rows import Periods, Role, Row, same, usual
 
-MISSING = ""
 PLATFORM, EUREKA, COUNTING = "the platform's", "membership/eureka", "quota/client.py"
-NO_PROCESS = "there is no such process"
-
-
-def control_rows() -> tuple[Row, ...]:
-    """Nothing plays this role today; what it would send if documents went whole."""
-    role = Role.CONTROL_SERVER
-    return (
-        Row(
-            role,
-            "whole documents: bytes out",
-            "bytes/s",
-            "gateways / control machines x a gateway's bytes; one change sent to all within 12 s",
-            Periods(f.control_bytes_s, f.control_bytes_now_s, f.control_bytes_now_s),
-            MISSING,
-            ("document_zlib_bytes",),
-            None,
-            "the network of six machines, at each change",
-        ),
-        Row(
-            role,
-            "polls in",
-            "messages/s",
-            "gateways / control machines / 4 s of a long poll",
-            same(f.control_polls_s),
-            MISSING,
-            (),
-            None,
-            NO_PROCESS,
-        ),
-        Row(role, "processor", "% of a core", "", Periods(), MISSING, (), lambda budget: 100.0, NO_PROCESS),
-        Row(role, "memory", "bytes", "", Periods(), MISSING, (), None, NO_PROCESS),
-    )
 
 
 def store_rows() -> tuple[Row, ...]:
@@ -69,18 +37,7 @@
             lambda budget: 100.0,
             "nothing near",
         ),
-        Row(
-            Role.STORE,
-            "all configuration from the stores: bytes out",
-            "bytes/s",
-            "each gateway reads the whole document from a majority at each change: 2/3 of gateways x a "
-            "gateway's bytes; one change within 12 s",
-            Periods(f.store_bytes_s, f.store_bytes_now_s, f.store_bytes_now_s),
-            MISSING,
-            ("document_zlib_bytes",),
-            None,
-            "the stores' network, at each change",
-        ),
+        *configuration_rows.store_rows(),
         Row(Role.STORE, "state", "bytes", "some kilobytes each", Periods(), "fleet/registers"),
     )
 
@@ -196,15 +153,12 @@
 
 def operator_rows() -> tuple[Row, ...]:
     """Commands on the operators' machines."""
-    role, none = Role.OPERATOR, "there is no such command"
-    return (
-        Row(role, "publish a change of configuration", "s", "", Periods(), MISSING, (), None, none),
-        Row(role, "say what is in force where", "s", "", Periods(), MISSING, (), None, none),
-        Row(role, "read leases and tasks", "s", "", Periods(), "fleet/cli.py"),
-    )
+    fleet = Row(Role.OPERATOR, "read leases and tasks", "s", "", Periods(), "fleet/cli.py")
+    return (*configuration_rows.operator_rows(), fleet)
 
 
 def rows() -> tuple[Row, ...]:
     """All of them."""
-    parts = (control_rows(), store_rows(), agent_rows(), registry_rows(), counter_rows(), operator_rows())
+    control = configuration_rows.control_rows()
+    parts = (control, store_rows(), agent_rows(), registry_rows(), counter_rows(), operator_rows())
     return tuple(row for part in parts for row in part)
--- a/brackenloft/lab/scale/summary.py
+++ b/brackenloft/lab/scale/summary.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from brackenloft.lab.configuration import checkers
-from brackenloft.lab.configuration.events import Event
+from brackenloft.lab.configuration.events import Event, PublishAnswered, PublishAsked
 from brackenloft.lab.scale.fleet import FleetPlan
 from brackenloft.lab.scale.results import ScaleFigures
 from brackenloft.lab.scale.scenario import Observed, Usage
@@ -117,16 +117,33 @@
         "hollow_failed_calls": sum(one["failures"] for one in observed.hollow),
         "hollow_busy_answers": sum(one["busy"] for one in observed.hollow),
     }
-    if observed.changing:
-        found["changing_bytes_s"] = rounded(bytes_s(*observed.changing, plan.gateways))
-        found["changing_cpu_percent"] = rounded(spent_percent(*observed.changing, plan.gateways))
-        found["changing_server_cpu_percent"] = rounded(server_percent(*observed.changing))
+    found |= _publishing(events)
+    windows = {
+        "changing": observed.changing, "bursting": observed.bursting, "storming": observed.storming
+    }  # fmt: skip
+    for name, window in windows.items():
+        if window:
+            found[f"{name}_s"] = rounded((window[1].at_ms - window[0].at_ms) / 1000.0)
+            found[f"{name}_bytes_s"] = rounded(bytes_s(*window, plan.gateways))
+            found[f"{name}_cpu_percent"] = rounded(spent_percent(*window, plan.gateways))
+            found[f"{name}_server_cpu_percent"] = rounded(server_percent(*window))
     if observed.rest:
         elapsed_s = (observed.rest[1].at_ms - observed.rest[0].at_ms) / 1000.0
         found["rest_changes_over_target"] = rounded(SECONDS_PER_DAY / TARGET.changes_per_day / elapsed_s)
     return found | _latencies(observed)
 
 
+def _publishing(events: Sequence[Event]) -> dict[str, float | int | None]:
+    """From asking for a change until it is answered, or found to stand."""
+    asked = {event.marker: event.at_ms for event in events if isinstance(event, PublishAsked)}
+    answers = [event for event in events if isinstance(event, PublishAnswered)]
+    times_s = [(event.at_ms - asked[event.marker]) / 1000.0 for event in answers]
+    return {
+        "publish_s_p50": rounded(percentile(times_s, 0.5)),
+        "publish_s_worst": rounded(max(times_s, default=None)),
+    }
+
+
 def _latencies(observed: Observed) -> dict[str, float | int | None]:
     found: dict[str, float | int | None] = {}
     for name in WINDOWS:
