Control server: runs that come at once are enrolled in few messages

95 runs at once were 475 messages from each server, each within a second: on a busy machine they may fail together and come back together.

--- a/brackenloft/configuration/enrolment.py
+++ b/brackenloft/configuration/enrolment.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable, Coroutine
+from functools import partial
+from typing import Any
 
-from brackenloft.configuration import codec
 from brackenloft.configuration.disk import RosterEntry
+from brackenloft.configuration.grouping import Grouped
 from brackenloft.configuration.messages import (
     ENROL_PATH,
     STATUS_PATH,
@@ -28,6 +30,7 @@
 from brackenloft.fleet.logs import logger
 
 log = logger(__name__)
+MOST_TOLD = 1000  # runs in one message to a peer
 ENROL_TIMEOUT_S = 1.0  # of one peer; an enrolment that has too few answers by then counts for nothing
 # A server without its disk waits for longer than any enrolment that it took part in before may have taken.
 RECOVERY_WAIT_S = 3.0 * ENROL_TIMEOUT_S
@@ -46,7 +49,8 @@
         self._done: set[RunKey] = set()  # runs that enough servers told us to know
         self._on_disk: set[RunKey] = set(roster.runs)
         self._under_way: dict[RunKey, asyncio.Task[bool]] = {}
-        self._background: set[asyncio.Task[None]] = set()
+        self._tellers = {peer: Grouped(partial(self._tell, peer), MOST_TOLD) for peer in peers.by_name}
+        self._background: set[asyncio.Task[bool]] = set()
         self.failures = 0
 
     def is_done(self, follower: Follower) -> bool:
@@ -68,13 +72,12 @@
         return task
 
     async def _enrol(self, follower: Follower) -> bool:
-        request = EnrolRequest(follower)
-        body = codec.encode(request)
-        calls = [asyncio.create_task(self._tell(peer, body)) for peer in self._peers.by_name]
-        stored = 0
+        entry, stored = RosterEntry(follower), 0
+        calls = [self._spawn(_succeeds(self._store(entry)))]
+        calls += [self._spawn(_succeeds(teller.add(entry))) for teller in self._tellers.values()]
         try:
             async with asyncio.timeout(ENROL_TIMEOUT_S):
-                for done in asyncio.as_completed([asyncio.create_task(self._store(request)), *calls]):
+                for done in asyncio.as_completed(calls):
                     stored += await done
                     if stored >= self._copies:
                         self._remember(key_of(follower))
@@ -85,47 +88,47 @@
         log.warning("a run is not enrolled", gateway=follower.gateway, servers=stored, needed=self._copies)
         return False
 
+    def _spawn(self, work: Coroutine[Any, Any, bool]) -> asyncio.Task[bool]:
+        """Something that goes on to its end, also when it is not waited for."""
+        task = asyncio.create_task(work)
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+        return task
+
     def _remember(self, key: RunKey) -> None:
         self._done.add(key)
         if len(self._done) > MOST_RUNS:
             self._done &= self._roster.runs.keys()
 
-    async def _tell(self, peer: str, body: bytes) -> bool:
-        try:
-            await self._peers.send(peer, ENROL_PATH, body, Enrolled, ENROL_TIMEOUT_S)
-        except PeerError:
-            return False
-        return True
-
-    async def _store(self, request: EnrolRequest) -> bool:
-        try:
-            await self.take(request)
-        except (OSError, RosterFullError):
-            return False
-        return True
+    async def _tell(self, peer: str, entries: tuple[RosterEntry, ...]) -> None:
+        """One message for all runs that wait. PeerError."""
+        request = EnrolRequest(
+            tuple(entry.follower for entry in entries if not entry.left),
+            tuple(entry.follower for entry in entries if entry.left),
+        )
+        await self._peers.call(peer, ENROL_PATH, request, Enrolled, ENROL_TIMEOUT_S)
 
     async def take(self, request: EnrolRequest) -> None:
-        """Know a run, on the disk when this returns; OSError or RosterFullError if it isn't."""
-        key, now_ms = key_of(request.follower), self._clock_ms()
-        self._roster.enrol(request.follower, now_ms)
-        if request.left:
-            self._roster.leave(request.follower, now_ms)
-        if request.left or key not in self._on_disk:
-            await self._storage.save_run(RosterEntry(request.follower, left=request.left))
+        """Know runs, on the disk when this returns; OSError or RosterFullError if they aren't all."""
+        entries = [RosterEntry(follower) for follower in request.followers]
+        entries += [RosterEntry(follower, left=True) for follower in request.left]
+        await asyncio.gather(*map(self._store, entries))
+
+    async def _store(self, entry: RosterEntry) -> None:
+        key, now_ms = key_of(entry.follower), self._clock_ms()
+        self._roster.enrol(entry.follower, now_ms)
+        if entry.left:
+            self._roster.leave(entry.follower, now_ms)
+        if entry.left or key not in self._on_disk:
+            await self._storage.save_run(entry)
             self._on_disk.add(key)
 
     async def leave(self, follower: Follower) -> None:
         """A run ended: known here when this returns, and told to the peers. Errors as ``take``."""
-        request = EnrolRequest(follower, left=True)
-        body = codec.encode(request)
-        for peer in self._peers.by_name:
-            task = asyncio.create_task(self._tell_left(peer, body))
-            self._background.add(task)
-            task.add_done_callback(self._background.discard)
-        await self.take(request)
-
-    async def _tell_left(self, peer: str, body: bytes) -> None:
-        await self._tell(peer, body)
+        entry = RosterEntry(follower, left=True)
+        for teller in self._tellers.values():
+            self._spawn(_succeeds(teller.add(entry)))
+        await self._store(entry)
 
     async def close(self) -> None:
         """Tell nobody any more."""
@@ -133,6 +136,7 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+        await asyncio.gather(*(teller.cancel() for teller in self._tellers.values()))
 
     # ---- A disk that was lost
 
@@ -171,3 +175,12 @@
         except PeerError:
             return None
         return answer if isinstance(answer, ServerStatus) else None
+
+
+async def _succeeds(work: Awaitable[None]) -> bool:
+    """Whether something was done; what may go wrong at a disk or a peer is no more than that."""
+    try:
+        await work
+    except (OSError, PeerError, RosterFullError):
+        return False
+    return True
--- a/brackenloft/configuration/messages.py
+++ b/brackenloft/configuration/messages.py
@@ -200,14 +200,14 @@
 
 
 class EnrolRequest(msgspec.Struct, frozen=True):
-    """A process of a gateway that is about to be answered for the first time, or one that has ``left``."""
+    """Processes of gateways that are about to be answered for the first time, and ones that have left."""
 
-    follower: Follower
-    left: bool = False
+    followers: tuple[Follower, ...] = ()
+    left: tuple[Follower, ...] = ()
 
 
 class Enrolled(msgspec.Struct, frozen=True, tag=True):
-    """The process of the gateway is known here, and stays so after a restart."""
+    """The processes are known here, and stay so after a restart."""
 
     server: str
 
--- a/brackenloft/configuration/service.py
+++ b/brackenloft/configuration/service.py
@@ -46,6 +46,7 @@
 from brackenloft.fleet.logs import as_json, logger
 
 log = logger(__name__)
+LONGEST_ENROL_REQUEST_BYTES = 1024 * 1024  # ``enrolment.MOST_TOLD`` runs with the longest names
 METRICS_PATH = "/metrics"
 METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 RECORDS_READ_WITHIN_S = 1.0  # for a peer that knows of a later revision than is known here
@@ -153,7 +154,7 @@
         http.post(messages.PROPOSE_PATH, Proposal, self._propose, LONGEST_REQUEST_BYTES)
         http.post(messages.STANDING_PATH, StandingNotice, self._notice)
         http.post(messages.RECORDS_PATH, RecordsRequest, self._records)
-        http.post(messages.ENROL_PATH, EnrolRequest, self._enrol)
+        http.post(messages.ENROL_PATH, EnrolRequest, self._enrol, LONGEST_ENROL_REQUEST_BYTES)
         http.status(messages.STATUS_PATH, self.status)
         http.text(METRICS_PATH, self._metrics, METRICS_TYPE)
 
@@ -189,7 +190,8 @@
         return self.replica.answer(asked, self.clock_ms())
 
     async def _enrol(self, request: EnrolRequest) -> Enrolled:
-        check_follower(request.follower)
+        for follower in (*request.followers, *request.left):
+            check_follower(follower)
         await self.enrolment.take(request)
         return Enrolled(self.config.name)
 
--- a/brackenloft/configuration/storage.py
+++ b/brackenloft/configuration/storage.py
@@ -10,8 +10,10 @@
 from typing import TypeVar
 
 from brackenloft.configuration.disk import Disk, MissingProposal, RosterEntry
+from brackenloft.configuration.grouping import Grouped
 from brackenloft.configuration.loading import Recovered, recover
 from brackenloft.configuration.model import Record, Standing
+from brackenloft.configuration.roster import MOST_RUNS
 from brackenloft.configuration.tree import Tree
 from brackenloft.fleet.logs import logger
 
@@ -37,8 +39,7 @@
         self._directory = directory
         self._disk = Disk(directory)
         self._thread = ThreadPoolExecutor(1, "disk")
-        self._waiting: list[tuple[RosterEntry, asyncio.Future[None]]] = []
-        self._writing: asyncio.Task[None] | None = None
+        self._runs = Grouped(self._write_runs, MOST_RUNS)
         self._background: set[asyncio.Task[None]] = set()
         self._records = 0  # stored since the last snapshot
         self.failures = 0
@@ -61,7 +62,8 @@
     def stands(self, record: Record, tree: Tree, log_start: int) -> None:
         """A record stands: move its proposal, or store it anew, in the background.
 
-        Its proposal is on ``copies`` disks already, so that nothing is lost if this fails.
+        Its proposal is on ``copies`` disks already, so that nothing is lost if this fails. A proposal on top
+        of it is stored after it, as calls keep their order: a disk never needs two proposals in a row.
         """
         self._records += 1
         with_snapshot = self._records >= RECORDS_BEFORE_SNAPSHOT
@@ -93,27 +95,14 @@
 
     async def save_run(self, entry: RosterEntry) -> None:
         """On the disk when this returns, together with others that wait; OSError if it isn't."""
-        done: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        self._waiting.append((entry, done))
-        if self._writing is None or self._writing.done():
-            self._writing = asyncio.create_task(self._write_runs())
-        await done
-
-    async def _write_runs(self) -> None:
-        while self._waiting:
-            group, self._waiting = self._waiting, []
-            entries = tuple(entry for entry, _ in group)
-            try:
-                await self._call(lambda entries=entries: self._disk.save_runs(entries))  # type: ignore[misc]
-            except OSError as error:
-                self._failed(error)
-                for _, done in group:
-                    if not done.done():
-                        done.set_exception(OSError(str(error)))
-            else:
-                for _, done in group:
-                    if not done.done():
-                        done.set_result(None)
+        await self._runs.add(entry)
+
+    async def _write_runs(self, entries: tuple[RosterEntry, ...]) -> None:
+        try:
+            await self._call(lambda: self._disk.save_runs(entries))
+        except OSError as error:
+            self._failed(error)
+            raise
 
     async def replace_runs(self, entries: Iterable[RosterEntry]) -> None:
         """Hold these runs and no others; OSError if that failed."""
@@ -144,6 +133,5 @@
         """Wait for what is being written."""
         if self._background:
             await asyncio.gather(*self._background, return_exceptions=True)
-        if self._writing:
-            await asyncio.gather(self._writing, return_exceptions=True)
+        await self._runs.finish()
         self._thread.shutdown()
--- a/tests/test_configuration_server.py
+++ b/tests/test_configuration_server.py
@@ -7,6 +7,7 @@
 from fakes import run
 
 from brackenloft.configuration.builder import apply
+from brackenloft.configuration.grouping import Grouped
 from brackenloft.configuration.messages import (
     Busy,
     Changes,
@@ -270,3 +271,50 @@
             assert found[2].retry_after_ms < found[3].retry_after_ms
 
     run(test())
+
+
+def test_runs_that_come_at_once_are_enrolled_in_few_messages(tmp_path):
+    async def test():
+        async with cluster(tmp_path) as servers:
+            await servers.publish(plans(0, "gold"))
+            await servers.reach(1)
+            taken = []
+            for service in servers.services[1:]:
+                take = service.enrolment.take
+
+                async def counted(request, take=take):
+                    taken.append(len(request.followers))
+                    await take(request)
+
+                service.enrolment.take = counted
+            found = await asyncio.gather(*(servers.follow(0, follower(f"g{n}")) for n in range(60)))
+            assert all(isinstance(each, Changes) for each in found)
+            while sum(taken) < 60 * 5:
+                await asyncio.sleep(0.01)
+            assert len(taken) <= 60 and sum(taken) == 60 * 5
+            for number in range(1, 6):
+                assert len((await servers.status(number)).confirmations) == 60
+
+    run(test())
+
+
+def test_what_fails_for_a_group_fails_for_each_of_it_and_not_for_the_next():
+    async def test():
+        groups = []
+
+        async def carry_out(items):
+            groups.append(items)
+            await asyncio.sleep(0)
+            if "bad" in items:
+                raise OSError("disk full")
+
+        grouped = Grouped(carry_out, 3)
+        found = await asyncio.gather(
+            *(grouped.add(item) for item in ["a", "b", "bad", "c", "d", "e", "f"]), return_exceptions=True
+        )
+        assert groups == [("a", "b", "bad"), ("c", "d", "e"), ("f",)]
+        failed = [isinstance(each, OSError) for each in found]
+        assert failed.count(True) == 3 and failed[2] and not failed[5]
+        await grouped.finish()
+
+    run(test())
