serve follows control servers: control = "control-client.toml", off by default

A gateway's plans could not change without a restart. After the last answer on SIGTERM a control server is told of the end. Together with the shared counter it is refused, as that knows the file's plans alone.

--- a/brackenloft/cli.py
+++ b/brackenloft/cli.py
@@ -16,6 +16,8 @@
 
 if TYPE_CHECKING:  # the subcommands import what they need: a client needs no gateway
     from brackenloft.config import Config
+    from brackenloft.configuration.client_config import ClientConfig
+    from brackenloft.configuration.gateway import Configured
     from brackenloft.edge import Edge
     from brackenloft.fleet.config import Document as FleetFile
     from brackenloft.fleet.service import Fleet
@@ -118,12 +120,13 @@
     front: Front | None = None
     counter: Where | None = None
     fleet: FleetFile | None = None
+    control: ClientConfig | None = None
 
 
 def _parts(loaded: Config) -> Parts | None:
     """The files that a configuration names beside itself; None if one of them can't be used."""
     from brackenloft import config
-    extra, sources, front, counter, fleet = "", None, None, None, None
+    extra, sources, front, counter, fleet, control = "", None, None, None, None, None
     try:
         if loaded.membership:
             extra = "membership wants the extra [eureka]"
@@ -142,7 +145,11 @@
             from brackenloft.fleet import config as fleets
             from brackenloft.fleet import service  # noqa: F401  so that what is missing is told now
             fleet = fleets.load(loaded.fleet, counts=counter is not None)
-        return Parts(sources, front, counter, fleet)
+        if loaded.control:
+            extra = "control wants the extra [control]"
+            from brackenloft.configuration import client, client_config  # noqa: F401  as above
+            control = client_config.load(loaded.control)
+        return Parts(sources, front, counter, fleet, control)
     except config.ConfigError as error:
         print(f"brackenloft: {error}", file=sys.stderr)
     except ModuleNotFoundError as error:
@@ -165,6 +172,7 @@
     front = f", GraphQL at {parts.front.document.listen}" if parts.front else ""
     front += f", counter {parts.counter.shown()}" if parts.counter else ""
     front += f", fleet of {len(parts.fleet.stores)} stores" if parts.fleet else ""
+    front += f", configuration of {len(parts.control.servers)} control servers" if parts.control else ""
     print(f"{options.config}: good; {len(settings.plans)} plans, {len(settings.classes)} classes, "
           f"servers from {source}{front}")
     return 0
@@ -226,6 +234,7 @@
         front = _open_front(parts.front, edge, figures)
         counting = _count(parts.counter, edge, figures)
         fleet = _join(parts, edge, figures)
+        configured = _configure(parts.control, edge, figures)
         loop.add_signal_handler(signal.SIGTERM, stop.set)
         loop.add_signal_handler(signal.SIGINT, stop.set)
         loop.add_signal_handler(signal.SIGHUP, reload)
@@ -237,6 +246,8 @@
         await asyncio.gather(leaving, *([fleet.close()] if fleet else []))
         if counting:
             await counting.close()
+        if configured:
+            await configured.close()
     return 0
 
 
@@ -274,6 +285,16 @@
     return fleet
 
 
+def _configure(
+    control: ClientConfig | None, edge: Edge, figures: dict[str, Callable[[], object]],
+) -> Configured | None:
+    """Follow the configuration of control servers, if a file names them."""
+    if control is None:
+        return None
+    from brackenloft.configuration import gateway
+    return gateway.follow(edge, control, figures)
+
+
 def _open_front(
     loaded: Front | None, edge: Edge, figures: dict[str, Callable[[], object]],
 ) -> Daemon | None:
--- a/brackenloft/config.py
+++ b/brackenloft/config.py
@@ -57,6 +57,7 @@
     graphql: str | None = None  # a file that switches the GraphQL front on
     counter: str | None = None  # a file that names the counter through which gateways sum quotas
     fleet: str | None = None  # a file of stores and tasks that all gateways share
+    control: str | None = None  # a file of control servers, whose configuration this gateway follows
     seed: int | None = None
     site: Site = field(default_factory=Site)
     attempts: api.Limits = field(default_factory=api.Limits)
@@ -79,6 +80,7 @@
     graphql: Path | None = None
     counter: Path | None = None
     fleet: Path | None = None
+    control: Path | None = None
 
 
 def load(path: Path) -> Config:
@@ -114,6 +116,8 @@
     document = build(Document, table, "")
     if bool(document.nodes) + (document.discovery is not None) + (document.membership is not None) != 1:
         raise ConfigError("discovery: either this, nodes or membership is to be given")
+    if document.control and document.counter:
+        raise ConfigError("control: can't be used together with counter, which knows the file's plans alone")
     site = document.site
     try:
         settings = api.Settings(
@@ -121,7 +125,7 @@
             plans=document.plans, limits=document.attempts, contract=document.rules,
             load_fields=site.load_fields, meter_period_ms=site.meter_period_ms,
             largest_units=site.largest_units, settles=site.settles, tick_ms=site.tick_ms,
-            cross_zone_price=site.cross_zone_price)
+            cross_zone_price=site.cross_zone_price, plans_change=document.control is not None)
     except ValueError as error:
         raise ConfigError(f"site: {error}") from error
     names = [node.name for node in document.nodes]
@@ -133,7 +137,8 @@
                   document.seed, admin, place / document.membership if document.membership else None,
                   place / document.graphql if document.graphql else None,
                   place / document.counter if document.counter else None,
-                  place / document.fleet if document.fleet else None)
+                  place / document.fleet if document.fleet else None,
+                  place / document.control if document.control else None)
 
 
 def address(text: str, where: str) -> Address:
--- a/brackenloft/configuration/following.py
+++ b/brackenloft/configuration/following.py
@@ -31,6 +31,7 @@
     Unchanged,
 )
 from brackenloft.configuration.model import Record
+from brackenloft.configuration.tree import DIGEST_BYTES
 
 RETRY_BASE_MS = 250.0  # largest pause after a first failure; doubles with each further one
 RETRY_CAP_MS = 5000.0  # largest pause before a server is tried again
@@ -42,6 +43,7 @@
 WAIT_MARGIN_MS = 1500.0  # beyond the wait, for an answer to arrive
 CHUNK_TIMEOUT_MS = 4000.0
 CHUNK_BUCKETS = 64  # of a snapshot in one request
+NO_DIGEST = bytes(DIGEST_BYTES)  # told where a snapshot is wanted: no document has it
 SNAPSHOT_FAILURES = 4  # after which an offered snapshot is given up
 
 
@@ -223,7 +225,7 @@
     def _follow_call(self, server: _Server) -> FollowCall:
         """A server that was not heard yet is not given time: one that is stalled costs less."""
         wait_ms = self.wait_ms if server.answers else 0
-        digest = b"" if self._wants_snapshot else self.in_force.digest
+        digest = NO_DIGEST if self._wants_snapshot else self.in_force.digest
         request = FollowRequest(self.follower, self.in_force.revision, digest, wait_ms)
         timeout_ms = wait_ms + WAIT_MARGIN_MS if wait_ms else FIRST_TIMEOUT_MS
         return FollowCall(self._number, self.followed, request, timeout_ms)
--- a/tests/control.py
+++ b/tests/control.py
@@ -169,6 +169,8 @@
                     await self.changed.wait_for(lambda: self.revision > after)
             except TimeoutError:
                 pass
+        if self.fault is Fault.HANGS:
+            await asyncio.Event().wait()
         if self.fault is Fault.OLDER:
             return Changes(tuple(self.records[:1]), 0.0)
         if self.fault is Fault.GAP:
