--- a/brackenloft/configuration/enrolment.py
+++ b/brackenloft/configuration/enrolment.py
@@ -116,7 +116,8 @@
 
     async def _store(self, entry: RosterEntry) -> None:
         key, now_ms = key_of(entry.follower), self._clock_ms()
-        self._roster.enrol(entry.follower, now_ms)
+        if self._roster.enrol(entry.follower, now_ms):
+            self.forget(entry.follower)
         if entry.left:
             self._roster.leave(entry.follower, now_ms)
         if entry.left or key not in self._on_disk:
@@ -130,6 +131,33 @@
             self._spawn(_succeeds(teller.add(entry)))
         await self._store(entry)
 
+    def confirm(self, follower: Follower, in_force: int) -> None:
+        """A run said what it has in force; RosterFullError if it is new and there is no room."""
+        now_ms = self._clock_ms()
+        if self._roster.enrol(follower, now_ms):
+            self.forget(follower)
+        self._roster.confirm(follower, in_force, now_ms)
+
+    def forget(self, follower: Follower) -> None:
+        """The run is to be enrolled anew if it is heard of again."""
+        self._done.discard(key_of(follower))
+        self._on_disk.discard(key_of(follower))
+
+    async def forget_gone(self) -> None:
+        """Drop runs that have been gone for long, here and on the disk; OSError if that failed there."""
+        forgotten = self._roster.forget_gone(self._clock_ms())
+        for follower in forgotten:
+            self.forget(follower)
+        if forgotten:
+            await self._replace_on_disk()
+
+    async def _replace_on_disk(self) -> None:
+        runs = dict(self._roster.runs)
+        await self._storage.replace_runs(
+            RosterEntry(run.follower, run.in_force, run.left) for run in runs.values()
+        )
+        self._on_disk |= runs.keys()
+
     async def close(self) -> None:
         """Tell nobody any more."""
         tasks = [*self._background, *self._under_way.values()]
@@ -162,12 +190,8 @@
     async def _adopt(self, statuses: list[ServerStatus]) -> None:
         for status in statuses:
             self._roster.adopt(status.confirmations, self._clock_ms())
-        runs = dict(self._roster.runs)
-        await self._storage.replace_runs(
-            RosterEntry(run.follower, run.in_force, run.left) for run in runs.values()
-        )
-        self._on_disk |= runs.keys()
-        log.info("the roster is complete", runs=len(runs), servers=len(statuses))
+        await self._replace_on_disk()
+        log.info("the roster is complete", runs=len(self._roster.runs), servers=len(statuses))
 
     async def _status(self, peer: str) -> ServerStatus | None:
         try:
--- a/brackenloft/configuration/following_service.py
+++ b/brackenloft/configuration/following_service.py
@@ -23,7 +23,7 @@
     Unchanged,
 )
 from brackenloft.configuration.replica import Replica
-from brackenloft.configuration.roster import Roster, RosterFullError
+from brackenloft.configuration.roster import RosterFullError
 from brackenloft.configuration.server_config import Bounds
 from brackenloft.configuration.standing_reader import StandingReader
 from brackenloft.configuration.tree import DIGEST_BYTES
@@ -46,7 +46,6 @@
     def __init__(
         self,
         replica: Replica,
-        roster: Roster,
         enrolment: Enrolment,
         reader: StandingReader,
         bounds: Bounds,
@@ -54,7 +53,7 @@
         clock_ms: Callable[[], float],
         dice: random.Random,
     ) -> None:
-        self._replica, self._roster, self._enrolment = replica, roster, enrolment
+        self._replica, self._enrolment = replica, enrolment
         self._reader, self._bounds, self._figures = reader, bounds, figures
         self._clock_ms, self._dice = clock_ms, dice
         self._admission = SnapshotAdmission(bounds.snapshots_per_s, bounds.snapshot_burst)
@@ -66,7 +65,7 @@
         """The answer to a long poll. BadRequest for one that no gateway makes."""
         check(request)
         try:
-            self._roster.confirm(request.follower, request.in_force, self._clock_ms())
+            self._enrolment.confirm(request.follower, request.in_force)
         except RosterFullError:
             return self._busy("roster_full")
         answer = self._answer(request)
--- a/brackenloft/configuration/roster.py
+++ b/brackenloft/configuration/roster.py
@@ -95,14 +95,17 @@
             if confirmation.left:
                 self.leave(confirmation.follower, now_ms - confirmation.silent_ms)
 
-    def forget_gone(self, now_ms: float) -> None:
-        """Drop runs that have been gone for long."""
+    def forget_gone(self, now_ms: float) -> list[Follower]:
+        """Drop runs that have been gone for long, and tell which."""
+        forgotten = []
         newest = _newest(run.follower for run in self.runs.values())
         for key, run in list(self.runs.items()):
             silent_ms = now_ms - run.heard_ms
             replaced = run.follower.incarnation < newest[run.follower.gateway]
             if silent_ms > KEPT_MS and (run.left or replaced):
                 del self.runs[key]
+                forgotten.append(run.follower)
+        return forgotten
 
 
 def _newest(followers: Iterable[Follower]) -> dict[str, int]:
--- a/brackenloft/configuration/service.py
+++ b/brackenloft/configuration/service.py
@@ -37,7 +37,7 @@
 from brackenloft.configuration.proposals import Proposals
 from brackenloft.configuration.publisher import Publisher
 from brackenloft.configuration.replica import Replica
-from brackenloft.configuration.roster import Roster
+from brackenloft.configuration.roster import Roster, RosterFullError
 from brackenloft.configuration.server import HttpServer
 from brackenloft.configuration.server_config import ServerConfig
 from brackenloft.configuration.standing_reader import StandingReader
@@ -49,6 +49,7 @@
 LONGEST_ENROL_REQUEST_BYTES = 1024 * 1024  # ``enrolment.MOST_TOLD`` runs with the longest names
 METRICS_PATH = "/metrics"
 METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+HOUSEKEEPING_S = 60.0  # between two looks for runs that have been gone for long
 RECORDS_READ_WITHIN_S = 1.0  # for a peer that knows of a later revision than is known here
 WRONG = 2  # exit code for a wrong file or address
 
@@ -74,6 +75,7 @@
         self.http = HttpServer(self.figures, config.bounds.requests)
         self._dice = random.Random(seed)
         self._recovery: asyncio.Task[None] | None = None
+        self._housekeeping: asyncio.Task[None] | None = None
         self.complete = False  # whether all runs that were told here are known
 
     async def start(self) -> None:
@@ -84,11 +86,7 @@
         self._tell_damage(started)
         recovered = started.recovered
         self.replica = Replica(recovered.tree, recovered.log, started.proposals, config.bounds.records)
-        self.roster = Roster()
-        for entry in started.runs:
-            self.roster.confirm(entry.follower, entry.in_force, self.clock_ms())
-            if entry.left:
-                self.roster.leave(entry.follower, self.clock_ms())
+        whole = self._load_roster(started)
         self.peers = Peers(config.peers, config.region)
         catching_up = CatchingUp(self.replica, self.storage, self.peers)
         self.reader = StandingReader(
@@ -102,12 +100,13 @@
         )  # fmt: skip
         self.proposals = Proposals(self.replica, self.storage, self.reader, self.clock_ms)
         self.following = FollowingService(
-            self.replica, self.roster, self.enrolment, self.reader, config.bounds, self.figures,
+            self.replica, self.enrolment, self.reader, config.bounds, self.figures,
             self.clock_ms, self._dice,
         )  # fmt: skip
         self._route()
         self.reader.start()
-        self.complete = started.runs_complete
+        self._housekeeping = asyncio.create_task(self._forget_gone_runs())
+        self.complete = started.runs_complete and whole
         if not self.complete:
             self._recovery = asyncio.create_task(self._recover_roster())
         await self.http.start(config.address)
@@ -118,6 +117,19 @@
             roster_complete=self.complete,
         )  # fmt: skip
 
+    def _load_roster(self, started: Started) -> bool:
+        """Know the runs of the disk; False if there are too many."""
+        self.roster = Roster()
+        try:
+            for entry in started.runs:
+                self.roster.confirm(entry.follower, entry.in_force, self.clock_ms())
+                if entry.left:
+                    self.roster.leave(entry.follower, self.clock_ms())
+        except RosterFullError as error:
+            log.error("not all runs of the disk can be known", error=error)
+            return False
+        return True
+
     def _tell_damage(self, started: Started) -> None:
         self.figures.damaged_files.set(len(started.recovered.damaged))
         for damaged in started.recovered.damaged:
@@ -128,13 +140,22 @@
         await self.enrolment.recover(self.config.servers)
         self.complete = True
 
+    async def _forget_gone_runs(self) -> None:
+        while True:
+            await asyncio.sleep(HOUSEKEEPING_S)
+            try:
+                await self.enrolment.forget_gone()
+            except OSError as error:
+                log.error("the roster can't be stored", error=error)
+
     async def close(self) -> None:
         """Answer those that wait, and end."""
         self.replica.close()
         await self.http.close()
-        if self._recovery:
-            self._recovery.cancel()
-            await asyncio.gather(self._recovery, return_exceptions=True)
+        tasks = [task for task in (self._recovery, self._housekeeping) if task]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
         await self.publisher.close()
         await self.reader.close()
         await self.enrolment.close()
--- a/tests/test_configuration_server.py
+++ b/tests/test_configuration_server.py
@@ -6,6 +6,7 @@
 from control_cluster import EMPTY_DIGEST, cluster, document, follower, plans, tenants
 from fakes import run
 
+from brackenloft.configuration import roster
 from brackenloft.configuration.builder import apply
 from brackenloft.configuration.grouping import Grouped
 from brackenloft.configuration.messages import (
@@ -318,3 +319,41 @@
         await grouped.finish()
 
     run(test())
+
+
+def test_runs_that_are_gone_for_long_are_dropped_also_from_the_disk_and_enrolled_anew(tmp_path, monkeypatch):
+    monkeypatch.setattr(roster, "KEPT_MS", -1.0)
+
+    async def test():
+        async with cluster(tmp_path, 3) as servers:
+            await servers.complete()
+            await servers.publish(plans(0, "gold"))
+            await servers.reach(1)
+            await servers.follow(0, follower("g1"))
+            await servers.follow(0, follower("g2"))
+            await servers.leave(0, follower("g1"))
+            first = servers.services[0]
+            await first.enrolment.forget_gone()
+            assert list(first.roster.runs) == [("g2", "r1")]
+            assert not first.enrolment.is_done(follower("g1"))
+            await servers.stop(0)
+            await servers.start(0)
+            assert list(servers.services[0].roster.runs) == [("g2", "r1")] and servers.services[0].complete
+            assert isinstance(await servers.follow(0, follower("g1")), Changes)
+            assert servers.services[0].enrolment.is_done(follower("g1"))
+
+    run(test())
+
+
+def test_a_disk_with_more_runs_than_can_be_known_says_so(tmp_path, monkeypatch):
+    async def test():
+        async with cluster(tmp_path, 3) as servers:
+            await servers.complete()
+            for number in range(3):
+                await servers.follow(0, follower(f"g{number}"))
+            await servers.stop(0)
+            monkeypatch.setattr(roster, "MOST_RUNS", 2)
+            await servers.start(0)
+            assert not servers.services[0].complete and len(servers.services[0].roster.runs) == 2
+
+    run(test())
