--- a/brackenloft/lab/configuration/events.py
+++ b/brackenloft/lab/configuration/events.py
@@ -16,7 +16,8 @@
 from brackenloft.configuration.model import Delta, Record
 from brackenloft.lab.fleet.history import now_ms
 
-__all__ = ["EventWriter", "now_ms", "read_events"]
+__all__ = ["EventWriter", "log_to", "now_ms", "read_events"]
+STDERR = 2
 
 
 class RunStarted(msgspec.Struct, frozen=True, tag=True):
@@ -179,6 +180,13 @@
         os.close(self._file)
 
 
+def log_to(path: Path) -> None:
+    """Have this process's standard error, and with it its log, in a file beside its history."""
+    descriptor = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o600)
+    os.dup2(descriptor, STDERR)
+    os.close(descriptor)
+
+
 def read_events(paths: Iterable[Path]) -> list[Event]:
     """All events of these files in the order of their times; a last line that was cut is left out."""
     events: list[Event] = []
--- a/brackenloft/lab/configuration/followers.py
+++ b/brackenloft/lab/configuration/followers.py
@@ -18,7 +18,7 @@
 from brackenloft.configuration.model import Plan, Section, Tenant
 from brackenloft.configuration.tree import Tree
 from brackenloft.lab.configuration.changes import tenant_names
-from brackenloft.lab.configuration.events import EventWriter, Served, now_ms
+from brackenloft.lab.configuration.events import EventWriter, Served, log_to, now_ms
 from brackenloft.lab.configuration.instrument import observe
 from brackenloft.lab.configuration.mutants import MUTANTS
 from brackenloft.lab.fleet import control
@@ -92,6 +92,7 @@
 async def main(path: Path) -> None:
     """All of them, until the input ends."""
     order = msgspec.json.decode(path.read_bytes(), type=FollowersOrder)
+    log_to(path.with_suffix(".log"))
     if order.mutant:
         MUTANTS[order.mutant]()
     writer = EventWriter(Path(order.history))
--- a/brackenloft/lab/configuration/observer.py
+++ b/brackenloft/lab/configuration/observer.py
@@ -41,6 +41,7 @@
 ANSWER_S = 0.7  # of a server that is stopped or gone
 PUBLISH_S = 6.0
 CUT_OFF_AFTER_MS = 1500.0  # sooner than in operation, so that a short trial has some
+GONE_AFTER_MS = 2500.0  # of a run whose gateway was started again: it was killed, and is not merely stopped
 
 
 class Observer:
@@ -96,7 +97,9 @@
         view = View.of_all(status for status in words if status)
         servers = len(self.urls())
         for revision in {view.standing, max(FIRST_REVISION, view.standing - 1)}:
-            self._tell(asked_ms, progress(view, revision, servers, self.copies, CUT_OFF_AFTER_MS))
+            self._tell(
+                asked_ms, progress(view, revision, servers, self.copies, CUT_OFF_AFTER_MS, GONE_AFTER_MS)
+            )
 
     async def _server_status(self, session: aiohttp.ClientSession, url: str) -> ServerStatus | None:
         with suppress(aiohttp.ClientError, OSError, TimeoutError, codec.CodecError):
