--- a/brackenloft/configuration/following.py
+++ b/brackenloft/configuration/following.py
@@ -35,7 +35,7 @@
 
 RETRY_BASE_MS = 250.0  # largest pause after a first failure; doubles with each further one
 RETRY_CAP_MS = 5000.0  # largest pause before a server is tried again
-LEAST_GAP_MS = 100.0  # between two requests, whatever is answered: bounds what a wrong server can cause
+LEAST_GAP_MS = 100.0  # between two requests but those of one snapshot: bounds what a wrong server can cause
 MOST_BUSY_MS = 10_000.0  # a server that names a longer pause is asked again after this
 STALE_MS = 3000.0  # a server that has not heard of a majority of stores for so long may be cut off
 WAIT_MS = 4000  # default of how long a server may wait with its answer
@@ -188,6 +188,7 @@
         self._number = 0  # of the call that is out, or was last
         self._open = False  # whether that call is still out
         self._asked_at_ms = -inf
+        self._progresses = False  # the last answer was a part of a snapshot, which has an end
         self._snapshot: _Snapshot | None = None
         self._wants_snapshot = False  # after records whose digest did not match
 
@@ -195,13 +196,15 @@
 
     def next_step(self, now_ms: float) -> Step:
         """The next call, or how long to wait before one. A call that is still out is abandoned by this."""
-        if now_ms < self._asked_at_ms + LEAST_GAP_MS:
-            return Pause(self._asked_at_ms + LEAST_GAP_MS - now_ms)
+        earliest_ms = self._asked_at_ms + (0.0 if self._progresses else LEAST_GAP_MS)
+        if now_ms < earliest_ms:
+            return Pause(earliest_ms - now_ms)
         server = self._choose(now_ms)
         if server is None:
             return Pause(min(one.retry_at_ms for one in self.servers.values()) - now_ms)
         self._number += 1
         self._open, self._asked_at_ms, self.followed = True, now_ms, server.endpoint.name
+        self._progresses = False
         if self._snapshot:
             chunk = ChunkRequest(self._snapshot.offer.revision, self._snapshot.wanted)
             return ChunkCall(self._number, self.followed, chunk, CHUNK_TIMEOUT_MS)
@@ -360,6 +363,7 @@
             self._set_back(Failure.GARBAGE, now_ms, draw)
             return None
         self._heard()
+        self._progresses = True
         snapshot.missing = snapshot.missing[len(wanted) :]
         last = not snapshot.missing
         if last:
--- a/tests/test_configuration_following.py
+++ b/tests/test_configuration_following.py
@@ -291,6 +291,23 @@
     assert isinstance(clock.call(), FollowCall)
 
 
+def test_parts_of_a_snapshot_are_asked_for_without_a_pause():
+    core = begin()
+    clock = Clock(core)
+    core.answered(clock.call().number, offer(7), clock.now, 0.0)
+    call = clock.call()
+    began = clock.now
+    while isinstance(call, ChunkCall):
+        assert clock.now == began
+        core.answered(call.number, Chunk(7, (b"",) * len(call.request.buckets)), clock.now, 0.0)
+        if call.request.buckets[-1] == BUCKETS - 1:
+            break
+        call = clock.call()
+    core.put_in_force(position(7))
+    core.answered(clock.call().number, Unchanged(7, 0.0), clock.now, 0.0)
+    assert isinstance(core.next_step(clock.now), Pause)
+
+
 def test_a_snapshot_is_fetched_on_where_it_is_given_while_a_preferred_server_stalls():
     core = begin()
     clock = Clock(core)
