--- a/tests/test_configuration_control.py
+++ b/tests/test_configuration_control.py
@@ -126,15 +126,17 @@
             counter.kill()
 
 
-def test_processes_publish_are_killed_and_go_on_from_their_disks(tmp_path):
+def test_processes_publish_are_stopped_and_killed_and_go_on_from_their_disks(tmp_path):
     async def test():
         async with machines(tmp_path, 3) as servers:
             first = await servers.publish(0, document(3000))
             assert isinstance(first, Published)
-            await servers.end(1)
+            servers.processes[1].send_signal(signal.SIGSTOP)
             second = await servers.publish(2, plans(1, "lead"))
             assert isinstance(second, Published)
-            for number in (0, 2):
+            servers.processes[1].send_signal(signal.SIGCONT)
+            await servers.reach(1, 2)
+            for number in range(3):
                 await servers.end(number)
             await servers.start()
             for number in range(3):
