--- a/tests/test_configuration_plans.py
+++ b/tests/test_configuration_plans.py
@@ -6,6 +6,7 @@
 import pytest
 from conftest import SETTINGS, Rig, entry
 from control import delta
+from fakes import node, run
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -383,3 +384,13 @@
     builder = DirectoryBuilder([FREE])
     tree = apply(Tree.empty(), delta(0, [model.Plan(f"p{number}") for number in range(1000)]))
     assert sum(1 for _ in builder.steps(tree)) >= 16 and len(builder.current.plans) == 1001
+
+
+def test_an_edge_whose_settings_rule_changes_out_keeps_its_plans():
+    async def main():
+        async with node() as made:
+            with pytest.raises(ValueError, match="plans_change"):
+                made.edge.put_plans({}, {}, lambda customer: "")
+            assert made.edge.checks.plan("free") == "free"
+
+    run(main())
