--- a/brackenloft/standins/board.py
+++ b/brackenloft/standins/board.py
@@ -1,167 +1,31 @@
-"""Board nodes: one that says what a test tells it to, and one that works, remembers and fails by a script."""
+"""A board node that works, remembers and fails by a script."""
 
 from __future__ import annotations
 
 import asyncio
 import random
-import re
 import time
 from collections import OrderedDict, deque
-from collections.abc import Callable, Iterable, Mapping
 from contextlib import suppress
-from dataclasses import dataclass
-from enum import Enum
 from typing import Any
 
 import hiredis
 
-from brackenloft.interface import ServerEntry
+from brackenloft.standins.call_fields import call_fields, is_call
 from brackenloft.standins.discovery import row
-from brackenloft.standins.peer import READ, array
+from brackenloft.standins.faults import Fault, Script
+from brackenloft.standins.meter import Meter
+from brackenloft.standins.peer import array
+from brackenloft.standins.scripted_node import read_some
 
 KEY_MEMORY_S = 6.0  # for which a node drops repeats of a key
 MOST_KEYS = 10_000  # keys remembered: the oldest go first
 WARM_S = 16.0  # from a restart until a node has all of its cores
 COLD_SHARE = 0.2  # of its cores, at a restart
-METER_S = 1.0
 SPOILT = (b"\xb4P\xff\r\n", b"*3\r\n$3000000000\r\n", b"*2000000000\r\n", b"-" + b"x" * 600,
           b"*3\r\n$1\r\nvv\r\n")
 
 
-class ScriptedNode:
-    """Answers each command as ``answer`` says: bytes, or None to stay silent, or b"" to hang up."""
-
-    def __init__(self, answer: Callable[[list[bytes]], bytes | None] = lambda words: array(words[2])) -> None:
-        self.answer = answer
-        self.commands: list[list[bytes]] = []
-        self.by: list[int] = []  # the number of the connection of each command
-        self.writers: list[asyncio.StreamWriter] = []
-        self.ended = 0
-        self.news = asyncio.Event()
-
-    async def start(self) -> ScriptedNode:
-        """Listen on a port of the system's choice."""
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.port: int = self.server.sockets[0].getsockname()[1]
-        return self
-
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        number, parser = len(self.writers), hiredis.Reader()
-        self.writers.append(writer)
-        while data := await _read(reader):
-            parser.feed(data)
-            while (words := parser.gets()) is not False:
-                self.commands.append(words)
-                self.by.append(number)
-                reply = self.answer(words)
-                if reply == b"":
-                    writer.close()
-                elif reply:
-                    writer.write(reply)
-                self.news.set()
-        self.ended += 1
-        self.news.set()
-        writer.close()
-
-    async def until(self, true: Callable[[], bool]) -> None:
-        """Wait for something to have come about here."""
-        while not true():
-            self.news.clear()
-            await self.news.wait()
-
-    def entry(self, number: int, **more: Any) -> tuple[ServerEntry, tuple[str, int]]:
-        """An entry of a list for this one, and its address."""
-        return ServerEntry(number, more.pop("zone", "a"), **more), ("127.0.0.1", self.port)
-
-
-async def _read(reader: asyncio.StreamReader) -> bytes:
-    try:
-        return await reader.read(READ)
-    except OSError:
-        return b""
-
-
-class Fault(Enum):
-    """What goes wrong with one command. All but BUSY and HANG_UP have run."""
-
-    SLOW = "slow"  # it takes ``slow_s`` longer
-    SILENT = "silent"  # it runs, and no answer comes
-    RESET = "reset"  # it runs, and the connection is reset in the middle of the answer
-    SPOILT = "spoilt"  # it runs, and what comes can't be read
-    ERROR = "error"
-    BUSY = "busy"
-    HANG_UP = "hang up"  # the connection ends before it is begun
-
-
-Script = Callable[[list[bytes]], Fault | None]
-
-
-def at_random(seed: int, shares: Mapping[Fault, float]) -> Script:
-    """Faults drawn for each command, with these shares; the same seed gives the same faults."""
-    draw = random.Random(seed)
-
-    def script(_: list[bytes]) -> Fault | None:
-        place = draw.random()
-        for fault, share in shares.items():
-            place -= share
-            if place < 0.0:
-                return fault
-        return None
-
-    return script
-
-
-def in_order(faults: Iterable[Fault | None]) -> Script:
-    """These faults one after the other, then none."""
-    rest = iter(faults)
-    return lambda _: next(rest, None)
-
-
-@dataclass(frozen=True, slots=True)
-class Quota:
-    """Units a second."""
-
-    rate: float
-
-
-class Meter:
-    """A customer's use over all nodes, in percent of its quota, in the last finished period."""
-
-    def __init__(self, quotas: Mapping[str, Quota]) -> None:
-        self.quotas = quotas
-        self.period = 0
-        self.now: dict[tuple[str, str], float] = {}
-        self.last: dict[tuple[str, str], float] = {}
-        self.total: dict[tuple[str, str], float] = {}
-        self.seen: OrderedDict[bytes, None] = OrderedDict()
-
-    def _turn(self) -> None:
-        period = int(time.monotonic() / METER_S)
-        if period != self.period:
-            self.last = self.now if period == self.period + 1 else {}
-            self.now, self.period = {}, period
-
-    def count(self, request_id: bytes, plan: str, customer: str, units: float) -> None:
-        """A request has come whole to a node; the first time counts."""
-        self._turn()
-        if request_id in self.seen:
-            return
-        self.seen[request_id] = None
-        if len(self.seen) > MOST_KEYS:
-            self.seen.popitem(last=False)
-        key = (plan, customer)
-        self.now[key] = self.now.get(key, 0.0) + units
-        self.total[key] = self.total.get(key, 0.0) + units
-
-    def used(self, plan: str, customer: str) -> int | None:
-        """Percent of the quota, or None where the plan has none."""
-        self._turn()
-        quota = self.quotas.get(plan)
-        if quota is None or quota.rate <= 0.0:
-            return None
-        return int(100.0 * self.last.get((plan, customer), 0.0) / METER_S / quota.rate)
-
-
 class BoardNode:
     """A node with some cores, a queue, a memory for keys, and faults by a script.
 
@@ -250,7 +114,7 @@
         self.writers.add(writer)
         turn: asyncio.Future[None] | None = None
         mine: set[asyncio.Task[None]] = set()
-        while data := await _read(reader):
+        while data := await read_some(reader):
             await self.mended.wait()
             try:
                 parser.feed(data)
@@ -275,7 +139,7 @@
         turn: asyncio.Future[None],
     ) -> None:
         try:
-            fault = self.script(words) if self.script and _is_call(words) else None
+            fault = self.script(words) if self.script and is_call(words) else None
             reply = await self._reply(words, fault)
             if after:
                 await after
@@ -300,14 +164,14 @@
         if not isinstance(words, list) or not words or not all(isinstance(word, bytes) for word in words):
             return b"-ERR not a command\r\n"
         name = words[0].upper()
-        if _is_call(words):
+        if is_call(words):
             return await self._call(words, fault)
         if name == b"PING":
             return b"+PONG\r\n"
         return b"+OK\r\n" if name in (b"CLIENT", b"SELECT") else b"-ERR unknown command\r\n"
 
     async def _call(self, words: list[bytes], fault: Fault | None) -> bytes:
-        fields = _fields(words)
+        fields = call_fields(words)
         if fields is None:
             return b"-SYNTAX not of the protocol's form\r\n"
         if fault in (Fault.HANG_UP, Fault.BUSY) or self.draining or (
@@ -366,26 +230,3 @@
             if not turn.done():
                 self.busy += 1
                 turn.set_result(None)
-
-
-NEEDED = {"c": r".+", "t": r".+", "d": r"[0-9]+(\.[0-9]+)?", "units": r"[0-9]+(\.[0-9]+)?",
-          "spread": r"[1-9][0-9]*",
-          "first": r"[0-9]+"}
-
-
-def _is_call(words: Any) -> bool:
-    return isinstance(words, list) and bool(words) and words[0] in (b"CALL.GET", b"CALL.POST")
-
-
-def _fields(words: list[bytes]) -> dict[str, str] | None:
-    """The list of names and values, or None where the command is not of the protocol's form."""
-    if len(words) != (5 if words[0] == b"CALL.POST" else 4) or not re.fullmatch(b"[0-9a-fA-F]{16}", words[1]):
-        return None
-    try:
-        pairs = [part.partition("=") for part in words[3].decode("ascii").split(",")]
-    except UnicodeDecodeError:
-        return None
-    fields = {name: value for name, _, value in pairs}
-    good = len(fields) == len(pairs) and all(
-        re.fullmatch(form, fields.get(name, "")) for name, form in NEEDED.items())
-    return fields if good and re.fullmatch(b"[0-9A-Za-z]{1,64}", words[2]) else None
--- a/brackenloft/standins/demo.py
+++ b/brackenloft/standins/demo.py
@@ -8,9 +8,10 @@
 
 from brackenloft import interface as api
 from brackenloft.edge import Edge
-from brackenloft.standins.board import BoardNode, Meter, Quota
+from brackenloft.standins.board import BoardNode
 from brackenloft.standins.discovery import Agent
 from brackenloft.standins.load import Member, Tally, drive
+from brackenloft.standins.meter import Meter, Quota
 
 READ = api.RequestClass("read-board", 2000.0, 5000.0, api.Effect.SAFE, worth=1.0)
 POST = api.RequestClass("post-notice", 1000.0, 3000.0, api.Effect.KEYED, worth=2.0,
--- a/brackenloft/standins/graphql.py
+++ b/brackenloft/standins/graphql.py
@@ -26,7 +26,9 @@
     validate,
 )
 
-from brackenloft.standins.board import KEY_MEMORY_S, MOST_KEYS, Fault, Meter, Script
+from brackenloft.standins.board import KEY_MEMORY_S, MOST_KEYS
+from brackenloft.standins.faults import Fault, Script
+from brackenloft.standins.meter import Meter
 
 USUAL_LIST = 3  # entries of a list that no argument sizes
 SCALARS: dict[str, Any] = {"Int": 7, "Float": 7.5, "String": "text", "ID": "id-7", "Boolean": True}
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -146,10 +146,10 @@
         return await played(replace(BASE, classes=(Share("read", 1.0), Share("post", 1.0), Share("buy", 1.0)),
                                     body=5), lambda _: b"$2\r\nok\r\n")
     gateway, _, _ = uvloop.run(scenario())
-    from brackenloft.standins.board import _fields
+    from brackenloft.standins.call_fields import call_fields
     seen = set()
     for words in gateway.commands:
-        fields = _fields(words)
+        fields = call_fields(words)
         assert fields and fields["d"] == "2000" and fields["spread"] == "3"
         assert ("k" in fields) == (fields["c"] == "post")
         assert (words[0] == b"CALL.POST") == (fields["c"] != "read") == (len(words) == 5)
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -132,7 +132,7 @@
 
 def test_meter_counts_each_request_once_and_tells_the_last_period(monkeypatch):
     now = [100.2]
-    monkeypatch.setattr("brackenloft.standins.board.time.monotonic", lambda: now[0])
+    monkeypatch.setattr("brackenloft.standins.meter.time.monotonic", lambda: now[0])
     meter = Meter({"p": Quota(4.0), "free": Quota(0.0)})
     for number in (1, 1, 2, 3):
         meter.count(b"%d" % number, "p", "c", 2.0)
