A client connection's life as one table of states

Whether commands are still read, whether our side has ended and whether the transport has gone were assigned in seven places of two files. They follow from one state now (net/client_state.py: states, events, FOLLOWS, FACTS), as in lifecycle.py; the two flags that the hot path reads stay attributes, set at a change of state.

--- a/brackenloft/net/client.py
+++ b/brackenloft/net/client.py
@@ -15,6 +15,7 @@
 from brackenloft.net import wire
 from brackenloft.net.call import Call
 from brackenloft.net.client_owner import ClientOwner
+from brackenloft.net.client_state import ConnectionEvent
 from brackenloft.net.kernel import age_s, discard, has_gone, unread
 from brackenloft.net.replies import Replies
 from brackenloft.net.requests import CommandError
@@ -52,7 +53,6 @@
         self.asked = self.errors = 0  # requests so far, and bad commands in a row
         self.spoke = self.tired = False
         self.parting = False  # to be closed as soon as nothing is owed on it
-        self.half_closed = False  # by us, after the last reply; nothing is read any more
         self.within = False  # a part of a command has come, and may be dropped
         self.timer: asyncio.TimerHandle | None = None  # while it lingers
         self.reads: Pace | None = None  # while it is within a command
@@ -63,6 +63,7 @@
         self.clients.opened(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
+        self._happens(ConnectionEvent.LOST)
         self.transport = None
         if self.timer:
             self.timer.cancel()
@@ -78,7 +79,8 @@
 
         What it sent before that is not read any more: nobody waits for it.
         """
-        self.ending, self.reader = True, Commands()
+        self._happens(ConnectionEvent.END)
+        self.reader = Commands()
         self._withdraw()
         if self.transport:
             self.transport.close()
@@ -195,7 +197,7 @@
     def _break(self, why: str) -> None:
         """What can't be read is answered and the connection closed, after the replies before it."""
         log.info("a client is turned away: %s", why)
-        self.ending = True
+        self._happens(ConnectionEvent.END)
         self.hold(-self.reader.left, in_hand=False)
         self.reader = Commands()
         self.clients.sort(self, within=True, took=False)
@@ -280,7 +282,8 @@
     def _refuse(self, why: str) -> None:
         """A bad command: an error, and after many in a row the end."""
         self.errors += 1
-        self.ending = self.ending or self.errors >= MOST_ERRORS
+        if self.errors >= MOST_ERRORS:
+            self._happens(ConnectionEvent.END)
         self._reply(f"-ERR {why}\r\n".encode("ascii", "replace"))
 
     def overdue(self) -> None:
@@ -351,7 +354,7 @@
         if self.transport.get_write_buffer_size():
             self.transport.set_write_buffer_limits(0)  # it tells when the last byte has gone to the kernel
             return
-        self.half_closed = True
+        self._happens(ConnectionEvent.HALF_CLOSE)
         self.transport.write_eof()
         self.timer = self.clients.loop.call_later(LINGER_S, self._linger_no_more)
         self.throttle()
@@ -374,6 +377,6 @@
             return False
         if not self.ending and not self.half_closed and unread(self.socket):
             return False
-        self.ending = True
+        self._happens(ConnectionEvent.END)
         self.transport.abort()
         return True
--- a/brackenloft/net/replies.py
+++ b/brackenloft/net/replies.py
@@ -8,6 +8,7 @@
 
 from brackenloft.admission.rate import Least, Pace
 from brackenloft.net.client_owner import BufferAccount
+from brackenloft.net.client_state import FACTS, FOLLOWS, ConnectionEvent, ConnectionState
 from brackenloft.net.slots import Slot
 from brackenloft.net.streams import Stream
 
@@ -23,7 +24,9 @@
         self.transport: asyncio.Transport | None = None
         self.slots: deque[Slot] = deque()
         self.held = self.in_hand = 0  # bytes in all, and of commands and replies in slots
-        self.ending = self.stuck = self.paused = self.reading = False
+        self.state = ConnectionState.OPEN
+        self.ending = self.half_closed = False  # as FACTS has them for the state
+        self.stuck = self.paused = self.reading = False
         self.writes: Pace | None = None  # while it is stuck
         self.unsent = 0  # bytes of answers that it has not taken, while it is stuck
 
@@ -52,6 +55,12 @@
     def _takes_again(self) -> None:
         raise NotImplementedError
 
+    def _happens(self, event: ConnectionEvent) -> None:
+        """Take an event of the connection's life."""
+        self.state = FOLLOWS[self.state][event]
+        facts = FACTS[self.state]
+        self.ending, self.half_closed = facts.ending, facts.half_closed
+
     # ---- Counting
 
     def hold(self, size: int, in_hand: bool = True) -> None:
@@ -95,7 +104,8 @@
         if stream.failed:
             # The client can tell that it is not whole: the connection ends behind what was passed on.
             stream.abandon()
-            slot.answer, slot.stream, self.ending = b"", None, True
+            slot.answer, slot.stream = b"", None
+            self._happens(ConnectionEvent.END)
             self.transport.close()
             return False
         if slot.answer:
