Protocols of servers in the field's words: ServerProtocol, ReplyReader, ReplyDecoder

`Speech`, `Judge` and two `Readings` are `ServerProtocol`, `ReplyDecoder`, `RespReplyDecoder` and `GraphqlReplyDecoder`; their method is `decode`.

--- a/benchmarks/graphql.py
+++ b/benchmarks/graphql.py
@@ -39,9 +39,9 @@
 from brackenloft.graphql.documents import Documents, digest
 from brackenloft.graphql.front import GraphQLFront, Price
 from brackenloft.graphql.limits import Limits as Bounds
-from brackenloft.graphql.nodes import DOOR, Answers, Readings
+from brackenloft.graphql.nodes import DOOR, Answers, GraphqlReplyDecoder
 from brackenloft.graphql.schema import Priced, load
-from brackenloft.net.server_protocol import Speech
+from brackenloft.net.server_protocol import ServerProtocol
 from brackenloft.standins import BoardNode, Fault, at_random
 from brackenloft.standins.graphql import GraphqlBoard
 
@@ -178,7 +178,8 @@
             settings = replace(SETTINGS, index=index, gateways=self.gateways)
             edge = Edge(settings, Room(200, 64), seed=index).open()
             if self.fronted:
-                edge.open_door(DOOR, Speech(Answers, Readings()), lambda at: (at[0], ports[at[1]]))
+                protocol = ServerProtocol(Answers, GraphqlReplyDecoder())
+                edge.open_door(DOOR, protocol, lambda at: (at[0], ports[at[1]]))
             edge.use([Node(f"b{port}", "127.0.0.1", port) for port in ports])
             self.edges.append(edge)
             if not self.fronted:
--- a/brackenloft/edge/edge.py
+++ b/brackenloft/edge/edge.py
@@ -30,7 +30,7 @@
 from brackenloft.net.discovery import Discovery
 from brackenloft.net.driver import Driver
 from brackenloft.net.resp import LONGEST_VALUE
-from brackenloft.net.server_protocol import Speech
+from brackenloft.net.server_protocol import ServerProtocol
 from brackenloft.net.servers import Servers
 from brackenloft.policy import Gateway
 
@@ -138,12 +138,12 @@
 
     # ---- Servers
 
-    def open_door(self, name: str, speech: Speech, address: Callable[[Address], Address]) -> None:
+    def open_door(self, name: str, protocol: ServerProtocol, address: Callable[[Address], Address]) -> None:
         """Speak to the same servers in another protocol too, at an address made of theirs."""
         self._check_open()
         if name in self.driver.doors:
             raise ValueError(f"the door {name!r} is open already")
-        door = self.driver.doors[name] = Servers(self.settings, self.budget, self.room.held, speech)
+        door = self.driver.doors[name] = Servers(self.settings, self.budget, self.room.held, protocol)
         self._door_address[name] = address
         known = {number: host for number, host in self.servers.hosts.items() if host.ready}
         door.update(
--- a/brackenloft/graphql/config.py
+++ b/brackenloft/graphql/config.py
@@ -15,9 +15,9 @@
 from brackenloft.graphql.documents import Documents
 from brackenloft.graphql.front import GraphQLFront, HeaderCallers, Price
 from brackenloft.graphql.limits import Limits, Turned
-from brackenloft.graphql.nodes import DOOR, Answers, Readings
+from brackenloft.graphql.nodes import DOOR, Answers, GraphqlReplyDecoder
 from brackenloft.graphql.schema import SchemaError, load
-from brackenloft.net.server_protocol import Speech
+from brackenloft.net.server_protocol import ServerProtocol
 
 MOST_FILE = 1024 * 1024  # bytes of a schema or a document
 
@@ -101,6 +101,7 @@
 def front(loaded: Loaded, edge: Edge) -> GraphQLFront:
     """The front of an open edge."""
     offset = loaded.document.port_offset
-    edge.open_door(DOOR, Speech(Answers, Readings()), lambda address: (address[0], address[1] + offset))
+    protocol = ServerProtocol(Answers, GraphqlReplyDecoder())
+    edge.open_door(DOOR, protocol, lambda address: (address[0], address[1] + offset))
     return GraphQLFront(edge, loaded.documents, loaded.document.price, HeaderCallers(loaded.document.plan),
                         loaded.document.path, loaded.document.reading)
--- a/brackenloft/graphql/nodes.py
+++ b/brackenloft/graphql/nodes.py
@@ -130,10 +130,10 @@
         self.whole, self.keeps = True, bool(self.parser.should_keep_alive())
 
 
-class Readings:
+class GraphqlReplyDecoder:
     """What an answer came to. ``parsed`` of a good one is its document."""
 
-    def reply(self, answer: HttpAnswer) -> Reply:
+    def decode(self, answer: HttpAnswer) -> Reply:
         """An answer as the table above has it."""
         if answer.status in FULL_STATUS:
             return Reply(api.Status.FULL)
--- a/brackenloft/net/server_connection.py
+++ b/brackenloft/net/server_connection.py
@@ -20,7 +20,7 @@
 from brackenloft.net.address import Address
 from brackenloft.net.attempt import Attempt, Reply
 from brackenloft.net.resp import ProtocolError
-from brackenloft.net.server_protocol import Speech
+from brackenloft.net.server_protocol import ServerProtocol
 from brackenloft.net.streams import STREAM_FROM, Stream, Streams
 
 log = logging.getLogger(__name__)
@@ -35,7 +35,7 @@
     """What a connection needs of the pool that it belongs to."""
 
     loop: asyncio.AbstractEventLoop
-    speech: Speech
+    protocol: ServerProtocol
     streams: Streams
     connect_timeout_s: float
     tries: int
@@ -89,7 +89,7 @@
         self.transport: asyncio.Transport | None = None
         self.socket: socket.socket | None = None
         self.task: asyncio.Task[None] | None = None
-        self.reader = servers.speech.reader()
+        self.reader = servers.protocol.reader()
         self.held = 0  # bytes of an answer that is not whole yet
         self.handed = False  # the attempt's last byte to the kernel: written whole; never, while it is not
         self.pace: Pace | None = None  # of a command or an answer that is under way for a while
@@ -206,7 +206,7 @@
                 return
             self.pace = None
             self.servers.hold(-self.held, self)
-            reply = self.servers.speech.judge.reply(answer)
+            reply = self.servers.protocol.decoder.decode(answer)
         except ProtocolError as error:
             log.warning("an answer that can't be read: %s: %.60r", error, data[:60])
             self.close(api.Status.ERROR)  # it may have run
--- a/brackenloft/net/server_protocol.py
+++ b/brackenloft/net/server_protocol.py
@@ -1,4 +1,4 @@
-"""What a protocol of servers provides to the connections: a reader of answers, and a judge of each answer."""
+"""What a protocol of servers provides to the connections: a reader of answers, and a decoder of each."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 from brackenloft.net.attempt import Reply
 
 
-class Reader(Protocol):
+class ReplyReader(Protocol):
     """Reads answers from what comes on a connection; ``left``: bytes that are not done with."""
 
     left: int
@@ -27,16 +27,16 @@
         """What of this belongs to that value."""
 
 
-class Judge(Protocol):
-    """Says what an answer came to."""
+class ReplyDecoder(Protocol):
+    """Reads what an answer says of its attempt."""
 
-    def reply(self, answer: Any) -> Reply:
+    def decode(self, answer: Any) -> Reply:
         """An answer, in the decisions' terms."""
 
 
 @dataclass(frozen=True, slots=True)
-class Speech:
-    """A protocol of servers: what is said to them is written elsewhere, by who asks."""
+class ServerProtocol:
+    """A protocol of servers: how answers are read; commands are encoded by whoever starts an attempt."""
 
-    reader: Callable[[], Reader]
-    judge: Judge
+    reader: Callable[[], ReplyReader]
+    decoder: ReplyDecoder
--- a/brackenloft/net/server_replies.py
+++ b/brackenloft/net/server_replies.py
@@ -31,7 +31,7 @@
     return {name: float(number) for name, _, number in (part.partition("=") for part in parts)}
 
 
-class Readings:
+class RespReplyDecoder:
     """Reads what servers answer, figures on use and load reports included.
 
     Figures that can't be read, or can't be, are dropped and the good value is served. Guards against what
@@ -41,7 +41,7 @@
     def __init__(self, load_fields: tuple[str, ...], largest_units: float) -> None:
         self.load_fields, self.most_cost = load_fields, COST_LARGEST * largest_units
 
-    def reply(self, answer: Answer) -> Reply:
+    def decode(self, answer: Answer) -> Reply:
         """An answer as the protocol's table has it."""
         if isinstance(answer, str):
             return self._error(answer)
--- a/brackenloft/net/servers.py
+++ b/brackenloft/net/servers.py
@@ -18,8 +18,8 @@
 from brackenloft.net.bites import Bites
 from brackenloft.net.resp import Answers, ProtocolError
 from brackenloft.net.server_connection import Connection, Host
-from brackenloft.net.server_protocol import Speech
-from brackenloft.net.server_replies import Readings
+from brackenloft.net.server_protocol import ServerProtocol
+from brackenloft.net.server_replies import RespReplyDecoder
 from brackenloft.net.streams import Streams
 
 IDLE_SHARE = 0.4  # of the servers' idle limit after which a connection is retired: well before they do
@@ -38,12 +38,13 @@
     """The servers of discovery's list and all connections to them, bounded over all."""
 
     def __init__(
-        self, settings: api.Settings, budget: Budget, most_held: int, speech: Speech | None = None,
+        self, settings: api.Settings, budget: Budget, most_held: int, protocol: ServerProtocol | None = None,
     ) -> None:
         self.loop = asyncio.get_running_loop()
         self.connect_timeout_s = settings.limits.connect_timeout_ms / 1000.0
         self.idle_limit_s = settings.limits.connection_idle_ms / 1000.0 * IDLE_SHARE
-        self.speech = speech or Speech(Answers, Readings(settings.load_fields, settings.largest_units))
+        decoder = RespReplyDecoder(settings.load_fields, settings.largest_units)
+        self.protocol = protocol or ServerProtocol(Answers, decoder)
         self.budget, self.most_held = budget, most_held
         self.streams = Streams(int(most_held * STREAMS_SHARE))
         self.held = 0  # bytes of answers that are not whole yet
--- a/tests/test_graphql.py
+++ b/tests/test_graphql.py
@@ -26,10 +26,10 @@
 from brackenloft.graphql.documents import Documents, digest
 from brackenloft.graphql.front import GraphQLFront, Price
 from brackenloft.graphql.limits import Limits, Turned
-from brackenloft.graphql.nodes import DOOR, MOST_ANSWER, Answers, HttpAnswer, Readings, command
+from brackenloft.graphql.nodes import DOOR, MOST_ANSWER, Answers, GraphqlReplyDecoder, HttpAnswer, command
 from brackenloft.graphql.schema import load
 from brackenloft.net.resp import ProtocolError
-from brackenloft.net.server_protocol import Speech
+from brackenloft.net.server_protocol import ServerProtocol
 from brackenloft.standins import BoardNode, Fault, in_order
 from brackenloft.standins.graphql import GraphqlBoard
 
@@ -73,7 +73,7 @@
     priced = load(sdl, settings)
     boards = [await GraphqlBoard(priced.schema, script=script, **more).start() for _ in range(nodes)]
     async with Edge(settings, Room(100, 100), seed=1) as edge:
-        edge.open_door(DOOR, Speech(Answers, Readings()), lambda address: address)
+        edge.open_door(DOOR, ServerProtocol(Answers, GraphqlReplyDecoder()), lambda address: address)
         edge.use([Node(f"b{n}", "127.0.0.1", board.port) for n, board in enumerate(boards)])
         documents = Documents(priced, limits or Limits())
         front = GraphQLFront(edge, documents, price or Price(), reading=reading or Reading())
@@ -566,7 +566,7 @@
     (200, "application/json", b"\xff", Status.ERROR),
 ])
 def test_what_an_answer_came_to(status, kind, body, expected):
-    reply = Readings().reply(HttpAnswer(status, kind, body))
+    reply = GraphqlReplyDecoder().decode(HttpAnswer(status, kind, body))
     assert reply.status is expected and (reply.value is not None) is (expected is Status.OK)
 
 
@@ -666,11 +666,12 @@
 def test_a_door_is_opened_once_and_one_that_there_is_not_is_an_error():
     async def test():
         async with world() as made:
+            protocol = ServerProtocol(Answers, GraphqlReplyDecoder())
             with pytest.raises(ValueError, match="open already"):
-                made.edge.open_door(DOOR, Speech(Answers, Readings()), lambda address: address)
+                made.edge.open_door(DOOR, protocol, lambda address: address)
             with pytest.raises(FieldError, match="no such door"):
                 made.edge.begin(Call("read-board", "free", WHO), route=CallRoute("window", lambda *_: b""))
-            made.edge.open_door("late", Speech(Answers, Readings()), lambda address: address)
+            made.edge.open_door("late", protocol, lambda address: address)
             assert made.edge.driver.doors["late"].hosts.keys() == made.edge.servers.hosts.keys()
 
     run(test())
--- a/tests/test_net_servers.py
+++ b/tests/test_net_servers.py
@@ -10,7 +10,7 @@
 from brackenloft import Limits, ListKind, ServerEntry, ServerState, Status
 from brackenloft.net import servers as module
 from brackenloft.net.attempt import Attempt, Reply
-from brackenloft.net.server_replies import Readings
+from brackenloft.net.server_replies import RespReplyDecoder
 
 COMMAND = resp("CALL.GET", "00000000b4d65521", "00000000000000aa", "c=read,t=free,d=10")
 
@@ -72,7 +72,7 @@
 
 
 def test_figures_on_use_and_load_in_answers_and_error_lines():
-    read = Readings(("utilisation", "queue"), 1.0).reply
+    read = RespReplyDecoder(("utilisation", "queue"), 1.0).decode
     assert read([b"v", b"used=37,cost=4", b"inflight=7,queue=2,util=0.61"]) == Reply(
         Status.OK, b"v", 37.0, 4.0, (0.61, 2.0))
     assert read([b"v", None, None]) == Reply(Status.OK, b"v")
