--- a/brackenloft/lab/scale/hollow.py
+++ b/brackenloft/lab/scale/hollow.py
@@ -14,6 +14,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import random
 import sys
 import time
@@ -217,4 +218,5 @@
 
 if __name__ == "__main__":
     control.die_with_parent()
+    gc.disable()  # a pass would go over a hundred gateways' documents, which no real process holds
     uvloop.run(main(sys.argv[1]))
--- a/brackenloft/lab/scale/real_gateway.py
+++ b/brackenloft/lab/scale/real_gateway.py
@@ -29,6 +29,7 @@
 
 NODES = 4
 METRICS_PATH = "/-/metrics"
+CONTROL_FIGURES = "configuration"  # of the second address, where a gateway follows control servers
 NO_SLOPES = Measured(Environment("", 0, 0.0, "", "", "", 0.0), ())
 
 
@@ -73,7 +74,7 @@
                 log = (self.folder / f"{self.name}.log").read_text()
                 raise RuntimeError(f"{self.name} ended: {log[-500:]}") from None
             return False
-        return "control" not in figures or figures["control"]["revision"] > 0
+        return CONTROL_FIGURES not in figures or figures[CONTROL_FIGURES]["revision"] > 0
 
     async def figures(self) -> dict[str, Any]:
         """As its second address tells them."""
@@ -143,7 +144,7 @@
         counts = (await self.links.ask(do="count"))["gateway"]
         listed = counts.get("there", 0) + counts.get("back", 0)
         return found | {
-            "control": figures.get("control"),
+            "control": figures.get(CONTROL_FIGURES),
             "cpu_s": used,
             "list_bytes": listed,
             "at_ms": now_ms(),
--- a/brackenloft/lab/scale/scenario.py
+++ b/brackenloft/lab/scale/scenario.py
@@ -75,7 +75,8 @@
     start_s: float | None = None  # the first time that all gateways began
     storm_from_ms: float = 0.0
     storm_revision: int = 0
-    after_large: dict[str, Any] = field(default_factory=dict)
+    large_revision: int = 0
+    large_s: float | None = None  # from asking for a change of every tenant until all have it in force
     hollow: list[dict[str, Any]] = field(default_factory=list)
     memory_mb: float = 0.0  # of all processes of the run, at most
     server_memory_mb: float = 0.0  # of the largest control server
@@ -240,12 +241,12 @@
         """one change of every tenant"""
         assert self.real
         asked_ms = now_ms()
-        await self.operator.publish(self.document.large)
+        self.observed.large_revision = await self.operator.publish(self.document.large)
         await self._all_at(self.operator.revision)
+        self.observed.large_s = (now_ms() - asked_ms) / 1000.0
         if await self._told_everywhere():
             self.observed.told_everywhere_s = (now_ms() - asked_ms) / 1000.0
-        self.observed.after_large = await self.real.window()
-        self.observed.traffic["large"] = self.observed.after_large
+        self.observed.traffic["large"] = await self.real.window()
         self.observed.traffic["memory"] = self.real.memory()
         await self.real.end()
 
--- a/brackenloft/lab/scale/summary.py
+++ b/brackenloft/lab/scale/summary.py
@@ -5,6 +5,7 @@
 from collections.abc import Sequence
 from typing import Any
 
+from brackenloft.configuration.model import FIRST_REVISION
 from brackenloft.lab.configuration import checkers
 from brackenloft.lab.configuration.events import Event, PublishAnswered, PublishAsked
 from brackenloft.lab.scale.fleet import FleetPlan
@@ -99,9 +100,13 @@
 def beside(plan: FleetPlan, observed: Observed, events: Sequence[Event]) -> dict[str, float | int | None]:
     """What else a run showed, flat."""
     times = in_force_times(events, observed.cuts)
+    small = in_force_times(events, observed.cuts, without=[FIRST_REVISION + 1, observed.large_revision])
     longest = [float(one["longest_slice_ms"]) for one in observed.hollow]
     found: dict[str, float | int | None] = {
         "list_bytes_s": rounded(list_bytes_s(observed)),
+        "in_force_small_s_p99": rounded(percentile(small.times_s, 0.99)),
+        "in_force_small_s_worst": rounded(max(small.times_s, default=None)),
+        "large_change_s": rounded(observed.large_s),
         "in_force_s_p50": rounded(percentile(times.times_s, 0.5)),
         "in_force_pairs": len(times.times_s),
         "in_force_missed": times.missed,
--- a/brackenloft/lab/scale/verdict.py
+++ b/brackenloft/lab/scale/verdict.py
@@ -4,7 +4,7 @@
 
 from bisect import bisect_left
 from collections import defaultdict
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Iterable, Sequence
 from dataclasses import dataclass, field
 from math import ceil, inf
 
@@ -88,10 +88,16 @@
     }
 
 
-def in_force_times(events: Sequence[Event], cuts: Sequence[Cut] = ()) -> InForceTimes:
-    """From the publisher's request to the swap. Where a gateway is cut off then, from the end of the cut."""
+def in_force_times(
+    events: Sequence[Event], cuts: Sequence[Cut] = (), without: Collection[int] = ()
+) -> InForceTimes:
+    """From the publisher's request to the swap. Where a gateway is cut off then, from the end of the cut.
+
+    ``without``: revisions that are left out.
+    """
     runs, times, missed = run_histories(events), [], 0
-    for revision, asked_ms in published_ms(events).items():
+    asked = {revision: at_ms for revision, at_ms in published_ms(events).items() if revision not in without}
+    for revision, asked_ms in asked.items():
         for run in runs.values():
             if run.started_ms > asked_ms or run.ended_ms < asked_ms:
                 continue
--- a/tests/test_scale_runs.py
+++ b/tests/test_scale_runs.py
@@ -85,6 +85,7 @@
         started("a"), started("b"), *published(1, 100.0), in_force("a", 350.0, 1), in_force("b", 1_100.0, 2)
     )  # fmt: skip
     assert verdict.in_force_times(events) == verdict.InForceTimes((0.25, 1.0), 0)
+    assert verdict.in_force_times(events, without=[1]) == verdict.InForceTimes((), 0)
 
 
 def test_a_gateway_that_is_cut_off_has_its_time_from_the_end_of_the_cut() -> None:
