--- a/brackenloft/lab/configuration/mutants.py
+++ b/brackenloft/lab/configuration/mutants.py
@@ -78,9 +78,9 @@
 
     def encode_and_confirm(self: FollowingService, request: FollowRequest, answer: Any) -> bytes:
         if isinstance(answer, Changes):
-            self._roster.confirm(request.follower, answer.records[-1].revision, self._clock_ms())
+            self._enrolment.confirm(request.follower, answer.records[-1].revision)
         elif isinstance(answer, SnapshotOffer):
-            self._roster.confirm(request.follower, answer.revision, self._clock_ms())
+            self._enrolment.confirm(request.follower, answer.revision)
         return encode(self, request, answer)
 
     encode = FollowingService._encode
