Control server: connections are bounded, and descriptors asked for as many

570 gateways hold two connections each: one server that takes all of them in would meet the usual limit of 1,024 descriptors, and connections that send nothing had no bound.

--- a/brackenloft/configuration/server.py
+++ b/brackenloft/configuration/server.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from typing import Any
+from typing import Any, cast
 
 from aiohttp import web
 
@@ -30,11 +30,20 @@
 Handle = Callable[[Any], Awaitable[object]]
 
 
+class _Refusal(asyncio.Protocol):
+    """A connection beyond the bound: it is ended at once."""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        cast(asyncio.Transport, transport).abort()  # of the loop's own type, which need not be a subclass
+
+
 class HttpServer:
     """Routes to handlers. A handler's result is a message, or bytes that are encoded already."""
 
-    def __init__(self, figures: Figures, most_requests: int) -> None:
+    def __init__(self, figures: Figures, most_requests: int, most_connections: int) -> None:
         self._figures, self._most_requests = figures, most_requests
+        self._most_connections = most_connections
+        self._listener: asyncio.Server | None = None
         self._requests = 0
         self._app = web.Application(
             client_max_size=codec.most_encoded_bytes(LONGEST_REQUEST_BYTES), middlewares=[self._bounded]
@@ -80,13 +89,23 @@
     async def start(self, address: Address) -> None:
         """Listen; OSError if that can't be."""
         await self._runner.setup()
-        site = web.TCPSite(self._runner, *address, backlog=BACKLOG)
-        await site.start()
-        host, port = self._runner.addresses[0][:2]
+        loop = asyncio.get_running_loop()
+        self._listener = await loop.create_server(self._accept, *address, backlog=BACKLOG)
+        host, port = self._listener.sockets[0].getsockname()[:2]
         self.address = host, port
 
+    def _accept(self) -> asyncio.BaseProtocol:
+        server = self._runner.server
+        assert server
+        if len(server.connections) >= self._most_connections:
+            self._figures.refused.labels("connections").inc()
+            return _Refusal()
+        return server()
+
     async def close(self) -> None:
         """Take no further requests, and end what is under way within ``SHUTDOWN_S``."""
+        if self._listener:
+            self._listener.close()
         await self._runner.cleanup()
 
     # ---- One request
--- a/brackenloft/configuration/server_config.py
+++ b/brackenloft/configuration/server_config.py
@@ -45,21 +45,23 @@
 class Bounds:
     """What this server takes on at most.
 
-    ``waiting``: long polls at once; ``requests``: requests at once, long polls among them; ``records``: of
-    the log, beyond which a gateway takes a snapshot; ``publish_ms``: from a publish's begin to its answer.
+    ``waiting``: long polls at once; ``requests``: requests at once, long polls among them; ``connections``:
+    of gateways, peers and operators, each of which takes a descriptor; ``records``: of the log, beyond which
+    a gateway takes a snapshot; ``publish_ms``: from a publish's begin to its answer.
     """
 
     snapshots_per_s: float = 20.0
     snapshot_burst: int = 20
     waiting: int = 4096
     requests: int = 8192
+    connections: int = 8192
     records: int = 2000
     publish_ms: float = 8000.0
 
     def __post_init__(self) -> None:
         if not 0.0 < self.snapshots_per_s <= MOST_SNAPSHOTS_PER_S:
             raise ValueError(f"snapshots_per_s: not above 0 and at most {MOST_SNAPSHOTS_PER_S:g}")
-        for key in ("snapshot_burst", "waiting", "requests", "records"):
+        for key in ("snapshot_burst", "waiting", "requests", "connections", "records"):
             if not 1 <= getattr(self, key) <= MOST_COUNT:
                 raise ValueError(f"{key}: not from 1 to {MOST_COUNT}")
         if not 0.0 < self.publish_ms <= MOST_PUBLISH_MS:
--- a/brackenloft/configuration/service.py
+++ b/brackenloft/configuration/service.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import random
+import resource
 import signal
 import sys
 import time
@@ -51,6 +52,7 @@
 METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 HOUSEKEEPING_S = 60.0  # between two looks for runs that have been gone for long
 RECORDS_READ_WITHIN_S = 1.0  # for a peer that knows of a later revision than is known here
+OTHER_DESCRIPTORS = 512  # of peers, stores and files
 WRONG = 2  # exit code for a wrong file or address
 
 
@@ -72,7 +74,7 @@
         self.config, self.clock_ms = config, clock_ms
         self.register = register or FleetRegister(config)
         self.figures = Figures()
-        self.http = HttpServer(self.figures, config.bounds.requests)
+        self.http = HttpServer(self.figures, config.bounds.requests, config.bounds.connections)
         self._dice = random.Random(seed)
         self._recovery: asyncio.Task[None] | None = None
         self._housekeeping: asyncio.Task[None] | None = None
@@ -254,6 +256,17 @@
     await service.close()
 
 
+def raise_descriptor_limit(wanted: int) -> None:
+    """Have as many descriptors as are wanted, as far as the system allows; it is told if they are fewer."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft == resource.RLIM_INFINITY or soft >= wanted:
+        return
+    allowed = wanted if hard == resource.RLIM_INFINITY else min(wanted, hard)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (max(soft, allowed), hard))
+    if allowed < wanted:
+        log.warning("fewer descriptors than connections may take", allowed=allowed, wanted=wanted)
+
+
 def main(path: Path) -> int:
     """Run a control server by its file; the exit code."""
     import uvloop
@@ -265,6 +278,7 @@
         return WRONG
     logging.basicConfig(stream=sys.stderr, level=logging.INFO)
     as_json()
+    raise_descriptor_limit(config.bounds.connections + OTHER_DESCRIPTORS)
     try:
         uvloop.run(serve_until_told(config))
     except OSError as error:
--- a/tests/test_configuration_faults.py
+++ b/tests/test_configuration_faults.py
@@ -1,6 +1,7 @@
 """Control servers whose coordinator dies, whose peers are broken, and whose clients send anything."""
 
 import asyncio
+import contextlib
 import random
 
 import pytest
@@ -380,3 +381,23 @@
             assert isinstance(answer, SnapshotOffer) and answer.revision == 5
 
     run(test())
+
+
+def test_connections_beyond_the_bound_are_ended_at_once(tmp_path):
+    async def test():
+        async with cluster(tmp_path, 1, bounds=Bounds(connections=3)) as servers:
+            held = [await raw(servers, b"", wait=False) for _ in range(3)]
+            http = servers.services[0].http
+            while len(http._runner.server.connections) < 3:
+                await asyncio.sleep(0.01)
+            with contextlib.suppress(ConnectionResetError):
+                assert await raw(servers, head(FOLLOW_PATH, len(GOOD)) + GOOD) == b""
+            held[0][1].close()
+            while len(http._runner.server.connections) > 2:
+                await asyncio.sleep(0.01)
+            answer = await raw(servers, head(FOLLOW_PATH, len(GOOD), "Connection: close\r\n") + GOOD)
+            assert answer.startswith(b"HTTP/1.1 200")
+            for _, writer in held:
+                writer.close()
+
+    run(test())
