--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -55,14 +55,21 @@
         sizes = run.Sizes(f"{RUN_COMMAND} --full", run.FULL, run.FULL_PHASES, run.FULL.gateways)
     else:
         sizes = run.Sizes(RUN_COMMAND, run.SMALL, run.SMALL_PHASES, 0)
-    found = uvloop.run(run.play(sizes, lambda text: print(text, file=sys.stderr, flush=True), keep))
+    found = uvloop.run(run.play(sizes, say, keep))
     figures = msgspec.structs.replace(found.figures, page_differs=differs)
     found = msgspec.structs.replace(found, figures=figures)
     if full:
+        results.store(FULL, found)  # whatever becomes of the plain ways
+        found = msgspec.structs.replace(found, baselines=uvloop.run(run.play_plain_ways(sizes, say)))
         results.store(FULL, found)
     return found
 
 
+def say(text: str) -> None:
+    """How far a run is."""
+    print(text, file=sys.stderr, flush=True)
+
+
 def add_cause(text: str) -> None:
     """Beside a figure of the stored run."""
     name, _, cause = text.partition("=")
--- a/brackenloft/lab/scale/run.py
+++ b/brackenloft/lab/scale/run.py
@@ -1,4 +1,4 @@
-"""A scale run as a whole: played in a folder of its own, summed up, with the plain ways beside it."""
+"""A scale run as a whole, played in a folder of its own and summed up; the plain ways to compare with."""
 
 from __future__ import annotations
 
@@ -12,6 +12,7 @@
 
 from brackenloft.lab.configuration.events import read_events
 from brackenloft.lab.scale import baseline_runs, summary
+from brackenloft.lab.scale.baseline_runs import Baseline
 from brackenloft.lab.scale.fleet import FleetPlan
 from brackenloft.lab.scale.measuring import environment
 from brackenloft.lab.scale.results import ScaleResult
@@ -47,9 +48,14 @@
     figures = summary.figures(sizes.plan, observed, events, where.memory_gb * 1000.0)
     beside = summary.beside(sizes.plan, observed, events)
     beside["published_digest_differs"] = scenario.operator.mismatched
-    baselines = []
+    return ScaleResult(where, figures, beside, {})
+
+
+async def play_plain_ways(sizes: Sizes, say: Callable[[str], None]) -> tuple[Baseline, ...]:
+    """Whole documents, and everything from the stores, with as many gateways."""
+    found = []
     for mode in ("whole", "stores") if sizes.baseline_gateways else ():
         say(f"plain way: {mode}")
         servers = sizes.plan.control_servers
-        baselines.append(await baseline_runs.play(mode, sizes.baseline_gateways, PROCESSES, servers))
-    return ScaleResult(where, figures, beside, {}, tuple(baselines))
+        found.append(await baseline_runs.play(mode, sizes.baseline_gateways, PROCESSES, servers))
+    return tuple(found)
