--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -14,6 +14,7 @@
     formulas,
     markdown,
     page,
+    results,
     samples,
     slopes,
 )
@@ -193,3 +194,29 @@
     assert len({one.name for one in items.tenants}) == 60
     assert all(target.service in services for route in items.routes for target in route.targets)
     assert all(tenant.plan in plans for tenant in items.tenants)
+
+
+# ---- The command
+
+
+def test_a_cause_is_written_beside_a_figure_of_the_stored_run(
+    monkeypatch: pytest.MonkeyPatch, tmp_path: Path
+) -> None:
+    monkeypatch.setattr(capacity, "FULL", tmp_path / "full.json")
+    with pytest.raises(SystemExit):
+        capacity.add_cause("in_force_s_worst=nothing is stored yet")
+    figures = results.ScaleFigures(570, 6, in_force_s_worst=13.0)
+    results.store(capacity.FULL, results.ScaleResult(ENVIRONMENT, figures, {}, {}))
+    for wrong in ("nobody=a text", "in_force_s_worst=", "in_force_s_worst"):
+        with pytest.raises(SystemExit):
+            capacity.add_cause(wrong)
+    capacity.add_cause("in_force_s_worst=the cores = too few")
+    found = results.load(capacity.FULL)
+    assert found is not None and found.causes == {"in_force_s_worst": "the cores = too few"}
+    assert "**missed** | the cores = too few" in page.render(slopes.load(capacity.STORED), found)
+
+
+def test_the_stored_run_names_the_cause_of_each_figure_that_misses() -> None:
+    found = results.load(capacity.FULL)
+    if found is not None:
+        assert results.unexplained(found) == []
