--- a/tests/test_configuration_faults.py
+++ b/tests/test_configuration_faults.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import random
+from unittest.mock import patch
 
 import pytest
 from control_cluster import EMPTY_DIGEST, cluster, document, follower, plans, tenants
@@ -261,7 +262,8 @@
             service = servers.services[0]
             assert not await service.reader.read_since(service.clock_ms(), 0.5)
             assert "went back" in service.reader.reason and service.replica.standing.revision == 2
-            refused = await servers.publish(plans(1, "other"))
+            with patch.object(publisher, "READ_WITHIN_S", 0.3):
+                refused = await servers.publish(plans(1, "other"))
             assert isinstance(refused, Unavailable) and "went back" in refused.reason
 
     run(test())
