--- a/tests/test_configuration_server.py
+++ b/tests/test_configuration_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+from unittest.mock import patch
 
 from control_cluster import EMPTY_DIGEST, cluster, document, follower, plans, tenants
 from fakes import run
