--- a/benchmarks/ordinary.py
+++ b/benchmarks/ordinary.py
@@ -64,7 +64,7 @@
     "net/driver.py": "driver", "net/call.py": "driver", "net/clock.py": "driver", "net/lag.py": "driver",
     "net/timers.py": "timers", "answers.py": "encode",
     "net/attempt.py": "servers", "net/server": "servers", "policy/": "decisions",
-    "interface.py": "decisions", "admission/": "clients", "edge/": "driver"}
+    "interface.py": "decisions", "gateway_types/": "decisions", "admission/": "clients", "edge/": "driver"}
 # These and what they call go by the time that passes, not by the requests: a layer of its own, not compared.
 BY_CLOCK = {"_fire", "_arm", "_on_beat", "_next", "_note", "_sweep", "_look", "_have_rested"}
 SOCKET_CALLS = {
