--- a/brackenloft/configuration/following_service.py
+++ b/brackenloft/configuration/following_service.py
@@ -143,7 +143,7 @@
     check_follower(request.follower)
     if not 0 <= request.in_force <= MOST_REVISION:
         raise BadRequest(f"in_force: {request.in_force} is no revision")
-    if request.digest and len(request.digest) != DIGEST_BYTES:
+    if len(request.digest) != DIGEST_BYTES:
         raise BadRequest(f"digest: {len(request.digest)} bytes")
 
 
--- a/brackenloft/configuration/messages.py
+++ b/brackenloft/configuration/messages.py
@@ -40,8 +40,8 @@
 class FollowRequest(msgspec.Struct, frozen=True):
     """A gateway tells what it has in force and asks for what comes after it, waiting ``wait_ms`` at most.
 
-    ``digest`` is that of the document in force; a control server whose record differs answers a snapshot. An
-    empty one asks for a snapshot.
+    ``digest`` is that of the document in force; a control server whose record differs answers a snapshot.
+    One of zeros asks for a snapshot.
     """
 
     follower: Follower
--- a/tests/test_configuration_snapshot_request.py
+++ b/tests/test_configuration_snapshot_request.py
@@ -39,6 +39,6 @@
     core = Following(FOLLOWER, [Endpoint("c0", "north")], Position(0, empty.digest, empty.bucket_digests))
     request = next_call(core, 0.0)[0].request
     following_service.check(request)
-    for digest in (b"1", bytes(15), bytes(17)):
+    for digest in (b"", b"1", bytes(15), bytes(17)):
         with pytest.raises(following_service.BadRequest):
             following_service.check(msgspec.structs.replace(request, digest=digest))
