--- a/tests/control_operator.py
+++ b/tests/control_operator.py
@@ -132,3 +132,9 @@
 
 def reply(message: object) -> web.Response:
     return web.Response(body=codec.encode(message))
+
+
+def confirmed(
+    gateway: int, in_force: int, region: str = "north", silent_ms: float = 10.0, **more
+) -> Confirmation:
+    return Confirmation(Follower(f"g{gateway}", f"run{gateway}", 1, region), in_force, silent_ms, **more)
