Servers at numeric addresses are connected to without a name look-up in a thread

Where that thread gets no processor within connect_timeout_ms the server is blamed before connect(2) was called, and with one server the request ends as -BUSY, never sent.

Change: connect_ex and a writer on the loop for numeric hosts; names are looked up as before. Four tests that delayed connects by a wrapped loop now wrap Servers.connect and want the same.

--- a/brackenloft/net/server_connection.py
+++ b/brackenloft/net/server_connection.py
@@ -11,7 +11,7 @@
 import socket
 import time
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from typing import Protocol, cast
 
@@ -35,6 +35,7 @@
     """What a connection needs of the pool that it belongs to."""
 
     loop: asyncio.AbstractEventLoop
+    connect: Callable[[socket.socket, Address], Awaitable[None]]
     protocol: ServerProtocol
     streams: Streams
     connect_timeout_s: float
@@ -116,7 +117,7 @@
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVES)
             try:
                 async with asyncio.timeout(self.servers.connect_timeout_s):
-                    await loop.sock_connect(sock, self.host.address)
+                    await self.servers.connect(sock, self.host.address)
             except TimeoutError:
                 if not _is_up(sock):
                     raise
--- a/brackenloft/net/servers.py
+++ b/brackenloft/net/servers.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import time
 from bisect import bisect_right
 from collections import deque
-from collections.abc import Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from contextlib import suppress
+from functools import partial
 
 from brackenloft import interface as api
 from brackenloft.admission.budget import Budget, Side
@@ -16,6 +18,7 @@
 from brackenloft.net.address import Address
 from brackenloft.net.attempt import Attempt, Reply
 from brackenloft.net.bites import Bites
+from brackenloft.net.connecting import connect
 from brackenloft.net.resp import Answers, ProtocolError
 from brackenloft.net.server_connection import Connection, Host
 from brackenloft.net.server_protocol import ServerProtocol
@@ -41,6 +44,7 @@
         self, settings: api.Settings, budget: Budget, most_held: int, protocol: ServerProtocol | None = None,
     ) -> None:
         self.loop = asyncio.get_running_loop()
+        self.connect: Callable[[socket.socket, Address], Awaitable[None]] = partial(connect, self.loop)
         self.connect_timeout_s = settings.limits.connect_timeout_ms / 1000.0
         self.idle_limit_s = settings.limits.connection_idle_ms / 1000.0 * IDLE_SHARE
         decoder = RespReplyDecoder(settings.load_fields, settings.largest_units)
--- a/tests/test_crossings_held_up.py
+++ b/tests/test_crossings_held_up.py
@@ -135,17 +135,13 @@
 
 def late(servers, up):
     """Connects come up when ``up`` is set."""
-    connect = servers.loop.sock_connect
+    connect = servers.connect
 
-    class Loop:
-        def __getattr__(self, name):
-            return getattr(loop, name)
+    async def connect_late(sock, address):
+        await up.wait()
+        await connect(sock, address)
 
-        async def sock_connect(self, sock, address):
-            await up.wait()
-            await connect(sock, address)
-
-    loop, servers.loop = servers.loop, Loop()
+    servers.connect = connect_late
 
 
 class Clockwork:
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -410,26 +410,23 @@
     run(test())
 
 
-class DeafLoop:
-    """A loop that is held up whenever a connection has come up, until its time is over."""
+def hold_up_connects(servers):
+    """The loop is held up whenever a connection has come up, until its time is over."""
+    connect = servers.connect
 
-    def __init__(self, loop):
-        self.loop = loop
-
-    def __getattr__(self, name):
-        return getattr(self.loop, name)
-
-    async def sock_connect(self, sock, address):
-        await self.loop.sock_connect(sock, address)
+    async def connect_held_up(sock, address):
+        await connect(sock, address)
         await asyncio.Event().wait()
 
+    servers.connect = connect_held_up
+
 
 def test_connection_that_came_up_while_the_loop_was_held_up_is_not_a_failed_one():
     async def test():
         server = await FakeServer().start()
         async with node(limits=Limits(max_attempts=1, connect_timeout_ms=50.0)) as gateway:
             gateway.told(server.entry(1))
-            gateway.servers.loop = DeafLoop(gateway.servers.loop)
+            hold_up_connects(gateway.servers)
             assert isinstance(await gateway.edge.call(BUY), Served)
             clean(gateway.edge)
 
--- a/tests/test_net_departures.py
+++ b/tests/test_net_departures.py
@@ -79,17 +79,13 @@
 
 def late(servers, up):
     """Connects come up when ``up`` is set."""
-    connect = servers.loop.sock_connect
+    connect = servers.connect
 
-    class Loop:
-        def __getattr__(self, name):
-            return getattr(loop, name)
+    async def connect_late(sock, address):
+        await up.wait()
+        await connect(sock, address)
 
-        async def sock_connect(self, sock, address):
-            await up.wait()
-            await connect(sock, address)
-
-    loop, servers.loop = servers.loop, Loop()
+    servers.connect = connect_late
 
 
 def test_request_that_was_answered_is_not_sent_on_a_connection_that_comes_up_after_that():
--- a/tests/test_net_slow.py
+++ b/tests/test_net_slow.py
@@ -351,18 +351,15 @@
     return listener
 
 
-class SmallLoop:
-    """A loop whose connections keep little in the kernel, so that what a node does not take shows here."""
+def keep_little(servers):
+    """Connections keep little in the kernel, so that what a node does not take shows here."""
+    connect = servers.connect
 
-    def __init__(self, loop):
-        self.loop = loop
-
-    def __getattr__(self, name):
-        return getattr(self.loop, name)
-
-    async def sock_connect(self, sock, address):
+    async def connect_small(sock, address):
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
-        await self.loop.sock_connect(sock, address)
+        await connect(sock, address)
+
+    servers.connect = connect_small
 
 
 def test_node_that_never_reads_was_never_sent_the_command_and_another_takes_it():
@@ -370,7 +367,7 @@
         listener, other = await deaf_node(), await FakeServer().start()
         async with node() as gateway:
             deaf = replace(other.entry(1)[0], server=1), listener.getsockname()
-            gateway.servers.loop = SmallLoop(gateway.servers.loop)
+            keep_little(gateway.servers)
             gateway.told(deaf)
             peer = await gateway.peer()
             body = b"x" * 1_000_000
@@ -388,7 +385,7 @@
     async def test():
         listener = await deaf_node()
         async with node() as gateway:
-            gateway.servers.loop = SmallLoop(gateway.servers.loop)
+            keep_little(gateway.servers)
             gateway.told((ServerEntry(1, "a"), listener.getsockname()))
             ends = Ends()
             attempt = ends.attempt(resp("CALL.POST", "x", "y", "z", b"x" * 1_000_000))
