--- a/brackenloft/policy/gateway.py
+++ b/brackenloft/policy/gateway.py
@@ -6,8 +6,7 @@
   _send        an attempt goes out; its server, its customer and the budgets are charged
   _on_outcome  health is judged, the meter read; a failed attempt is sent again or answered
   _answer      refused where a retry is proven harmless, else failed; once, before the deadline
-Parked requests are tried again whenever an attempt ends or the list of servers changes. What may happen in
-which state of a request is told by the tables of attempts.py.
+Parked requests are tried again when an attempt ends or the list changes; states are tables in attempts.py.
 """
 
 from __future__ import annotations
@@ -40,15 +39,13 @@
         self.terms = {(kind.name, plan.name): Terms(kind, plan)
                       for kind in settings.classes for plan in settings.plans}
         self.kinds = {kind.name: kind for kind in settings.classes}
-        self.plan_of: Callable[[str], str] | None = None  # where the customer's name tells its plan
         self.meter = Meter(settings)
         self.fleet = Fleet(settings, self.random, self._log_once)
         self.flights: dict[str, Flight] = {}
         self.parked = Parked(self._value)
         self.crowd = Crowd()
         self.timers: dict[int, tuple[Callable[[Any], None], Any]] = {}
-        self.tokens, self.now, self.ends_at = 0, -inf, inf
-        self.retries = RETRY_STORE
+        self.tokens, self.retries, self.now, self.ends_at = 0, RETRY_STORE, -inf, inf
         self.logged: set[str] = set()
         self.actions: list[api.Action] = []
         self.handlers: dict[type, Callable[[Any], None]] = {
@@ -71,25 +68,20 @@
 
     def allowance(self, plan_name: str, customer_name: str, width: int = 1) -> api.Allowance:
         """What a customer could have now; changes nothing. KeyError: there is no such plan."""
-        return self.meter.allowance(self._plan_name(customer_name, plan_name), customer_name, width, self.now)
+        return self.meter.allowance(plan_name, customer_name, width, self.now)
 
-    # ---- Plans
+    # ---- Requests in
 
     def _on_plans(self, event: api.PlansChanged) -> None:
         """At once, however many: terms and customers follow as they are met."""
-        self.meter.plans, self.plan_of, self.terms = event.plans, event.plan_of, {}
-
-    def _plan_name(self, customer: str, named: str) -> str:
-        return self.plan_of and self.plan_of(customer) or named
+        self.meter.plans, self.meter.plan_of, self.terms = event.plans, event.plan_of, {}
 
     def _terms(self, event: api.Request) -> Terms | None:
-        key = name, plan_name = event.class_name, self._plan_name(event.customer, event.plan)
+        key = name, plan_name = event.class_name, self.meter.plan_name(event.customer, event.plan)
         if key not in self.terms and name in self.kinds and plan_name in self.meter.plans:
             self.terms[key] = Terms(self.kinds[name], self.meter.plans[plan_name])
         return self.terms.get(key)
 
-    # ---- Requests in
-
     def _on_request(self, event: api.Request) -> None:
         terms = self._terms(event)
         if event.request_id in self.flights:
@@ -147,9 +139,8 @@
     def _release(self, flight: Flight) -> None:
         """First send: within the in-flight cap and the ceiling, to a server; else parked until it may go."""
         customer, meter = flight.customer, self.meter
-        if self.plan_of:
-            name = self._plan_name(flight.request.customer, flight.request.plan)
-            meter.adapt(customer, meter.plans.get(name, customer.plan), self.now)
+        if meter.plan_of:
+            meter.renew(customer, flight.request, self.now)
         plan = customer.plan
         wait = meter.ceiling_wait(customer, plan, flight.request.charge, self.now)
         if wait >= flight.deadline - self.now:
--- a/brackenloft/policy/meter.py
+++ b/brackenloft/policy/meter.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from math import exp, inf
 
 from brackenloft.interface import Allowance, Plan, Reading, Request, RequestClass, Settings
@@ -51,6 +51,7 @@
         self.limits, self.gateways = settings.limits, settings.gateways
         self.news_ms = NEWS_PERIODS * settings.meter_period_ms
         self.plans: Mapping[str, Plan] = {item.name: item for item in settings.plans}
+        self.plan_of: Callable[[str], str] | None = None  # where the customer's name tells its plan
         self.customers: dict[tuple[str, str], Customer] = {}
         self.joint = settings.plans_change  # customers are kept under their names alone
         self.started_at = inf
@@ -60,6 +61,10 @@
 
     # ---- Customers
 
+    def plan_name(self, customer_name: str, named: str) -> str:
+        """The plan in force for a customer; ``named``: the one that its request names."""
+        return self.plan_of and self.plan_of(customer_name) or named
+
     def key(self, plan_name: str, customer_name: str) -> tuple[str, str]:
         """What a customer is kept under."""
         return ("" if self.joint else plan_name, customer_name)
@@ -97,6 +102,10 @@
         customer.ceiling = plan.ceiling_burst / customer.width - owed if refill else 0.0
         customer.ceiling_at, customer.plan = now, plan
 
+    def renew(self, customer: Customer, event: Request, now: float) -> None:
+        """Keep a customer by its plan now in force, if there is one."""
+        self.adapt(customer, self.plans.get(self.plan_name(event.customer, event.plan), customer.plan), now)
+
     def _forget(self, current: Customer, now: float) -> None:
         """Keeps the state bounded: each request brings one customer at most and may take two away.
 
@@ -268,7 +277,7 @@
 
     def allowance(self, plan_name: str, customer_name: str, width: int, now: float) -> Allowance:
         """What a customer could have now; changes nothing. KeyError: there is no such plan."""
-        plan = self.plans[plan_name]
+        plan = self.plans[plan_name := self.plan_name(customer_name, plan_name)]
         if not plan.rate:
             return Allowance(0.0, 0.0, 0.0, 0.0)
         if (customer := self.customers.get(self.key(plan_name, customer_name))) is None:
