--- a/.ci/known_red.py
+++ b/.ci/known_red.py
@@ -31,8 +31,11 @@
 
 
 def _names(path: Path) -> set[str]:
-    return {node.name for node in ast.parse(path.read_text()).body
-            if isinstance(node, ast.FunctionDef) and node.name.startswith("test_")}
+    return {
+        node.name
+        for node in ast.parse(path.read_text()).body
+        if isinstance(node, ast.FunctionDef) and node.name.startswith("test_")
+    }
 
 
 def main(path: Path) -> int:
--- a/benchmarks/counter.py
+++ b/benchmarks/counter.py
@@ -44,8 +44,11 @@
 
 def percent(rig: Rig) -> tuple[float, float, float]:
     """Overshoot, and the lost of who stays and of who moves."""
-    return (100.0 * max(rig.overshoot(name) for name in FAR), 100.0 * max(rig.lost(name) for name in STAY),
-            100.0 * rig.lost("moving"))
+    return (
+        100.0 * max(rig.overshoot(name) for name in FAR),
+        100.0 * max(rig.lost(name) for name in STAY),
+        100.0 * rig.lost("moving"),
+    )
 
 
 def one(what: tuple[str, Way, int]) -> tuple[str, Way, tuple[float, float, float]]:
@@ -102,8 +105,12 @@
 
 def costs() -> tuple[float, float]:
     """CPU per request with the counter over without, and round trips per request."""
-    child = subprocess.Popen([sys.executable, "-m", "benchmarks.counter", "--serve"],
-                             stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True)
+    child = subprocess.Popen(
+        [sys.executable, "-m", "benchmarks.counter", "--serve"],
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+        text=True,
+    )
     assert child.stdout and child.stdin
     port = int(child.stdout.readline())
     ratios, requests, trips = [], 0, 0
@@ -146,7 +153,9 @@
     asking = [
         client("far", 40.0, lambda now: random.randrange(3)),
         client("shifting", 40.0, lambda now: int(now / 5.0) % 3),
-        client("one", 6.0, lambda now: 0), client("spread", 6.0, lambda now: random.randrange(3))]
+        client("one", 6.0, lambda now: 0),
+        client("spread", 6.0, lambda now: random.randrange(3)),
+    ]
     await asyncio.gather(*asking, befalls(event, counters))
     for each in counting:
         await each.close()
@@ -155,8 +164,10 @@
     for counter in counters:
         counter.kill()
     whole = plan.rate * MINUTE_S
-    return {name: 100.0 * (one.most / whole if name in ("far", "shifting") else one.lost / max(1, one.inside))
-            for name, one in tried.items()}
+    return {
+        name: 100.0 * (one.most / whole if name in ("far", "shifting") else one.lost / max(1, one.inside))
+        for name, one in tried.items()
+    }
 
 
 async def befalls(event: str, counters: list[Counter]) -> None:
@@ -186,15 +197,22 @@
     """A minute of each event, beside each other; the last line is JSON."""
     events = ("none", "killed", "hangs", "split", "swapped")
     words = [sys.executable, "-m", "benchmarks.counter", "--minute"]
-    children = {event: subprocess.Popen([*words, event], stdout=subprocess.PIPE, text=True)
-                for event in events}
-    found = {event: json.loads(child.communicate()[0].splitlines()[-1])
-             for event, child in children.items()}
+    children = {
+        event: subprocess.Popen([*words, event], stdout=subprocess.PIPE, text=True) for event in events
+    }
+    found = {event: json.loads(child.communicate()[0].splitlines()[-1]) for event, child in children.items()}
     for event, each in found.items():
         print(f"{event:8} " + "  ".join(f"{name} {value:5.1f}" for name, value in each.items()))
-    print(json.dumps({
-        "overshoot_percent_max": round(max(max(e["far"], e["shifting"]) for e in found.values()), 1),
-        "within_quota_lost_percent_max": round(max(max(e["one"], e["spread"]) for e in found.values()), 1)}))
+    print(
+        json.dumps(
+            {
+                "overshoot_percent_max": round(max(max(e["far"], e["shifting"]) for e in found.values()), 1),
+                "within_quota_lost_percent_max": round(
+                    max(max(e["one"], e["spread"]) for e in found.values()), 1
+                ),
+            }
+        )
+    )
 
 
 def main() -> None:
@@ -216,15 +234,20 @@
         print(f"{event:16} " + "  ".join(f"{a:6.1f} {b:6.1f} {c:6.1f} " for a, b, c in cells))
     cpu, trips = costs()
     ours = [worst[event, Way.OURS] for event in EVENTS]
-    print(json.dumps({
-        "overshoot_percent_max": round(max(cell[0] for cell in ours), 1),
-        "within_quota_lost_percent_max": round(max(cell[1] for cell in ours), 1),
-        "moving_lost_percent_max": round(max(cell[2] for cell in ours), 1),
-        "plain_overshoot_percent": round(max(worst[event, Way.OPEN][0] for event in EVENTS), 1),
-        "plain_lost_percent": round(max(worst[event, Way.CLOSED][1] for event in EVENTS), 1),
-        "floor_lost_percent": round(max(worst[event, Way.FLOOR][1] for event in EVENTS), 1),
-        "round_trips_per_request": round(trips, 5), "added_cpu_ratio": round(cpu, 3),
-    }))
+    print(
+        json.dumps(
+            {
+                "overshoot_percent_max": round(max(cell[0] for cell in ours), 1),
+                "within_quota_lost_percent_max": round(max(cell[1] for cell in ours), 1),
+                "moving_lost_percent_max": round(max(cell[2] for cell in ours), 1),
+                "plain_overshoot_percent": round(max(worst[event, Way.OPEN][0] for event in EVENTS), 1),
+                "plain_lost_percent": round(max(worst[event, Way.CLOSED][1] for event in EVENTS), 1),
+                "floor_lost_percent": round(max(worst[event, Way.FLOOR][1] for event in EVENTS), 1),
+                "round_trips_per_request": round(trips, 5),
+                "added_cpu_ratio": round(cpu, 3),
+            }
+        )
+    )
 
 
 if __name__ == "__main__":
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -73,7 +73,10 @@
 
 
 def _old_again(
-    self: Gateway, flight: attempts.Flight, status: Status, attempt: tuple[servers.Server, float],
+    self: Gateway,
+    flight: attempts.Flight,
+    status: Status,
+    attempt: tuple[servers.Server, float],
 ) -> None:
     if status is Status.CONNECT_FAILED:
         self.retries -= 1.0  # takes back what is given there
@@ -85,9 +88,13 @@
     """The rules before the large fleet, within this block."""
     with contextlib.ExitStack() as stack:
         for place, name, value in (
-            (meter, "FEW", 0.0), (servers, "FIRST_LIMIT", 6.0), (servers, "COLD_PULL", 1.0),
-            (servers.Fleet, "cut", lambda self: None), (servers.Fleet, "_share_out", _old_shares),
-            (servers.Fleet, "_cold_turn", _old_turn), (Gateway, "_again", _old_again),
+            (meter, "FEW", 0.0),
+            (servers, "FIRST_LIMIT", 6.0),
+            (servers, "COLD_PULL", 1.0),
+            (servers.Fleet, "cut", lambda self: None),
+            (servers.Fleet, "_share_out", _old_shares),
+            (servers.Fleet, "_cold_turn", _old_turn),
+            (Gateway, "_again", _old_again),
         ):
             stack.enter_context(mock.patch.object(place, name, value))
         yield
@@ -130,9 +137,12 @@
         world.run()
     figures = world.oracle.figures()
     row = {key: figures[key] for key in MEANS} | {
-        "rules": float(sum(world.oracle.rules.values())), "cold": worst[0], "errors": float(count["error"]),
+        "rules": float(sum(world.oracle.rules.values())),
+        "cold": worst[0],
+        "errors": float(count["error"]),
         "attempts": float(sum(count.values())),
-        "connects": float(max(world.connects.values())), "lists": float(max(world.list_reads.values())),
+        "connects": float(max(world.connects.values())),
+        "lists": float(max(world.list_reads.values())),
     }
     return Played(row, world.day)
 
@@ -161,10 +171,13 @@
 
     counting = nodes.Node._count
     fleet = msgspec.structs.replace(
-        experiment.gateways, count=gateways, width=min(experiment.gateways.width, gateways))
+        experiment.gateways, count=gateways, width=min(experiment.gateways.width, gateways)
+    )
     faults = [
-        *experiment.faults, spec.Fault(kind="late_lists", at_ms=2000, for_ms=8000, size=3000),
-        spec.Fault(kind="gateway_crash", at_ms=9000, on=tuple(range(gateways * 7 // 10)))]
+        *experiment.faults,
+        spec.Fault(kind="late_lists", at_ms=2000, for_ms=8000, size=3000),
+        spec.Fault(kind="gateway_crash", at_ms=9000, on=tuple(range(gateways * 7 // 10))),
+    ]
     with mock.patch.object(nodes.Node, "_count", counted):
         World(msgspec.structs.replace(experiment, gateways=fleet, faults=faults), Gateway, seed).run()
     return len(fallen), most[0]
@@ -175,8 +188,10 @@
     with ProcessPoolExecutor() as pool:
         for gateways in COLD_FLEETS:
             played = list(pool.map(cold_falls, [gateways] * seeds, range(1, seeds + 1)))
-            print(f"{gateways} gateways, {seeds} seeds: {sum(falls for falls, _ in played)} cold nodes fell, "
-                  f"the most that one was sent is {max(most for _, most in played):.3f} of its allowance")
+            print(
+                f"{gateways} gateways, {seeds} seeds: {sum(falls for falls, _ in played)} cold nodes fell, "
+                f"the most that one was sent is {max(most for _, most in played):.3f} of its allowance"
+            )
 
 
 async def idle_ms(root: Path) -> float:
@@ -224,6 +239,7 @@
 
 async def sent_for_gone(watching: bool) -> int:
     """Requests that are sent on for clients that left while these waited and nobody read them."""
+
     def silent(words: list[bytes]) -> bytes | None:
         return None if len(node.commands) == 1 else array(words[2])
 
@@ -263,7 +279,8 @@
     """Who is sent on for nobody, beside a program that is blind to who is not read."""
     return {
         "sent_for_gone_late": uvloop.run(sent_for_gone(True)),
-        "sent_for_gone_late_unwatched": uvloop.run(sent_for_gone(False))}
+        "sent_for_gone_late_unwatched": uvloop.run(sent_for_gone(False)),
+    }
 
 
 class Runs:
@@ -277,7 +294,9 @@
             mass_stood = pool.submit(play, "mass_herd", 1, False)
             events = {
                 (name, ours): [pool.submit(play, name, seed, ours) for seed in seeds]
-                for name in EVENTS for ours in (False, True)}
+                for name in EVENTS
+                for ours in (False, True)
+            }
             falls = {count: [pool.submit(cold_falls, count, seed) for seed in seeds] for count in COLD_FLEETS}
             told = pool.submit(told_s_max)
         self.mass = {name: each.result() for name, each in mass.items()}
@@ -305,8 +324,7 @@
     print(f"{'':12}{'':9}" + "".join(f"{key:>19}" for key in SHOWN))
     for (name, ours), rows in runs.events.items():
         mean = {key: sum(row[key] for row in rows) / len(rows) for key in rows[0]}
-        print(f"{name:12}{'ours' if ours else 'as stood':9}"
-              + "".join(f"{mean[key]:19.3f}" for key in SHOWN))
+        print(f"{name:12}{'ours' if ours else 'as stood':9}" + "".join(f"{mean[key]:19.3f}" for key in SHOWN))
     for name, played in runs.mass.items():
         print(f"{name:12}{'ours':9}" + "".join(f"{played.row[key]:19.3f}" for key in SHOWN))
 
@@ -320,11 +338,13 @@
         return round(sum(row[key] for row in ours) / max(1e-9, sum(row[key] for row in stood)), 3)
 
     return {
-        "served_ratio": ratio("served_share"), "net_ratio": ratio("net"),
+        "served_ratio": ratio("served_share"),
+        "net_ratio": ratio("net"),
         "cold_overload_max": round(max(row["cold"] for row in ours), 3),
         "bad_server_attempts_ratio": round(ratio("errors") / ratio("attempts"), 3),
         "rules_broken": int(sum(row["rules"] for row in ours + mass)),
-        "peak_connects_ratio": ratio("connects"), "peak_list_reads_ratio": ratio("lists"),
+        "peak_connects_ratio": ratio("connects"),
+        "peak_list_reads_ratio": ratio("lists"),
         "peak_connects_ratio_200": round(herd["connects"] / runs.mass_stood["connects"], 3),
         "peak_list_reads_ratio_200": round(herd["lists"] / runs.mass_stood["lists"], 3),
         "beyond_quota_200": round(sum(row["beyond_quota"] for row in mass) / len(mass), 3),
@@ -336,7 +356,8 @@
 
 def main() -> None:
     parser = argparse.ArgumentParser(
-        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
     parser.add_argument("--long", action="store_true")
     parser.add_argument("--cold", type=int, metavar="SEEDS", help="cold nodes alone, over so many seeds")
     options = parser.parse_args()
--- a/benchmarks/graphql.py
+++ b/benchmarks/graphql.py
@@ -45,20 +45,32 @@
 from brackenloft.standins import BoardNode, Fault, at_random
 from brackenloft.standins.graphql import GraphqlBoard
 
-SDL = (Path(__file__).parent.parent / "deploy" / "board.graphql").read_text().replace(
-    "type Query {", 'type Query { slow(x: Int): Board @call(class: "read-slow")')
+SDL = (
+    (Path(__file__).parent.parent / "deploy" / "board.graphql")
+    .read_text()
+    .replace("type Query {", 'type Query { slow(x: Int): Board @call(class: "read-slow")')
+)
 CLASSES = (
     RequestClass("read-board", 1000.0, 2000.0, Effect.SAFE),
     RequestClass("read-slow", 1000.0, 2000.0, Effect.SAFE),
     RequestClass("post-notice", 1000.0, 2000.0, Effect.KEYED, key_scope=KeyScope.ALL, key_memory_ms=6000.0),
-    RequestClass("buy-highlight", 1000.0, 2000.0, Effect.UNSAFE))
+    RequestClass("buy-highlight", 1000.0, 2000.0, Effect.UNSAFE),
+)
 WHOLE_QUOTA = 1e6  # units at once, and next to none a second: what is charged stays in the bucket
 SETTINGS = Settings(
-    gateways=2, index=0, zone="a", classes=CLASSES,
+    gateways=2,
+    index=0,
+    zone="a",
+    classes=CLASSES,
     plans=(Plan("free"), Plan("vast", rate=1e-6, burst=WHOLE_QUOTA), Plan("small", rate=1e-6, burst=150.0)),
     limits=Limits(max_attempts=3, can_cancel=True, connect_timeout_ms=500.0),
-    contract=Contract(8.0, 1000.0, 0.2, 10_000.0, 3.0, 2000.0, 10_000.0), largest_units=100.0, settles=True,
-    load_fields=("utilisation", "queue"), meter_period_ms=1000.0, tick_ms=2.0)
+    contract=Contract(8.0, 1000.0, 0.2, 10_000.0, 3.0, 2000.0, 10_000.0),
+    largest_units=100.0,
+    settles=True,
+    load_fields=("utilisation", "queue"),
+    meter_period_ms=1000.0,
+    tick_ms=2.0,
+)
 TYPICAL = """query Board($n: Int = 5, $with: Boolean = true) {
   boards(first: $n) { id title owner { name } ...Lights edits(first: 3) @include(if: $with) { count
     nodes { id text by { name } } } }
@@ -108,7 +120,8 @@
         "cold_ms": least_ms(lambda: plan_it(plans.prepare(TYPICAL, priced, bounds)), 20),
         "cached_ms": least_ms(lambda: plan_it(documents.of(TYPICAL, None))),
         "persisted_ms": least_ms(lambda: plan_it(documents.named(name))),
-        "cost_ms": least_ms(cost)}
+        "cost_ms": least_ms(cost),
+    }
 
 
 # ---- Nodes in a process of their own, which say the same to everything
@@ -126,8 +139,10 @@
 
 SMALL = "{ board(id: 1) { id title } }"
 BODY = b'{"data":{"board":{"id":"id-7","title":"text"}}}'
-CANNED = (b"HTTP/1.1 200 OK\r\nContent-Type: application/graphql-response+json\r\n"
-          b"Content-Length: %d\r\n\r\n%b" % (len(BODY), BODY))
+CANNED = (
+    b"HTTP/1.1 200 OK\r\nContent-Type: application/graphql-response+json\r\n"
+    b"Content-Length: %d\r\n\r\n%b" % (len(BODY), BODY)
+)
 
 
 async def nodes(count: int) -> None:
@@ -161,13 +176,18 @@
         """Start with nodes that work and fail by a script, in this process."""
         self.plain = [await BoardNode(f"b{n}", work_s=0.0, script=script).start() for n in range(number)]
         self.graph = [await GraphqlBoard(self.priced.schema, script=script).start() for _ in range(number)]
-        return self._open([(board.port, graph.port)
-                           for board, graph in zip(self.plain, self.graph, strict=True)])
+        return self._open(
+            [(board.port, graph.port) for board, graph in zip(self.plain, self.graph, strict=True)]
+        )
 
     def open_away(self, number: int) -> World:
         """Start with nodes in a process of their own."""
-        self.away = subprocess.Popen([sys.executable, "-m", "benchmarks.graphql", "--nodes", str(number)],
-                                     stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True)
+        self.away = subprocess.Popen(
+            [sys.executable, "-m", "benchmarks.graphql", "--nodes", str(number)],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            text=True,
+        )
         assert self.away.stdout
         ports = [int(port) for port in self.away.stdout.readline().split()]
         return self._open([(port, port + 1) for port in ports])
@@ -185,8 +205,11 @@
             if not self.fronted:
                 continue
             front = GraphQLFront(edge, Documents(self.priced, Bounds()), self.price)
-            self.fronts.append(httpx.AsyncClient(
-                transport=httpx.ASGITransport(app=front), base_url="http://gateway", headers=HEADERS))
+            self.fronts.append(
+                httpx.AsyncClient(
+                    transport=httpx.ASGITransport(app=front), base_url="http://gateway", headers=HEADERS
+                )
+            )
         return self
 
     async def close(self) -> None:
@@ -203,8 +226,14 @@
 
     def charged(self) -> float:
         """Units in all buckets of all gateways."""
-        return sum(customer.excess for edge in self.edges
-                   for customer in edge.driver.gateway.meter.customers.values()) / 1000.0
+        return (
+            sum(
+                customer.excess
+                for edge in self.edges
+                for customer in edge.driver.gateway.meter.customers.values()
+            )
+            / 1000.0
+        )
 
 
 async def whole(priced: Priced) -> dict[str, float]:
@@ -254,8 +283,10 @@
 
 def split(number: int) -> tuple[str, dict[str, float]]:
     """A read of two classes."""
-    return (f"{{ boards(first: {number}) {{ id }} slow(x: 1) {{ owner {{ name }} }} }}",
-            {"boards": 1.0 + number, "slow": 4.0})
+    return (
+        f"{{ boards(first: {number}) {{ id }} slow(x: 1) {{ owner {{ name }} }} }}",
+        {"boards": 1.0 + number, "slow": 4.0},
+    )
 
 
 def buys(number: int) -> tuple[str, dict[str, float]]:
@@ -288,8 +319,10 @@
 
 async def charges(priced: Priced, seed: int) -> dict[str, Any]:
     """Mixed traffic of the same customers over two gateways, with failures, retries and splits."""
-    script = at_random(seed, {Fault.RESET: 0.03, Fault.BUSY: 0.03, Fault.ERROR: 0.03, Fault.SPOILT: 0.02,
-                              Fault.HANG_UP: 0.03})
+    script = at_random(
+        seed,
+        {Fault.RESET: 0.03, Fault.BUSY: 0.03, Fault.ERROR: 0.03, Fault.SPOILT: 0.02, Fault.HANG_UP: 0.03},
+    )
     world = await World(priced, 2, Price(per_unit=1.0)).open_near(4, script)
     bill, draw = Bill(), random.Random(seed)
     for _ in range(40):
@@ -298,8 +331,13 @@
     charged = world.charged()
     twice = sum(runs > 1 for graph in world.graph for (_, name), runs in graph.runs.items() if name in "ab")
     await world.close()
-    return {"due": round(bill.due, 1), "charged": round(charged, 1), "twice": twice, "answers": bill.answers,
-            "error_percent": round(100.0 * abs(charged - bill.due) / bill.due, 3)}
+    return {
+        "due": round(bill.due, 1),
+        "charged": round(charged, 1),
+        "twice": twice,
+        "answers": bill.answers,
+        "error_percent": round(100.0 * abs(charged - bill.due) / bill.due, 3),
+    }
 
 
 # ---- Hostile documents
@@ -308,15 +346,20 @@
 def hostile(draw: random.Random) -> str:
     """One of the corpus, with a text of its own, so that no cache knows it."""
     name = f"x{draw.getrandbits(40)}"
-    return draw.choice((
-        lambda: f"{{ {name}: " + "{ a " * 400 + "}" * 401, lambda: "{ " + f"{name} " * 900 + "}",
-        lambda: "{ " + " ".join(f"{name}{n}: board(id: 1) {{ id }}" for n in range(300)) + " }",
-        lambda: f"{{ boards(first: 1) {{ {name}: id " + "id " * 400 + "} }",
-        lambda: f"{{ {name}(a: " + "[" * 900 + "]" * 900 + ") }", lambda: f"#{name}\n" * 700 + "{ a }",
-        lambda: f'{{ board(id: "{name}' + "\\u0041" * 2000,
-        lambda: f"{{ ...{name} }} fragment {name} on Query {{ ...{name} }}",
-        lambda: f"{{ board(id: 1) {{ {name}: id " + "@skip(if: false) " * 200 + "} }",
-        lambda: f"{{ {name}" + "x" * 30_000 + " }"))()
+    return draw.choice(
+        (
+            lambda: f"{{ {name}: " + "{ a " * 400 + "}" * 401,
+            lambda: "{ " + f"{name} " * 900 + "}",
+            lambda: "{ " + " ".join(f"{name}{n}: board(id: 1) {{ id }}" for n in range(300)) + " }",
+            lambda: f"{{ boards(first: 1) {{ {name}: id " + "id " * 400 + "} }",
+            lambda: f"{{ {name}(a: " + "[" * 900 + "]" * 900 + ") }",
+            lambda: f"#{name}\n" * 700 + "{ a }",
+            lambda: f'{{ board(id: "{name}' + "\\u0041" * 2000,
+            lambda: f"{{ ...{name} }} fragment {name} on Query {{ ...{name} }}",
+            lambda: f"{{ board(id: 1) {{ {name}: id " + "@skip(if: false) " * 200 + "} }",
+            lambda: f"{{ {name}" + "x" * 30_000 + " }",
+        )
+    )()
 
 
 class Client:
@@ -330,8 +373,10 @@
     async def ask(self, customer: str, text: str) -> bytes:
         """The body of the answer to a document."""
         body = json.dumps({"query": text}).encode()
-        head = (f"POST /graphql HTTP/1.1\r\nHost: gateway\r\nContent-Type: application/json\r\n"
-                f"X-Plan: vast\r\nX-Customer: {customer}\r\nContent-Length: {len(body)}\r\n\r\n")
+        head = (
+            f"POST /graphql HTTP/1.1\r\nHost: gateway\r\nContent-Type: application/json\r\n"
+            f"X-Plan: vast\r\nX-Customer: {customer}\r\nContent-Length: {len(body)}\r\n\r\n"
+        )
         self.writer.write(head.encode() + body)
         told = (await self.reader.readuntil(b"\r\n\r\n")).lower()
         size = int(told.partition(b"content-length: ")[2].partition(b"\r\n")[0])
@@ -343,7 +388,8 @@
     world = World(load(SDL, SETTINGS), 1, Price(), fronted=False).open_away(2)
     document = config.Document("", "", port_offset=1)
     daemon = Daemon(
-        config.Loaded(("127.0.0.1", 0), document, Documents(world.priced, Bounds())), world.edges[0])
+        config.Loaded(("127.0.0.1", 0), document, Documents(world.priced, Bounds())), world.edges[0]
+    )
     print(daemon.address[1], flush=True)
     await asyncio.get_running_loop().run_in_executor(None, sys.stdin.read)
     await daemon.close(1.0)
@@ -385,8 +431,12 @@
 
 def program(*words: str) -> subprocess.Popen[str]:
     """One of the parts above, as a process."""
-    return subprocess.Popen([sys.executable, "-m", "benchmarks.graphql", *words],
-                            stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True)
+    return subprocess.Popen(
+        [sys.executable, "-m", "benchmarks.graphql", *words],
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+        text=True,
+    )
 
 
 async def beside_hostile(seed: int) -> dict[str, Any]:
@@ -403,16 +453,23 @@
         among += await normal(port, 3.0)
         out = await asyncio.to_thread(lambda process=attackers: process.communicate()[0])
         got = {code: got.get(code, 0) + number for code, number in json.loads(out).items()} | {
-            code: number for code, number in got.items() if code not in json.loads(out)}
+            code: number for code, number in got.items() if code not in json.loads(out)
+        }
     served.stdin.close()
     served.wait(10)
 
     def p(times: list[float], share: float) -> float:
         return round(statistics.quantiles(times, n=100)[int(share * 100) - 1], 2)
 
-    return {"alone_p50": p(alone, 0.5), "alone_p99": p(alone, 0.99), "among_p50": p(among, 0.5),
-            "among_p99": p(among, 0.99), "p99_ratio": round(p(among, 0.99) / p(alone, 0.99), 3),
-            "answered": [len(alone), len(among)], "hostile": got}
+    return {
+        "alone_p50": p(alone, 0.5),
+        "alone_p99": p(alone, 0.99),
+        "among_p50": p(among, 0.5),
+        "among_p99": p(among, 0.99),
+        "p99_ratio": round(p(among, 0.99) / p(alone, 0.99), 3),
+        "answered": [len(alone), len(among)],
+        "hostile": got,
+    }
 
 
 async def main(options: argparse.Namespace) -> None:
@@ -421,8 +478,11 @@
     last: dict[str, Any] = {}
     seed = options.seed
     parts: dict[str, Callable[[], Any]] = {
-        "check": lambda: check(priced), "whole": lambda: whole(priced),
-        "charges": lambda: charges(priced, seed), "hostile": lambda: beside_hostile(seed)}
+        "check": lambda: check(priced),
+        "whole": lambda: whole(priced),
+        "charges": lambda: charges(priced, seed),
+        "hostile": lambda: beside_hostile(seed),
+    }
     found: dict[str, Any] = {}
     for name, measure in parts.items():
         if options.only in (None, name):
@@ -431,10 +491,12 @@
             print(name, found[name], flush=True)
     if "check" in found:
         figures = found["check"]
-        last |= {"cached_over_cold_cpu": round(figures["cached_ms"] / figures["cold_ms"], 4),
-                 "persisted_over_cold_cpu": round(figures["persisted_ms"] / figures["cold_ms"], 4),
-                 "cost_over_parse_cpu": round(figures["cost_ms"] / figures["library_ms"], 4),
-                 "cold_over_parse_cpu": round(figures["cold_ms"] / figures["library_ms"], 3)}
+        last |= {
+            "cached_over_cold_cpu": round(figures["cached_ms"] / figures["cold_ms"], 4),
+            "persisted_over_cold_cpu": round(figures["persisted_ms"] / figures["cold_ms"], 4),
+            "cost_over_parse_cpu": round(figures["cost_ms"] / figures["library_ms"], 4),
+            "cold_over_parse_cpu": round(figures["cold_ms"] / figures["library_ms"], 3),
+        }
     if "whole" in found:
         figures = found["whole"]
         last["graphql_over_resp_cpu"] = round(figures["graphql_ms"] / figures["resp_ms"], 2)
--- a/benchmarks/lab.py
+++ b/benchmarks/lab.py
@@ -129,8 +129,9 @@
 def load_half() -> dict[str, Any]:
     """A gateway of ours at all that it takes, then at half of it; what the load tool says of itself then."""
     with tempfile.TemporaryDirectory() as folder:
-        nodes = subprocess.Popen([sys.executable, "-c", NODES], stdin=subprocess.PIPE, stdout=subprocess.PIPE,
-                                 text=True)
+        nodes = subprocess.Popen(
+            [sys.executable, "-c", NODES], stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True
+        )
         assert nodes.stdout and nodes.stdin
         ports = nodes.stdout.readline().split()
         path = Path(folder, "gateway.toml")
@@ -138,7 +139,9 @@
         path.write_text(SERVE + "".join(node.format(port) for port in ports))
         gateway = subprocess.Popen(
             [sys.executable, "-m", "brackenloft.cli", "serve", "--config", str(path)],
-            stderr=subprocess.PIPE, text=True)
+            stderr=subprocess.PIPE,
+            text=True,
+        )
         assert gateway.stderr
         while "listening on" not in (line := gateway.stderr.readline()):
             if not line:
@@ -153,16 +156,26 @@
 
 
 def _at_half(config: configuration.Config, port: int) -> dict[str, Any]:
-    load = Load((("127.0.0.1", port),), (Step(FULL_RATE, FULL_S),), (Share("read-board", 1.0),),
-                (Share("estadual", 1.0),), processes=2, connections=LANES // 2, wait_ms=500.0)
+    load = Load(
+        (("127.0.0.1", port),),
+        (Step(FULL_RATE, FULL_S),),
+        (Share("read-board", 1.0),),
+        (Share("estadual", 1.0),),
+        processes=2,
+        connections=LANES // 2,
+        wait_ms=500.0,
+    )
     full = loading.play(load, config.settings)
     capacity = full.tally.total()["served"] / FULL_S
     halved = replace(load, steps=(Step(capacity / 2.0, HALF_S),), connections=HALF_LANES // 2)
     half = loading.play(halved, config.settings)
     if half.faults or tallies.unaccounted(half.tally) or not half.tally.total()["served"]:
         raise RuntimeError(f"the load at half: {half.faults}, {half.tally.total()}")
-    return {"capacity": capacity, "said": tallies.fell_behind(full.tally, FULL_RATE * FULL_S),
-            **tallies.summary(half.tally, HALF_S, 2)}
+    return {
+        "capacity": capacity,
+        "said": tallies.fell_behind(full.tally, FULL_RATE * FULL_S),
+        **tallies.summary(half.tally, HALF_S, 2),
+    }
 
 
 def on_sockets() -> list[dict[str, Any]]:
@@ -231,18 +244,24 @@
         states, wrong, rate = searching.result()
         caught = {name: hunt.result() for name, hunt in hunted.items()}
     for row in sockets:
-        print(f"sockets {row['name']:16} {row['verdict']:17} served {row['served_points']:5.2f} points, "
-              f"median {row['median_percent']:5.2f}% apart, alarms late {row['late_share']:.4f}, "
-              f"waited for a core {row['queued_share']:.3f}")
+        print(
+            f"sockets {row['name']:16} {row['verdict']:17} served {row['served_points']:5.2f} points, "
+            f"median {row['median_percent']:5.2f}% apart, alarms late {row['late_share']:.4f}, "
+            f"waited for a core {row['queued_share']:.3f}"
+        )
     print(f"load: {half['capacity']:.0f} a second at full rate; the tool said: {half['said'] or 'nothing'}")
-    print(f"load at half: p50 {half['p50_ms']:.2f} ms, p99 {half['p99_ms']:.2f} ms, "
-          f"late {half['late_share']:.5f}")
+    print(
+        f"load at half: p50 {half['p50_ms']:.2f} ms, p99 {half['p99_ms']:.2f} ms, "
+        f"late {half['late_share']:.5f}"
+    )
     print(*(f"not found: {name}\n" for name, there in caught.items() if not there), sep="", end="")
     print(f"{states} states explored, {rate:.0f} a second of CPU")
     worlds = {"100x1000": big, **({"1000x10000": figures(largest)} if largest else {})}
     for name, one in worlds.items():
-        print(f"{name}: {one['tries']:.0f} tries, {one['mb']:.0f} MB, built in {one['build_s']:.1f} s, run "
-              f"in {one['run_s']:.1f} s, net {one['net']:.3f}, {one['connects']:.2f} connects an attempt")
+        print(
+            f"{name}: {one['tries']:.0f} tries, {one['mb']:.0f} MB, built in {one['build_s']:.1f} s, run "
+            f"in {one['run_s']:.1f} s, net {one['net']:.3f}, {one['connects']:.2f} connects an attempt"
+        )
     broken = sum(int(row["figures"]["rules_broken"]) for row in ours) + wrong
     broken += sum(int(one["rules"]) for one in worlds.values()) + sum(len(row["broken"]) for row in sockets)
     events, spent = sum(row["events"] for row in ours), sum(row["cpu_s"] for row in ours)
@@ -255,8 +274,10 @@
                 "rules_broken": broken,
                 "states_explored": states,
                 "events_per_s": round(events / spent),
-                **{f"events_per_s_{name}": round(one["events"] / one["run_s"])
-                   for name, one in worlds.items()},
+                **{
+                    f"events_per_s_{name}": round(one["events"] / one["run_s"])
+                    for name, one in worlds.items()
+                },
                 **{f"peak_mb_{name}": round(one["mb"]) for name, one in worlds.items()},
                 "served_error_points_max": max(row["served_points"] for row in sockets),
                 "median_error_percent_max": max(row["median_percent"] for row in sockets),
--- a/benchmarks/leases.py
+++ b/benchmarks/leases.py
@@ -47,7 +47,10 @@
 
 SHELF = Path(schedule.__file__).parent / "shelf"
 MUTANTS = (
-    ("no_check", "stopped_holder"), ("token_not_compared", "late_effects"), ("short_guard", "cut_holders"))
+    ("no_check", "stopped_holder"),
+    ("token_not_compared", "late_effects"),
+    ("short_guard", "cut_holders"),
+)
 AT_ONCE = 4  # trials beside each other: sixteen processes each
 READ = RequestClass("read", 400.0, 800.0, Effect.SAFE)
 GATEWAYS, NODES = 20, 8
@@ -57,12 +60,14 @@
 
 def fleet_settings(index: int) -> Settings:
     """Of one of twenty."""
-    return Settings(gateways=GATEWAYS, index=index, zone="a", classes=(READ,),
-                    plans=(Plan("p", rate=1e6, burst=1e6),))
+    return Settings(
+        gateways=GATEWAYS, index=index, zone="a", classes=(READ,), plans=(Plan("p", rate=1e6, burst=1e6),)
+    )
 
 
 # ---- Trials
 
+
 async def trials(seeds: list[int], mutants: bool, length_ms: float) -> dict[str, Any]:
     """Schedules by seed, and the guards that are taken out."""
     gate, total = asyncio.Semaphore(AT_ONCE), Counts[str]()
@@ -79,17 +84,24 @@
             print(f"{verdict.schedule.name}: {line}")
     found = []
     if mutants:
-        plans = [msgspec.structs.replace(schedule.load(SHELF / f"{name}.toml"), mutant=mutant)
-                 for mutant, name in MUTANTS]
-        for (mutant, name), verdict in zip(
-                MUTANTS, await asyncio.gather(*map(one, plans)), strict=True):
+        plans = [
+            msgspec.structs.replace(schedule.load(SHELF / f"{name}.toml"), mutant=mutant)
+            for mutant, name in MUTANTS
+        ]
+        for (mutant, name), verdict in zip(MUTANTS, await asyncio.gather(*map(one, plans)), strict=True):
             caught = verdict.counts["two_holders"] + verdict.counts["stale_effects"] > 0
             print(f"{mutant:20} on processes, {name}: {'found' if caught else 'NOT FOUND'}")
             found += [mutant] if caught else []
-    return {"trials": len(seeds), "acts": total["acts"], "holders": total["holders"],
-            "two_holders": total["two_holders"], "stale_effects": total["stale_effects"],
-            "not_linearizable": total["not_linearizable"], "stood_still": total["stood_still"],
-            "by_process": found}
+    return {
+        "trials": len(seeds),
+        "acts": total["acts"],
+        "holders": total["holders"],
+        "two_holders": total["two_holders"],
+        "stale_effects": total["stale_effects"],
+        "not_linearizable": total["not_linearizable"],
+        "stood_still": total["stood_still"],
+        "by_process": found,
+    }
 
 
 def searched(most: int) -> tuple[int, list[str]]:
@@ -110,6 +122,7 @@
 
 # ---- Virtual time
 
+
 def in_virtual_time(seeds: int) -> dict[str, float]:
     """Two hundred gateways and ten tasks at rest and started at once; holders lost at twelve gateways."""
     rest = virtual.figures(virtual.Fleet(virtual.Plan(seconds=40.0), 1).run())
@@ -121,10 +134,17 @@
         two += fleet.two_holders
         took += [one / plan.length_ms for one in fleet.takeovers]
     naive = sum(plain_lease(seed) for seed in range(seeds))
-    print(f"virtual: {seeds} seeds, {len(took)} takeovers, {two} with two holders; "
-          f"a plain lease by wall clocks: {naive} with two holders")
-    return {"two": two, "p99": round(virtual.percentile(took, 0.99), 3), "plain": naive,
-            "rounds": rest["trips_s"], "worst": max(rest["trips_s_worst"], start["trips_s_worst"])}
+    print(
+        f"virtual: {seeds} seeds, {len(took)} takeovers, {two} with two holders; "
+        f"a plain lease by wall clocks: {naive} with two holders"
+    )
+    return {
+        "two": two,
+        "p99": round(virtual.percentile(took, 0.99), 3),
+        "plain": naive,
+        "rounds": rest["trips_s"],
+        "worst": max(rest["trips_s_worst"], start["trips_s_worst"]),
+    }
 
 
 def plain_lease(seed: int) -> int:
@@ -167,14 +187,24 @@
     counters = [await Counter().start() for _ in range(3)]
     async with contextlib.AsyncExitStack() as stack:
         document = Document(
-            stores=tuple(Place(f"s{number}", f"redis://127.0.0.1:{counter.port}")
-                         for number, counter in enumerate(counters)),
-            tasks=(Task("probe", "probe", every_ms=500.0),) if probing else (), lease_ms=2000.0)
-        registers = Registers({place.name: Store(place.url, "fleet", 1.0) for place in document.stores},
-                              places.first(["s0", "s1", "s2"], 1, "a"), "operator", 1)
+            stores=tuple(
+                Place(f"s{number}", f"redis://127.0.0.1:{counter.port}")
+                for number, counter in enumerate(counters)
+            ),
+            tasks=(Task("probe", "probe", every_ms=500.0),) if probing else (),
+            lease_ms=2000.0,
+        )
+        registers = Registers(
+            {place.name: Store(place.url, "fleet", 1.0) for place in document.stores},
+            places.first(["s0", "s1", "s2"], 1, "a"),
+            "operator",
+            1,
+        )
         await enrol.found(registers, registers.members)
-        nodes = [Node("n0", "127.0.0.1", first.port), *(
-            Node(board.name, "127.0.0.1", board.port) for board in boards)]
+        nodes = [
+            Node("n0", "127.0.0.1", first.port),
+            *(Node(board.name, "127.0.0.1", board.port) for board in boards),
+        ]
         edges = []
         for index in range(GATEWAYS):
             edge = await stack.enter_async_context(Edge(fleet_settings(index), Room(64, 64), seed=index))
@@ -210,13 +240,20 @@
 
 # ---- Idle
 
+
 async def idle_percent(folder: Path, with_fleet: bool) -> float:
     """Processor time of a gateway that stands by for five tasks of another one, in percent."""
     counters = [await Counter().start() for _ in range(3)]
-    listed = [{"name": f"s{number}", "url": f"redis://127.0.0.1:{counter.port}"}
-              for number, counter in enumerate(counters)]
-    registers = Registers({row["name"]: Store(row["url"], "fleet", 1.0) for row in listed},
-                          places.first(["s0", "s1", "s2"], 1, "a"), "operator", 1)
+    listed = [
+        {"name": f"s{number}", "url": f"redis://127.0.0.1:{counter.port}"}
+        for number, counter in enumerate(counters)
+    ]
+    registers = Registers(
+        {row["name"]: Store(row["url"], "fleet", 1.0) for row in listed},
+        places.first(["s0", "s1", "s2"], 1, "a"),
+        "operator",
+        1,
+    )
     await enrol.found(registers, registers.members)
     theirs = [name for name in (f"t{number}" for number in range(40)) if order(name, 2)[0] == 1][:5]
     tasks = [{"name": name, "kind": "probe", "every_ms": 60_000.0} for name in theirs]
@@ -224,15 +261,30 @@
     processes = []
     for index in (1, 0):
         path = folder / f"gateway-{index}.json"
-        path.write_text(json.dumps({
-            "listen": "127.0.0.1:0", "seed": 1, "site": {"gateways": 2, "index": index},
-            "nodes": [{"name": "n1", "host": "127.0.0.1", "port": 9}],
-            "classes": [{"name": "read", "aim_ms": 1000.0, "deadline_ms": 2000.0, "effect": "safe"}],
-            "plans": [{"name": "p", "rate": 10.0, "burst": 10.0}],
-        } | ({"fleet": "fleet.json"} if with_fleet else {})))
-        processes.append(await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "brackenloft.lab.fleet.gateway", "serve", "--config", str(path),
-            stderr=asyncio.subprocess.DEVNULL))
+        path.write_text(
+            json.dumps(
+                {
+                    "listen": "127.0.0.1:0",
+                    "seed": 1,
+                    "site": {"gateways": 2, "index": index},
+                    "nodes": [{"name": "n1", "host": "127.0.0.1", "port": 9}],
+                    "classes": [{"name": "read", "aim_ms": 1000.0, "deadline_ms": 2000.0, "effect": "safe"}],
+                    "plans": [{"name": "p", "rate": 10.0, "burst": 10.0}],
+                }
+                | ({"fleet": "fleet.json"} if with_fleet else {})
+            )
+        )
+        processes.append(
+            await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "brackenloft.lab.fleet.gateway",
+                "serve",
+                "--config",
+                str(path),
+                stderr=asyncio.subprocess.DEVNULL,
+            )
+        )
         await asyncio.sleep(2.0)  # the one whose tasks they are comes first
     try:
         before = ran_s(processes[-1].pid)
@@ -277,29 +329,40 @@
         (states, found), whole, shown = await asyncio.gather(
             loop.run_in_executor(others, searched, 2_000 if options.smoke else most),
             loop.run_in_executor(others, in_virtual_time, 3 if options.smoke else many),
-            trials(seeds, not options.smoke, 4500.0 if options.smoke else 8000.0))
+            trials(seeds, not options.smoke, 4500.0 if options.smoke else 8000.0),
+        )
     result = {
-        "two_holders": shown["two_holders"] + whole["two"], "stale_effects": shown["stale_effects"],
-        "not_linearizable": shown["not_linearizable"], "stood_still": shown["stood_still"],
-        "trials": shown["trials"], "takeover_s_p99_over_lease": whole["p99"],
-        "plain_lease_two_holders": whole["plain"], "rounds_s_per_store_200": whole["rounds"],
-        "rounds_worst_second_200": whole["worst"], "states_searched": states,
+        "two_holders": shown["two_holders"] + whole["two"],
+        "stale_effects": shown["stale_effects"],
+        "not_linearizable": shown["not_linearizable"],
+        "stood_still": shown["stood_still"],
+        "trials": shown["trials"],
+        "takeover_s_p99_over_lease": whole["p99"],
+        "plain_lease_two_holders": whole["plain"],
+        "rounds_s_per_store_200": whole["rounds"],
+        "rounds_worst_second_200": whole["worst"],
+        "states_searched": states,
         "mutants_found": len(set(found) | set(shown["by_process"])),
         "mutants": len(set(explore.PLACES) | {name for name, _ in MUTANTS}),
     }
     if not options.smoke:
         with quiet():
             (without, told), (alone, standing) = await asyncio.gather(both_probes(), both_idle())
-        print(f"a silent node was asked {without} times, {told} with one that asks for all; "
-              f"a process that stands by takes {standing:.2f}% of a processor, {alone:.2f}% without")
-        result |= {"probes_ratio": round(told / max(1, without), 3),
-                   "idle_cpu_percent": round(standing - alone, 3)}
+        print(
+            f"a silent node was asked {without} times, {told} with one that asks for all; "
+            f"a process that stands by takes {standing:.2f}% of a processor, {alone:.2f}% without"
+        )
+        result |= {
+            "probes_ratio": round(told / max(1, without), 3),
+            "idle_cpu_percent": round(standing - alone, 3),
+        }
     return result
 
 
 def main() -> None:
     parser = argparse.ArgumentParser(
-        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
     parser.add_argument("--long", action="store_true")
     parser.add_argument("--smoke", action="store_true")
     print(json.dumps(uvloop.run(measure(parser.parse_args()))))
--- a/benchmarks/library.py
+++ b/benchmarks/library.py
@@ -40,16 +40,29 @@
 NODES, WORKERS = 4, 16
 READ = RequestClass("read", 2000.0, 4000.0, Effect.SAFE)
 SETTINGS = Settings(
-    gateways=1, index=0, zone="a", classes=(READ, RequestClass("buy", 2000.0, 4000.0, Effect.UNSAFE)),
-    plans=(Plan("plan", rate=1e6, burst=1e6),), limits=Limits(max_attempts=3, can_cancel=True),
+    gateways=1,
+    index=0,
+    zone="a",
+    classes=(READ, RequestClass("buy", 2000.0, 4000.0, Effect.UNSAFE)),
+    plans=(Plan("plan", rate=1e6, burst=1e6),),
+    limits=Limits(max_attempts=3, can_cancel=True),
     contract=Contract(8.0, 1000.0, 0.2, 10_000.0, 3.0, 2000.0, 10_000.0),
-    load_fields=("utilisation", "queue"), meter_period_ms=1000.0)
+    load_fields=("utilisation", "queue"),
+    meter_period_ms=1000.0,
+)
 CONFIG = {
     "listen": "127.0.0.1:0",
     "site": {"zone": "a", "load_fields": ["utilisation", "queue"], "meter_period_ms": 1000.0},
     "attempts": {"max_attempts": 3, "can_cancel": True},
-    "rules": {"answer_slack_ms": 8.0, "drain_grace_ms": 1000.0, "cold_share": 0.2, "warm_up_ms": 10000.0,
-              "tip_multiple": 3.0, "tip_window_ms": 2000.0, "ask_within_ms": 10000.0},
+    "rules": {
+        "answer_slack_ms": 8.0,
+        "drain_grace_ms": 1000.0,
+        "cold_share": 0.2,
+        "warm_up_ms": 10000.0,
+        "tip_multiple": 3.0,
+        "tip_window_ms": 2000.0,
+        "ask_within_ms": 10000.0,
+    },
     "classes": [{"name": "read", "aim_ms": 2000.0, "deadline_ms": 4000.0, "effect": "safe"}],
     "plans": [{"name": "plan", "rate": 1e6, "burst": 1e6}],
 }
@@ -68,9 +81,11 @@
 
 async def spread(count: int, ask: Callable[[int], Awaitable[Any]]) -> None:
     """So many calls by some workers, each one after the other."""
+
     async def work(first: int) -> None:
         for number in range(first, count, WORKERS):
             assert await ask(number) is not None
+
     await asyncio.gather(*(work(first) for first in range(WORKERS)))
 
 
@@ -116,8 +131,10 @@
         nodes = [{"name": f"n{n}", "host": "127.0.0.1", "port": port} for n, port in enumerate(ports)]
         path.write_text(json.dumps({**CONFIG, "nodes": nodes}))
         self.process = subprocess.Popen(
-            [sys.executable, "-m", "brackenloft.cli", "serve", "--config", str(path)], cwd=ROOT,
-            stderr=subprocess.PIPE)
+            [sys.executable, "-m", "brackenloft.cli", "serve", "--config", str(path)],
+            cwd=ROOT,
+            stderr=subprocess.PIPE,
+        )
         assert self.process.stderr
         while b"listening on" not in (line := self.process.stderr.readline()):
             assert line, "the daemon did not start"
@@ -154,8 +171,10 @@
             await send({"type": "http.response.body", "body": b""})
             return
         reset, left = await self.limiter.get_window_stats(self.item, customer)
-        headers = [(b"ratelimit-policy", b'"plan";q=1000000;w=60'),
-                   (b"ratelimit", b'"plan";r=%d;t=%d' % (left, max(0, int(reset - time.time()))))]
+        headers = [
+            (b"ratelimit-policy", b'"plan";q=1000000;w=60'),
+            (b"ratelimit", b'"plan";r=%d;t=%d' % (left, max(0, int(reset - time.time())))),
+        ]
 
         async def send_with_headers(message: Any) -> None:
             if message["type"] == "http.response.start":
@@ -188,10 +207,20 @@
 
     def scope(number: int) -> dict[str, Any]:
         customer = b"%016x" % (number % 100)
-        return {"type": "http", "asgi": {"version": "3.0"}, "http_version": "1.1", "method": "GET",
-                "path": "/board", "raw_path": b"/board", "root_path": "", "scheme": "http",
-                "query_string": b"", "headers": [(b"host", b"a"), (b"x-customer", customer)],
-                "client": ("127.0.0.1", 1), "server": ("127.0.0.1", 2)}
+        return {
+            "type": "http",
+            "asgi": {"version": "3.0"},
+            "http_version": "1.1",
+            "method": "GET",
+            "path": "/board",
+            "raw_path": b"/board",
+            "root_path": "",
+            "scheme": "http",
+            "query_string": b"",
+            "headers": [(b"host", b"a"), (b"x-customer", customer)],
+            "client": ("127.0.0.1", 1),
+            "server": ("127.0.0.1", 2),
+        }
 
     def mapper(scope: Any) -> Admit:
         customer = next(value for name, value in scope["headers"] if name == b"x-customer").decode()
@@ -199,8 +228,12 @@
 
     found: dict[str, list[float]] = {"bare": [], "brackenloft": [], "limits": [], "limits, quota only": []}
     async with Edge(replace(SETTINGS, plans=(WHOLE,))) as edge:
-        apps = {"bare": app, "brackenloft": QuotaMiddleware(app, edge, mapper),
-                "limits": LimitsMiddleware(app, True), "limits, quota only": LimitsMiddleware(app, False)}
+        apps = {
+            "bare": app,
+            "brackenloft": QuotaMiddleware(app, edge, mapper),
+            "limits": LimitsMiddleware(app, True),
+            "limits, quota only": LimitsMiddleware(app, False),
+        }
         for _ in range(rounds):
             for name, guarded in apps.items():
                 began = time.process_time()
@@ -285,8 +318,12 @@
 
 async def measure(long: bool) -> dict[str, Any]:
     rounds, count = (9, 6000) if long else (5, 3000)
-    nodes = subprocess.Popen([sys.executable, "-m", "benchmarks.nodes", str(NODES)], cwd=ROOT,
-                             stdin=subprocess.PIPE, stdout=subprocess.PIPE)
+    nodes = subprocess.Popen(
+        [sys.executable, "-m", "benchmarks.nodes", str(NODES)],
+        cwd=ROOT,
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+    )
     try:
         assert nodes.stdout
         ports = [int(port) for port in nodes.stdout.readline().split()]
@@ -319,8 +356,10 @@
         "peer_middleware_added_us": round(middle["limits"] - middle["bare"], 1),
         "peer_quota_only_added_us": round(middle["limits, quota only"] - middle["bare"], 1),
         "cancelled_leaks": leaks,
-        "stall_failures_excused": with_excuse[0], "stall_failures_blamed": without[0],
-        "stall_pool_excused": round(with_excuse[2], 1), "stall_pool_blamed": round(without[2], 1),
+        "stall_failures_excused": with_excuse[0],
+        "stall_failures_blamed": without[0],
+        "stall_pool_excused": round(with_excuse[2], 1),
+        "stall_pool_blamed": round(without[2], 1),
     }
 
 
--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -44,10 +44,17 @@
 CACHE_S = 0.2  # how old the registry's lists may be: 30 s by the specification, scaled as the polls are
 LONG_MS = 3_600_000.0
 SETTINGS = Settings(
-    gateways=1, index=0, zone="a", classes=(RequestClass("read", 2000.0, 4000.0, Effect.SAFE),),
-    plans=(Plan("free"),), limits=Limits(max_attempts=3, can_cancel=True, connect_timeout_ms=500.0),
+    gateways=1,
+    index=0,
+    zone="a",
+    classes=(RequestClass("read", 2000.0, 4000.0, Effect.SAFE),),
+    plans=(Plan("free"),),
+    limits=Limits(max_attempts=3, can_cancel=True, connect_timeout_ms=500.0),
     contract=Contract(8.0, 1000.0, 0.2, 10_000.0, 3.0, 2000.0, 10_000.0),
-    load_fields=("utilisation", "queue"), meter_period_ms=1000.0, tick_ms=2.0)
+    load_fields=("utilisation", "queue"),
+    meter_period_ms=1000.0,
+    tick_ms=2.0,
+)
 READ = Call("read", "free", "00000000b4d65521")
 
 
@@ -59,21 +66,45 @@
 def info(name: str, number: int, port: int) -> dict[str, Any]:
     """What an instance says of itself; as long as a usual one, with links and metadata."""
     return {
-        "instanceId": name, "hostName": "localhost", "status": "UP", "vipAddress": "board",
+        "instanceId": name,
+        "hostName": "localhost",
+        "status": "UP",
+        "vipAddress": "board",
         "ipAddr": f"127.1.{number // 256}.{number % 256}" if number else "127.0.0.1",
-        "secureVipAddress": "board", "appGroupName": "UNKNOWN", "sid": "na",
-        "port": {"$": port, "@enabled": "true"}, "securePort": {"$": 443, "@enabled": "false"},
-        "homePageUrl": f"http://localhost:{port}/", "statusPageUrl": f"http://localhost:{port}/info",
+        "secureVipAddress": "board",
+        "appGroupName": "UNKNOWN",
+        "sid": "na",
+        "port": {"$": port, "@enabled": "true"},
+        "securePort": {"$": 443, "@enabled": "false"},
+        "homePageUrl": f"http://localhost:{port}/",
+        "statusPageUrl": f"http://localhost:{port}/info",
         "healthCheckUrl": f"http://localhost:{port}/health",
-        "metadata": {"zone": "ab"[number % 2], "cell": str(number % 50), "machineType": "m3", "weight": "1",
-                     "management.port": str(port), "build": "2026.12.01"},
+        "metadata": {
+            "zone": "ab"[number % 2],
+            "cell": str(number % 50),
+            "machineType": "m3",
+            "weight": "1",
+            "management.port": str(port),
+            "build": "2026.12.01",
+        },
     }
 
 
 def document(url: str, **more: Any) -> config.Document:
     """One registry as the only source."""
-    return config.read({"eureka": [
-        {"name": "registry", "servers": [{"url": url}], "apps": [APP], "interval_s": INTERVAL_S, **more}]})
+    return config.read(
+        {
+            "eureka": [
+                {
+                    "name": "registry",
+                    "servers": [{"url": url}],
+                    "apps": [APP],
+                    "interval_s": INTERVAL_S,
+                    **more,
+                }
+            ]
+        }
+    )
 
 
 # ---- The registry in a process of its own
@@ -106,8 +137,11 @@
 
     def __init__(self, size: int) -> None:
         self.process = subprocess.Popen(
-            [sys.executable, "-m", "benchmarks.membership", "--registry", str(size)], stdin=subprocess.PIPE,
-            stdout=subprocess.PIPE, text=True)
+            [sys.executable, "-m", "benchmarks.membership", "--registry", str(size)],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            text=True,
+        )
         assert self.process.stdout and self.process.stdin
         self.out, self.into = self.process.stdout, self.process.stdin
         self.url = self.out.readline().strip()
@@ -190,14 +224,19 @@
             size.append(followed.eureka.tally.bytes - before)
         else:
             holds.append(watch.stop_ms())
-    return {"cpu_ms": statistics.median(cpu), "bytes": statistics.median(size),
-            "hold_ms": statistics.median(holds), "hold_most_ms": max(holds)}
+    return {
+        "cpu_ms": statistics.median(cpu),
+        "bytes": statistics.median(size),
+        "hold_ms": statistics.median(holds),
+        "hold_most_ms": max(holds),
+    }
 
 
 def baseline_ms(url: str) -> float:
     """The same list read at one go: unpacked, read, a dict of states kept. The loop is held all the time."""
     request = urllib.request.Request(
-        url + "/apps", headers={"Accept": "application/json", "Accept-Encoding": "gzip"})
+        url + "/apps", headers={"Accept": "application/json", "Accept-Encoding": "gzip"}
+    )
     with urllib.request.urlopen(request) as answer:
         data = answer.read()
     began = time.process_time()
@@ -210,8 +249,10 @@
 def decisions_ms(edge: Edge, changes: int) -> float:
     """What a change of so many servers costs the decisions alone."""
     fleet = edge.driver.gateway.fleet
-    entries = [api.ServerEntry(server.id, server.zone, started_ms=server.started)
-               for server in list(fleet.servers.values())[:changes]]
+    entries = [
+        api.ServerEntry(server.id, server.zone, started_ms=server.started)
+        for server in list(fleet.servers.values())[:changes]
+    ]
     began = time.process_time()
     for _ in range(ROUNDS):
         edge.driver.gateway.handle(edge.driver.clock(), api.ServerList(api.ListKind.CHANGES, tuple(entries)))
@@ -233,9 +274,14 @@
             changed = await cost(followed, away, True, CHANGED)
             delta = await cost(followed, away, False, CHANGED)
             assert len(edge.driver.gateway.fleet.servers) == size
-            result = {"whole": whole, "whole_ten_changed": changed, "delta": delta,
-                      "first_list_hold_ms": first_ms, "decisions_ms": decisions_ms(edge, CHANGED),
-                      "baseline_ms": await asyncio.to_thread(baseline_ms, away.url)}
+            result = {
+                "whole": whole,
+                "whole_ten_changed": changed,
+                "delta": delta,
+                "first_list_hold_ms": first_ms,
+                "decisions_ms": decisions_ms(edge, CHANGED),
+                "baseline_ms": await asyncio.to_thread(baseline_ms, away.url),
+            }
             await members.close()
         return result
     finally:
@@ -250,7 +296,12 @@
     """Nodes whose state in the registry changes at random while clients ask."""
 
     def __init__(
-        self, edge: Edge, members: Members, book: Registry, boards: dict[str, BoardNode], seed: int,
+        self,
+        edge: Edge,
+        members: Members,
+        book: Registry,
+        boards: dict[str, BoardNode],
+        seed: int,
     ) -> None:
         self.edge, self.members, self.book, self.boards = edge, members, book, boards
         self.draw = random.Random(seed)
@@ -308,10 +359,15 @@
                 there = [when for when in begun if at < when < until]
                 past_ms += [(when - at) * 1000.0 for when in there]
                 late += sum(when > at + GRACE_S for when in there)
-        return {"flips": self.flips, "withdrawals": withdrawals, "late_sends": late,
-                "max_withdraw_ms": round(max(past_ms), 1),
-                "learn_ms_median": round(statistics.median(learn_ms), 1),
-                "learn_ms_most": round(max(learn_ms), 1), "answers": self.answers}
+        return {
+            "flips": self.flips,
+            "withdrawals": withdrawals,
+            "late_sends": late,
+            "max_withdraw_ms": round(max(past_ms), 1),
+            "learn_ms_median": round(statistics.median(learn_ms), 1),
+            "learn_ms_most": round(max(learn_ms), 1),
+            "answers": self.answers,
+        }
 
 
 async def flips(number: int, seed: int, pause_s: float = 0.006) -> dict[str, Any]:
@@ -357,18 +413,24 @@
         most = found[SIZES[-1]]
         last |= {
             "delta_over_full_cpu_10k": round(most["delta"]["cpu_ms"] / most["whole"]["cpu_ms"], 4),
-            "apply_ms_10k": round(max(most[kind]["hold_most_ms"] for kind in (
-                "whole", "whole_ten_changed", "delta")), 2),
+            "apply_ms_10k": round(
+                max(most[kind]["hold_most_ms"] for kind in ("whole", "whole_ten_changed", "delta")), 2
+            ),
             "first_list_hold_ms_10k": round(most["first_list_hold_ms"], 2),
             "full_over_baseline_cpu_10k": round(most["whole"]["cpu_ms"] / most["baseline_ms"], 2),
-            "delta_bytes_over_full_10k": round(most["delta"]["bytes"] / most["whole"]["bytes"], 5)}
+            "delta_bytes_over_full_10k": round(most["delta"]["bytes"] / most["whole"]["bytes"], 5),
+        }
     if options.only != "costs":
         print(f"flips with seed {options.seed}; lists up to {CACHE_S} s old, asked for each {INTERVAL_S} s")
         verdict = await flips(options.flips, options.seed)
         print(verdict)
         assert set(verdict["answers"]) == {Served.__name__}, verdict["answers"]
-        last |= {"late_sends": verdict["late_sends"], "max_withdraw_ms": verdict["max_withdraw_ms"],
-                 "flips": verdict["flips"], "withdrawals": verdict["withdrawals"]}
+        last |= {
+            "late_sends": verdict["late_sends"],
+            "max_withdraw_ms": verdict["max_withdraw_ms"],
+            "flips": verdict["flips"],
+            "withdrawals": verdict["withdrawals"],
+        }
     print(json.dumps(last))
 
 
--- a/benchmarks/memory.py
+++ b/benchmarks/memory.py
@@ -82,8 +82,11 @@
     plan: dict[str, Any] = {"refill": rate, "most_at_once": 2.0 if rate else 0.0}
     kind: dict[str, Any] = {"hard_limit_ms": 60_000.0, "slo_ms": 30_000.0}
     given = ops.settings()
-    platform.settings = {**given, "tariffs": [{**one, **plan} for one in given["tariffs"]],
-                         "services": [{**one, **kind} for one in given["services"]]}
+    platform.settings = {
+        **given,
+        "tariffs": [{**one, **plan} for one in given["tariffs"]],
+        "services": [{**one, **kind} for one in given["services"]],
+    }
     platform.held.close()
     tasks: list[asyncio.Task[None]] = []
     discovery = await ScriptedDiscovery().start()
@@ -152,17 +155,27 @@
     bounded, unbounded = apart(CUSTOMERS, WHOLE, ROWS), apart(UNBOUNDED, 0, CUSTOMERS)
     parked, held = (uvloop.run(in_hand(given.root, rate)) for rate in (0.0, 0.2))
     for name, found in (("parked", parked), ("held in the band", held)):
-        print(f"{name}: {found['start_mb']:.1f} MB at the start, {found['peak_mb']:.1f} at most,"
-              f" {found['answered']:.0f} of {CONNECTIONS * COMMANDS} answered in {ANSWERED_S:.0f} s")
+        print(
+            f"{name}: {found['start_mb']:.1f} MB at the start, {found['peak_mb']:.1f} at most,"
+            f" {found['answered']:.0f} of {CONNECTIONS * COMMANDS} answered in {ANSWERED_S:.0f} s"
+        )
     few, many = figures(bounded), figures(unbounded)
-    print(f"customers: {few['rows']:.0f} rows of {CUSTOMERS}, {few['grown_mb']:.1f} MB;"
-          f" without a bound {many['rows']:.0f} of {UNBOUNDED}, {many['grown_mb']:.1f} MB")
-    print(json.dumps({
-        "limit_mb": LIMIT_MB,
-        "peak_mb_parked": round(parked["peak_mb"], 1), "peak_mb_held": round(held["peak_mb"], 1),
-        "customer_rows_million": few["rows"], "customer_mb_million": round(few["grown_mb"], 1),
-        "unbounded_mb_200000": round(many["grown_mb"], 1),
-    }))
+    print(
+        f"customers: {few['rows']:.0f} rows of {CUSTOMERS}, {few['grown_mb']:.1f} MB;"
+        f" without a bound {many['rows']:.0f} of {UNBOUNDED}, {many['grown_mb']:.1f} MB"
+    )
+    print(
+        json.dumps(
+            {
+                "limit_mb": LIMIT_MB,
+                "peak_mb_parked": round(parked["peak_mb"], 1),
+                "peak_mb_held": round(held["peak_mb"], 1),
+                "customer_rows_million": few["rows"],
+                "customer_mb_million": round(few["grown_mb"], 1),
+                "unbounded_mb_200000": round(many["grown_mb"], 1),
+            }
+        )
+    )
 
 
 if __name__ == "__main__":
--- a/benchmarks/ops.py
+++ b/benchmarks/ops.py
@@ -38,25 +38,74 @@
 
 def settings() -> dict[str, Any]:
     """A site of one gateway: a safe and an unsafe class, a free plan and one under a ceiling."""
-    kind = {"slo_ms": 5000.0, "hard_limit_ms": DEADLINE_MS, "value": 1.0, "late_share": 0.0,
-            "key_scope": "all", "memory_span_ms": 0.0, "stream": False}
-    plan = {"refill": 0.0, "most_at_once": 0.0, "parallel": 0, "value_factor": 1.0, "excess_worth": 0.0,
-            "overrun_cost": 0.0, "cap_rate": 0.0, "cap_depth": 0.0, "hard_slack": 0.0}
+    kind = {
+        "slo_ms": 5000.0,
+        "hard_limit_ms": DEADLINE_MS,
+        "value": 1.0,
+        "late_share": 0.0,
+        "key_scope": "all",
+        "memory_span_ms": 0.0,
+        "stream": False,
+    }
+    plan = {
+        "refill": 0.0,
+        "most_at_once": 0.0,
+        "parallel": 0,
+        "value_factor": 1.0,
+        "excess_worth": 0.0,
+        "overrun_cost": 0.0,
+        "cap_rate": 0.0,
+        "cap_depth": 0.0,
+        "hard_slack": 0.0,
+    }
     return {
-        "balancers": 1, "slot_no": 0, "locality": "a", "discovery": "automatic", "tick_ms": 2.0,
+        "balancers": 1,
+        "slot_no": 0,
+        "locality": "a",
+        "discovery": "automatic",
+        "tick_ms": 2.0,
         "services": [{**kind, "name": "read", "effect": "safe"}, {**kind, "name": "buy", "effect": "unsafe"}],
-        "tariffs": [{**plan, "name": "free"},
-                    {**plan, "name": "roof", "refill": 1000.0, "most_at_once": 1000.0,
-                     "cap_rate": CEILING_RATE, "cap_depth": CEILING_BURST}],
-        "limits": {"attempts_cap": 3, "may_duplicate": False, "cancelling": True, "probes": False,
-                   "peers": False, "retry_after": False, "open_cap": 1000, "connect_timeout_ms": 500.0,
-                   "max_retry_after_ms": 0.0, "conn_idle_ms": 30_000.0},
-        "contract": {"answer_slack_ms": 8.0, "drain_grace_ms": 1000.0, "start_capacity": 0.2,
-                     "warm_up_ms": 10_000.0, "tip_multiple": 3.0, "fall_ms": 2000.0,
-                     "must_ask_in_ms": 10_000.0},
-        "family_info": {"meter_ms": 1000.0, "largest": 1.0, "settles": False, "has_counter": False,
-                        "count_limit_ms": 0.0},
-        "load_info": {"names": []}, "deductions": {"cross_zone": 0.0},
+        "tariffs": [
+            {**plan, "name": "free"},
+            {
+                **plan,
+                "name": "roof",
+                "refill": 1000.0,
+                "most_at_once": 1000.0,
+                "cap_rate": CEILING_RATE,
+                "cap_depth": CEILING_BURST,
+            },
+        ],
+        "limits": {
+            "attempts_cap": 3,
+            "may_duplicate": False,
+            "cancelling": True,
+            "probes": False,
+            "peers": False,
+            "retry_after": False,
+            "open_cap": 1000,
+            "connect_timeout_ms": 500.0,
+            "max_retry_after_ms": 0.0,
+            "conn_idle_ms": 30_000.0,
+        },
+        "contract": {
+            "answer_slack_ms": 8.0,
+            "drain_grace_ms": 1000.0,
+            "start_capacity": 0.2,
+            "warm_up_ms": 10_000.0,
+            "tip_multiple": 3.0,
+            "fall_ms": 2000.0,
+            "must_ask_in_ms": 10_000.0,
+        },
+        "family_info": {
+            "meter_ms": 1000.0,
+            "largest": 1.0,
+            "settles": False,
+            "has_counter": False,
+            "count_limit_ms": 0.0,
+        },
+        "load_info": {"names": []},
+        "deductions": {"cross_zone": 0.0},
     }
 
 
@@ -78,8 +127,13 @@
     """Clients that ask one thing after the other, with a pause between, until they are told to stop."""
 
     def __init__(
-        self, platform: Platform, first: int = 1, plan: str = "free", clients: int = CLIENTS,
-        pause_s: float = 0.0, strangers: bool = False,
+        self,
+        platform: Platform,
+        first: int = 1,
+        plan: str = "free",
+        clients: int = CLIENTS,
+        pause_s: float = 0.0,
+        strangers: bool = False,
     ) -> None:
         self.platform, self.plan, self.next, self.pause_s = platform, plan, first, pause_s
         self.strangers = strangers  # each request is of another customer
@@ -142,8 +196,10 @@
     wrong = sum(answer != b"%016x" % number for number, answer in free.answers.items())
     return {
         "upgrade_lost": wrong + sum(count > 1 for count in runs.values()),
-        "upgrade_turned_back": free.turned_back + capped.turned_back, "upgrade_requests": len(free.answers),
-        "ceiling_over": round(max(0.0, ceiling_over(roof)), 2), "ceiling_sent": len(roof),
+        "upgrade_turned_back": free.turned_back + capped.turned_back,
+        "upgrade_requests": len(free.answers),
+        "ceiling_over": round(max(0.0, ceiling_over(roof)), 2),
+        "ceiling_sent": len(roof),
     }
 
 
@@ -190,8 +246,10 @@
             await asyncio.sleep(0.1)
         await load.stop()
         figures = (await process.call("GET", "/-/metrics"))[1]
-        for name, counted in (("passed", figures["handled"]["buy"]["passed"]),
-                              ("tries", figures["upstream_tries"])):
+        for name, counted in (
+            ("passed", figures["handled"]["buy"]["passed"]),
+            ("tries", figures["upstream_tries"]),
+        ):
             share = 0.01 if name == "passed" else 0.02
             off = max(off, abs(counted - len(load.answers)) / max(3.0, share * len(load.answers)))
         off = max(off, figures["in_progress"] / 3.0)
@@ -199,8 +257,11 @@
             writer.close()
     finally:
         await platform.close()
-    return {"figures_off_max": round(off, 3), "admin_slowest_share_of_1s": round(slowest, 3),
-            "loaded_requests": len(load.answers)}
+    return {
+        "figures_off_max": round(off, 3),
+        "admin_slowest_share_of_1s": round(slowest, 3),
+        "loaded_requests": len(load.answers),
+    }
 
 
 async def streams() -> dict[str, Any]:
@@ -238,9 +299,12 @@
         watching.cancel()
     finally:
         await platform.close()
-    return {"stream_peak_mb_over_bound": round(max(0.0, peak - MEMORY_MB), 1),
-            "stream_peak_mb": round(peak, 1), "streams": STREAMS,
-            "streams_whole": sum(size >= VALUE for size in got)}
+    return {
+        "stream_peak_mb_over_bound": round(max(0.0, peak - MEMORY_MB), 1),
+        "stream_peak_mb": round(peak, 1),
+        "streams": STREAMS,
+        "streams_whole": sum(size >= VALUE for size in got),
+    }
 
 
 def before(directory: Path) -> Path | None:
@@ -262,8 +326,11 @@
         root = (ROOT, old)[turn % 2]
         costs[root].append(await one_round(root))
     here, there = (sorted(costs[root])[ROUNDS // 2] for root in (ROOT, old))
-    return {"small_call_cpu_ratio": round(here / there, 3), "small_call_us": round(here * 1e6, 1),
-            "small_call_us_before": round(there * 1e6, 1)}
+    return {
+        "small_call_cpu_ratio": round(here / there, 3),
+        "small_call_us": round(here * 1e6, 1),
+        "small_call_us_before": round(there * 1e6, 1),
+    }
 
 
 async def by_itself(platform: Platform, root: Path, **environment: str) -> Process:
--- a/benchmarks/ordinary.py
+++ b/benchmarks/ordinary.py
@@ -36,8 +36,10 @@
 COMMITTED = HERE / "ordinary.json"
 CLASSES = (
     RequestClass("read-board", 2000.0, 5000.0, Effect.SAFE),
-    RequestClass("post-notice", 1000.0, 3000.0, Effect.KEYED, 2.0, key_scope=KeyScope.ZONE,
-                 key_memory_ms=6000.0))
+    RequestClass(
+        "post-notice", 1000.0, 3000.0, Effect.KEYED, 2.0, key_scope=KeyScope.ZONE, key_memory_ms=6000.0
+    ),
+)
 PLANS = (Plan("plan", rate=1e6, burst=1e6),)  # a bucket that is kept and never full
 KINDS = {kind.name: kind for kind in CLASSES}
 PYTHON = "Python {}.{}".format(*sys.version_info)
@@ -50,27 +52,72 @@
 TIMED = 4000  # requests of one timed span
 # Over the committed figure: a factor, and so much more. Timers and the driver go by time a little.
 MARGIN = {
-    "opcodes": (1.04, 1.0), "opcodes timers": (1.3, 1.0), "opcodes driver": (1.1, 1.0), "calls": (1.06, 0.0),
-    "bytes": (1.01, 0.0), "allocations": (1.02, 3.0), "allocations timers": (1.0, 4.0),
-    "allocations loop": (1.0, 2.0), **{f"allocations {name}": (1.0, 0.9) for name in (
-        "clients", "decisions", "driver", "encode", "parse", "servers", "other")}}
+    "opcodes": (1.04, 1.0),
+    "opcodes timers": (1.3, 1.0),
+    "opcodes driver": (1.1, 1.0),
+    "calls": (1.06, 0.0),
+    "bytes": (1.01, 0.0),
+    "allocations": (1.02, 3.0),
+    "allocations timers": (1.0, 4.0),
+    "allocations loop": (1.0, 2.0),
+    **{
+        f"allocations {name}": (1.0, 0.9)
+        for name in ("clients", "decisions", "driver", "encode", "parse", "servers", "other")
+    },
+}
 SETTINGS = Settings(
-    gateways=1, index=0, zone="a", classes=CLASSES, plans=PLANS,
+    gateways=1,
+    index=0,
+    zone="a",
+    classes=CLASSES,
+    plans=PLANS,
     limits=Limits(max_attempts=3, can_cancel=True),
     contract=Contract(8.0, 1000.0, 0.2, 10_000.0, 3.0, 2000.0, 10_000.0),
-    load_fields=("utilisation", "queue"), meter_period_ms=1000.0, tick_ms=1.0)
+    load_fields=("utilisation", "queue"),
+    meter_period_ms=1000.0,
+    tick_ms=1.0,
+)
 LAYERS = {
-    "net/clients.py": "clients", "net/resp.py": "parse", "net/wire.py": "encode", "checks.py": "parse",
-    "net/driver.py": "driver", "net/call.py": "driver", "net/clock.py": "driver", "net/lag.py": "driver",
-    "net/timers.py": "timers", "answers.py": "encode",
-    "net/attempt.py": "servers", "net/server": "servers", "policy/": "decisions",
-    "interface.py": "decisions", "gateway_types/": "decisions", "admission/": "clients", "edge/": "driver"}
+    "net/clients.py": "clients",
+    "net/resp.py": "parse",
+    "net/wire.py": "encode",
+    "checks.py": "parse",
+    "net/driver.py": "driver",
+    "net/call.py": "driver",
+    "net/clock.py": "driver",
+    "net/lag.py": "driver",
+    "net/timers.py": "timers",
+    "answers.py": "encode",
+    "net/attempt.py": "servers",
+    "net/server": "servers",
+    "policy/": "decisions",
+    "interface.py": "decisions",
+    "gateway_types/": "decisions",
+    "admission/": "clients",
+    "edge/": "driver",
+}
 # These and what they call go by the time that passes, not by the requests: a layer of its own, not compared.
 BY_CLOCK = {"_fire", "_arm", "_on_beat", "_next", "_note", "_sweep", "_look", "_have_rested"}
 SOCKET_CALLS = {
-    "send", "sendmsg", "recv", "recv_into", "poll", "accept", "_accept", "connect", "setsockopt",
-    "getsockopt", "getpeername", "getsockname", "shutdown", "close", "socket", "register", "unregister",
-    "modify"}
+    "send",
+    "sendmsg",
+    "recv",
+    "recv_into",
+    "poll",
+    "accept",
+    "_accept",
+    "connect",
+    "setsockopt",
+    "getsockopt",
+    "getpeername",
+    "getsockname",
+    "shutdown",
+    "close",
+    "socket",
+    "register",
+    "unregister",
+    "modify",
+}
 
 
 def layer(path: str) -> str | None:
@@ -135,6 +182,7 @@
             sys.setprofile(self._profile)
         elif self.kind == "allocations":
             import memray
+
             self.path = tempfile.mktemp(suffix=".memray")
             self.tracker = memray.Tracker(self.path, trace_python_allocators=True)
             self.tracker.__enter__()
@@ -144,6 +192,7 @@
         sys.setprofile(None)
         if self.tracker:
             import memray
+
             self.tracker.__exit__(None, None, None)
             kinds = memray.AllocatorType
             frees = {kinds.FREE, kinds.PYMALLOC_FREE, kinds.MUNMAP}
@@ -220,9 +269,16 @@
 
     async def start(self, role: str, *ports: int) -> Process:
         self.process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "benchmarks.ordinary", "--role", role, *map(str, ports),
-            stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE,
-            env=os.environ | {"PYTHONHASHSEED": "0"})
+            sys.executable,
+            "-m",
+            "benchmarks.ordinary",
+            "--role",
+            role,
+            *map(str, ports),
+            stdin=asyncio.subprocess.PIPE,
+            stdout=asyncio.subprocess.PIPE,
+            env=os.environ | {"PYTHONHASHSEED": "0"},
+        )
         assert self.process.stdout
         self.port = int(await self.process.stdout.readline())
         return self
@@ -256,7 +312,7 @@
 
     def _more(self) -> None:
         """A whole batch at a time, in one packet, as a pipelining client writes it."""
-        batch, self.texts = self.texts[:self.deep], self.texts[self.deep:]
+        batch, self.texts = self.texts[: self.deep], self.texts[self.deep :]
         self.owed = len(batch)
         if batch:
             self.transport.write(b"".join(batch))
@@ -345,8 +401,13 @@
                 row["refused"].append(refused / TIMED)
     await gateway.stop()
     await relay.stop()
-    return {name: {key: sorted(values)[len(values) // 2] if key != "refused" else max(values)
-                   for key, values in row.items()} for name, row in found.items()}
+    return {
+        name: {
+            key: sorted(values)[len(values) // 2] if key != "refused" else max(values)
+            for key, values in row.items()
+        }
+        for name, row in found.items()
+    }
 
 
 def decisions(servers: int, parked: int, requests: int = 1500) -> float:
@@ -375,8 +436,9 @@
         began = time.perf_counter()
         ask(name, "plan", "c")
         send = sends.pop(name)
-        gateway.handle(now, api.Outcome(
-            name, 0, send.server, api.Status.OK, 5.0, True, 10.0, None, (0.1, 0.0)))
+        gateway.handle(
+            now, api.Outcome(name, 0, send.server, api.Status.OK, 5.0, True, 10.0, None, (0.1, 0.0))
+        )
         spent += time.perf_counter() - began
     assert not parked or len(gateway.parked) >= parked * 0.9
     return spent / requests * 1e6
@@ -398,26 +460,41 @@
     ratios["parked_1000_ratio"] = round(min(parked) / min(plain), 2)
     ratios["servers_10000_ratio"] = round(min(large) / min(small), 2)
     first = json.loads(COMMITTED.read_text())["first"] if COMMITTED.exists() else counts
-    print(f"{'':18}{'instructions':>13}{'allocations':>12}{'bytes':>8}{'calls':>7}  "
-          f"{'first: instructions':>20}{'allocations':>12}")
+    print(
+        f"{'':18}{'instructions':>13}{'allocations':>12}{'bytes':>8}{'calls':>7}  "
+        f"{'first: instructions':>20}{'allocations':>12}"
+    )
     for name, row in counts.items():
         old = first[name]
-        print(f"{name:18}{row['opcodes']:13.0f}{row['allocations']:12.1f}{row['bytes']:8.0f}{row['calls']:7.1f}"
-              f"{old['opcodes']:22.0f}{old['allocations']:12.1f}")
+        print(
+            f"{name:18}{row['opcodes']:13.0f}{row['allocations']:12.1f}{row['bytes']:8.0f}{row['calls']:7.1f}"
+            f"{old['opcodes']:22.0f}{old['allocations']:12.1f}"
+        )
         layers = [f"{key[8:]} {value:.0f}" for key, value in row.items() if key.startswith("opcodes ")]
         print(" " * 18 + ", ".join(layers))
     print(f"{'':14}{'CPU us':>9}{'requests/s':>12}{'refused':>9}")
     for name, row in times.items():
         print(f"{name:14}{row['cpu_us']:9.1f}{row['rps']:12.0f}{row['refused']:9.1%}")
     one, deep = times["gateway x1"], times[f"gateway x{DEEP}"]
-    print(json.dumps({
-        "cpu_ratio_x1": round(one["cpu_us"] / times["relay x1"]["cpu_us"], 1),
-        "cpu_ratio_x16": round(deep["cpu_us"] / times[f"relay x{DEEP}"]["cpu_us"], 1),
-        "allocations_ratio": round(max(
-            counts[f"{kind} x1"]["allocations"] / first[f"{kind} x1"]["allocations"] for kind in KINDS), 3),
-        **ratios, "pipelined_refused": round(deep["refused"], 3),
-        "rps_ratio_x16_over_x1": round(deep["rps"] / one["rps"], 2),
-        "cpu_x16_over_x1": round(deep["cpu_us"] / one["cpu_us"], 2)}))
+    print(
+        json.dumps(
+            {
+                "cpu_ratio_x1": round(one["cpu_us"] / times["relay x1"]["cpu_us"], 1),
+                "cpu_ratio_x16": round(deep["cpu_us"] / times[f"relay x{DEEP}"]["cpu_us"], 1),
+                "allocations_ratio": round(
+                    max(
+                        counts[f"{kind} x1"]["allocations"] / first[f"{kind} x1"]["allocations"]
+                        for kind in KINDS
+                    ),
+                    3,
+                ),
+                **ratios,
+                "pipelined_refused": round(deep["refused"], 3),
+                "rps_ratio_x16_over_x1": round(deep["rps"] / one["rps"], 2),
+                "cpu_x16_over_x1": round(deep["cpu_us"] / one["cpu_us"], 2),
+            }
+        )
+    )
     return 0
 
 
@@ -455,13 +532,15 @@
             found = counts[name].get(key, 0.0)
             if not key.endswith(" clock") and found > old * factor + more:
                 lines[f"{name} {key}"] = (
-                    f"{name}: {key} {found} a request, {old} committed (margin {factor} and {more})")
+                    f"{name}: {key} {found} a request, {old} committed (margin {factor} and {more})"
+                )
     return lines
 
 
 def main() -> None:
     parser = argparse.ArgumentParser(
-        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
     parser.add_argument("--long", action="store_true", help="more rounds")
     parser.add_argument("--check", action="store_true")
     parser.add_argument("--record", action="store_true")
--- a/benchmarks/slow_peers.py
+++ b/benchmarks/slow_peers.py
@@ -32,9 +32,15 @@
 READ = RequestClass("read", 500.0, 1000.0, Effect.SAFE)
 BUY = RequestClass("buy", 2000.0, 8000.0, Effect.UNSAFE, worth=3.0)
 SETTINGS = Settings(
-    gateways=1, index=0, zone="a", classes=(READ, BUY), plans=(Plan("plan"),),
+    gateways=1,
+    index=0,
+    zone="a",
+    classes=(READ, BUY),
+    plans=(Plan("plan"),),
     limits=Limits(max_attempts=3, can_cancel=True),
-    contract=Contract(8.0, 1000.0, 0.2, 10_000.0, 3.0, 2000.0, 10_000.0), tick_ms=1.0)
+    contract=Contract(8.0, 1000.0, 0.2, 10_000.0, 3.0, 2000.0, 10_000.0),
+    tick_ms=1.0,
+)
 MEMBER = Member(7, "plan", 1.0, (READ,))
 SLOW, NORMAL, DESCRIPTORS = 10, 12, 256
 LARGE = b"v" * 900_000
@@ -102,7 +108,9 @@
     await asyncio.gather(
         *(deaf_client(port, turn * SLOW + n) for n in range(SLOW)),
         *(honest_client(port, turn * SLOW + n, cut) for n in range(2)),
-        *(ask_slow_node(side, turn * 100 + n) for n in range(2 * SLOW)), _gather(slow, stays))
+        *(ask_slow_node(side, turn * 100 + n) for n in range(2 * SLOW)),
+        _gather(slow, stays),
+    )
     return {"cut": cut, "stays": stays}
 
 
@@ -133,7 +141,7 @@
     text = command(MEMBER, BUY, (1 << 41) + number, 1).replace(b"$4\r\nbody", body)
     with suppress(RuntimeError, OSError):  # cut off: told below
         for place in range(0, len(text), 5000):
-            peer.send(text[place:place + 5000])
+            peer.send(text[place : place + 5000])
             await asyncio.sleep(0.1)  # some 50 KB a second
     if not isinstance(await peer.reply(), bytes):
         cut.append(number)
@@ -181,8 +189,14 @@
             one, two = list[float](), list[float]()
             await span(one, (turn + 2) << 24)
             child = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "benchmarks.slow_peers", "--peers", f"{port} {side} {turn}",
-                *(["--long"] if rounds > SHORT_ROUNDS else []), stdout=asyncio.subprocess.PIPE)
+                sys.executable,
+                "-m",
+                "benchmarks.slow_peers",
+                "--peers",
+                f"{port} {side} {turn}",
+                *(["--long"] if rounds > SHORT_ROUNDS else []),
+                stdout=asyncio.subprocess.PIPE,
+            )
             told = asyncio.ensure_future(child.communicate())
             while len(edge.clients.stuck) < SLOW and not told.done():  # all are there and slow
                 await asyncio.sleep(0.01)
@@ -204,17 +218,24 @@
     print(f"{'':24}{'p50 ms':>9}{'p99 ms':>9}")
     for name, times in (("normal clients alone", alone), ("beside slow peers", beside)):
         print(f"{name:24}{statistics.median(times):9.3f}{p99(times):9.3f}")
-    print(f"who takes no answer stays {stays.most:.1f} s at most (limit {replies.STALLED_S:.0f} s), "
-          f"whose command trickles {max(slow_stays):.1f} s (limit {clients_module.COMMAND_S:.0f} s)")
+    print(
+        f"who takes no answer stays {stays.most:.1f} s at most (limit {replies.STALLED_S:.0f} s), "
+        f"whose command trickles {max(slow_stays):.1f} s (limit {clients_module.COMMAND_S:.0f} s)"
+    )
     print(f"held at most {most_held / MEGABYTE:.1f} MB; limits that have bitten: {bites}")
-    print(f"crowd of {crowd['asked']} over {DESCRIPTORS} descriptors: {crowd['answered']} answered, "
-          f"{crowd['served']} served, connect to answer p99 {crowd['p99']:.0f} ms")
+    print(
+        f"crowd of {crowd['asked']} over {DESCRIPTORS} descriptors: {crowd['answered']} answered, "
+        f"{crowd['served']} served, connect to answer p99 {crowd['p99']:.0f} ms"
+    )
     return {
         "p50_ratio": round(statistics.median(ratio for ratio, _ in ratios), 3),
         "p99_ratio": round(statistics.median(ratio for _, ratio in ratios), 3),
-        "crowd_connect_p99_ms": round(crowd["p99"], 1), "slow_left": left, "fast_cut": len(cut),
+        "crowd_connect_p99_ms": round(crowd["p99"], 1),
+        "slow_left": left,
+        "fast_cut": len(cut),
         "peak_mb": round(resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024.0, 1),
-        "held_mb": round(most_held / MEGABYTE, 1), "crowd_unanswered": crowd["asked"] - crowd["answered"],
+        "held_mb": round(most_held / MEGABYTE, 1),
+        "crowd_unanswered": crowd["asked"] - crowd["answered"],
     }
 
 
--- a/brackenloft/__main__.py
+++ b/brackenloft/__main__.py
@@ -100,12 +100,16 @@
         admin = environment.get("EDGE_ADMIN") or document.get("admin")
         accept = environment.get("EDGE_ACCEPT_FD")
         return Config(
-            path=path, listen=_address(environment.get("EDGE_LISTEN") or document["listen"]),
+            path=path,
+            listen=_address(environment.get("EDGE_LISTEN") or document["listen"]),
             discovery=_address(environment.get("EDGE_DISCOVERY") or document["discovery"]),
-            seed=int(document["seed"], 16), descriptors=int(document["limits"]["sockets"]),
+            seed=int(document["seed"], 16),
+            descriptors=int(document["limits"]["sockets"]),
             memory=int(document["limits"]["memory_mb"]) * MEGABYTE,
-            known=document["known"], settings=settings_from(document["settings"]),
-            admin=_address(admin) if admin else None, accept=int(accept) if accept else None,
+            known=document["known"],
+            settings=settings_from(document["settings"]),
+            admin=_address(admin) if admin else None,
+            accept=int(accept) if accept else None,
             shared=Path(environment["TMPDIR"]) if accept and environment.get("TMPDIR") else None,
         )
 
@@ -164,12 +168,14 @@
     shut: Callable[[], None] = lambda: None  # noqa: E731
     if config.admin:
         from brackenloft.ops.station import Station
+
         try:
             shut = Station(edge, config.admin).close
         except OSError as error:
             raise SystemExit(f"the second address {config.admin[0]}:{config.admin[1]}: {error}") from error
     if config.shared:
         from brackenloft.handover.channel import Succession
+
         edge.expects = True
         return shut, Succession(edge, config.shared, f"{config.listen[0]}:{config.listen[1]}")
     _accept(config, edge)
@@ -245,7 +251,8 @@
     """
     signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
     logging.basicConfig(
-        stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(name)s %(message)s")
+        stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(name)s %(message)s"
+    )
     for handler in logging.getLogger().handlers:
         handler.addFilter(Ration())
     try:
--- a/brackenloft/adapter.py
+++ b/brackenloft/adapter.py
@@ -16,14 +16,21 @@
 from brackenloft.settings import Fields, settings_from
 
 STATUS = {
-    200: api.Status.OK, 500: api.Status.ERROR, 503: api.Status.FULL, 504: api.Status.TIMEOUT,
-    502: api.Status.CONNECT_FAILED, 598: api.Status.RESET, 499: api.Status.CANCELLED,
+    200: api.Status.OK,
+    500: api.Status.ERROR,
+    503: api.Status.FULL,
+    504: api.Status.TIMEOUT,
+    502: api.Status.CONNECT_FAILED,
+    598: api.Status.RESET,
+    499: api.Status.CANCELLED,
     410: api.Status.NOT_SENT,
 }
 STATE = {"U": api.ServerState.READY, "L": api.ServerState.DRAINING, "D": api.ServerState.GONE}
 LIST_KIND = {
-    "Partial": api.ListKind.CHANGES, "Complete": api.ListKind.FULL,
-    "Persisted": api.ListKind.CACHED, "Error": api.ListKind.FAILED,
+    "Partial": api.ListKind.CHANGES,
+    "Complete": api.ListKind.FULL,
+    "Persisted": api.ListKind.CACHED,
+    "Error": api.ListKind.FAILED,
 }
 
 
@@ -33,8 +40,13 @@
 
 def _entry(row: Fields) -> api.ServerEntry:
     return api.ServerEntry(
-        server=row["server"], zone=row["locality"], kind=row["generation_hw"], cell=row["cluster"],
-        state=STATE[row["phase"]], size=row["size"], started_ms=row["since_ms"] or 0.0,
+        server=row["server"],
+        zone=row["locality"],
+        kind=row["generation_hw"],
+        cell=row["cluster"],
+        state=STATE[row["phase"]],
+        size=row["size"],
+        started_ms=row["since_ms"] or 0.0,
     )
 
 
@@ -44,15 +56,30 @@
 
 def _request(f: Fields) -> api.Request:
     return api.Request(
-        f["op_id"], f["priority"], f["plan"], f["member"], f["patience_left_ms"], f["units"],
-        f["width"], f["base"], bool(f["retry"]), bool(f["update"]),
+        f["op_id"],
+        f["priority"],
+        f["plan"],
+        f["member"],
+        f["patience_left_ms"],
+        f["units"],
+        f["width"],
+        f["base"],
+        bool(f["retry"]),
+        bool(f["update"]),
     )
 
 
 def _outcome(f: Fields) -> api.Outcome:
     return api.Outcome(
-        f["op_id"], f["seq_no"], f["server"], STATUS[f["code"]], f["delay_seen_ms"], bool(f["final"]),
-        f["metered"] - 1 if f["metered"] else None, f["final_units"] or None, _load(f["gauge"]),
+        f["op_id"],
+        f["seq_no"],
+        f["server"],
+        STATUS[f["code"]],
+        f["delay_seen_ms"],
+        bool(f["final"]),
+        f["metered"] - 1 if f["metered"] else None,
+        f["final_units"] or None,
+        _load(f["gauge"]),
     )
 
 
@@ -63,10 +90,12 @@
     "Vanished": lambda f: api.ClientGone(f["op_id"]),
     "Flowing": lambda f: api.StreamStarted(f["op_id"], f["seq_no"], f["server"], f["delay_seen_ms"]),
     "Sampled": lambda f: api.ProbeResult(
-        f["server"], STATUS[f["code"]], f["delay_seen_ms"], _load(f["gauge"])),
+        f["server"], STATUS[f["code"]], f["delay_seen_ms"], _load(f["gauge"])
+    ),
     "Memo": lambda f: api.PeerMessage(f["origin_peer"], bytes.fromhex(f["body"])),
     "Reckoned": lambda f: api.CounterReply(
-        f["counter_key"], STATUS[f["code"]], f["reading"] or 0.0, f["delay_seen_ms"]),
+        f["counter_key"], STATUS[f["code"]], f["reading"] or 0.0, f["delay_seen_ms"]
+    ),
 }
 
 ACTIONS: dict[type, Callable[[Any], tuple[str, Fields]]] = {
@@ -82,7 +111,9 @@
     api.CloseIdle: lambda a: ("DropConns", {"server": a.server}),
     api.TellPeer: lambda a: ("Share", {"dst": a.peer, "body": a.data.hex()}),
     api.CounterAdd: lambda a: (
-        "Add", {"counter_key": a.name, "add": a.amount, "expire_in_ms": a.lifetime_ms}),
+        "Add",
+        {"counter_key": a.name, "add": a.amount, "expire_in_ms": a.lifetime_ms},
+    ),
 }
 
 
--- a/brackenloft/asgi/fastapi.py
+++ b/brackenloft/asgi/fastapi.py
@@ -41,6 +41,7 @@
 
     The mapper gives ``Admit``, or None for a request that is free.
     """
+
     async def dependency(request: Request, response: Response) -> AsyncIterator[Admission | None]:
         call = None
         try:
--- a/brackenloft/asgi/mapping.py
+++ b/brackenloft/asgi/mapping.py
@@ -53,8 +53,14 @@
     """
 
     def __init__(
-        self, settings: api.Settings, *, customer_header: str = "x-customer", plan_header: str = "x-plan",
-        plan: str | None = None, forward: bool = False, prefix: str = "/",
+        self,
+        settings: api.Settings,
+        *,
+        customer_header: str = "x-customer",
+        plan_header: str = "x-plan",
+        plan: str | None = None,
+        forward: bool = False,
+        prefix: str = "/",
     ) -> None:
         self.customer_header = customer_header.lower().encode()
         self.plan_header = plan_header.lower().encode()
@@ -76,8 +82,13 @@
             raise FieldError(self.plan_header.decode(), "is missing")
         effect = self._effect(scope["method"], key)
         call = Call(
-            self._class(effect), plan, customer, key=key if effect is api.Effect.KEYED else None,
-            units=self._units(scope), patience_ms=float(wait[1]) * 1000.0 if wait else None)
+            self._class(effect),
+            plan,
+            customer,
+            key=key if effect is api.Effect.KEYED else None,
+            units=self._units(scope),
+            patience_ms=float(wait[1]) * 1000.0 if wait else None,
+        )
         return Forward(call) if self.forward else Admit(call)
 
     def _effect(self, method: str, key: str | None) -> api.Effect:
@@ -87,8 +98,10 @@
 
     def _class(self, effect: api.Effect) -> str:
         if effect not in self.by_effect:
-            raise FieldError("idempotency-key" if effect is api.Effect.UNSAFE else "method",
-                             f"no class of the settings is {effect.value}")
+            raise FieldError(
+                "idempotency-key" if effect is api.Effect.UNSAFE else "method",
+                f"no class of the settings is {effect.value}",
+            )
         return self.by_effect[effect]
 
     def _key(self, scope: Scope) -> str | None:
--- a/brackenloft/asgi/middleware.py
+++ b/brackenloft/asgi/middleware.py
@@ -213,7 +213,12 @@
         return None
 
     async def _serve(
-        self, scope: Scope, incoming: Incoming, send: Send, call: Call, admission: Admission,
+        self,
+        scope: Scope,
+        incoming: Incoming,
+        send: Send,
+        call: Call,
+        admission: Admission,
     ) -> None:
         """The application's turn; the place is given back however it ends."""
         headers = self._headers(call)
@@ -258,8 +263,11 @@
         if not isinstance(answer, Served):
             await self._refuse(answer, call, send)
             return
-        headers = [(b"content-type", mapped.media_type.encode("latin-1")),
-                   (b"content-length", b"%d" % len(answer.value)), *self._headers(call)]
+        headers = [
+            (b"content-type", mapped.media_type.encode("latin-1")),
+            (b"content-length", b"%d" % len(answer.value)),
+            *self._headers(call),
+        ]
         await send({"type": "http.response.start", "status": 200, "headers": headers})
         await send({"type": "http.response.body", "body": answer.value})
 
--- a/brackenloft/asgi/problem.py
+++ b/brackenloft/asgi/problem.py
@@ -20,8 +20,12 @@
 MOST_PLANS = 256  # whose policies are kept as text
 PREFIX = "urn:brackenloft:"
 TITLES = {
-    400: "The request can't be taken", 413: "The body is too large", 429: "Over the customer's quota",
-    500: "The request could not be mapped", 502: "No server has answered well", 503: "No room at the moment",
+    400: "The request can't be taken",
+    413: "The body is too large",
+    429: "Over the customer's quota",
+    500: "The request could not be mapped",
+    502: "No server has answered well",
+    503: "No room at the moment",
 }
 
 
@@ -37,8 +41,12 @@
 
     def body(self) -> bytes:
         """The document of RFC 9457, 3."""
-        document = {"type": PREFIX + self.kind, "title": TITLES[self.status], "status": self.status,
-                    "detail": self.detail} | ({"field": self.field} if self.field else {})
+        document = {
+            "type": PREFIX + self.kind,
+            "title": TITLES[self.status],
+            "status": self.status,
+            "detail": self.detail,
+        } | ({"field": self.field} if self.field else {})
         return json.dumps(document).encode()
 
     def all_headers(self) -> Headers:
--- a/brackenloft/cli.py
+++ b/brackenloft/cli.py
@@ -63,10 +63,13 @@
     call.add_argument("--spread", type=int, default=1)
     call.add_argument("--first", type=int, default=0)
     from brackenloft.ops import caller
-    caller.add_to(commands.add_parser(
-        "ops", help="call a gateway's second address: exits 0 yes, 1 no, 2 no answer"))
+
+    caller.add_to(
+        commands.add_parser("ops", help="call a gateway's second address: exits 0 yes, 1 no, 2 no answer")
+    )
     commands.add_parser(
-        "config", help="the configuration of all gateways: brackenloft config --help (extra [control])")
+        "config", help="the configuration of all gateways: brackenloft config --help (extra [control])"
+    )
     commands.add_parser("fleet", help="tasks of all gateways: brackenloft fleet --help (extra [fleet])")
     commands.add_parser("lab", help="experiments in virtual time: brackenloft lab --help (extra [lab])")
     commands.add_parser("load", help="an open-loop load: brackenloft load --help (extra [load])")
@@ -79,8 +82,14 @@
     if words and words[0] in APART:
         return _apart(words[0], words[1:])
     options = _parser().parse_args(words)
-    run = {"serve": _serve, "control": _control, "check-config": _check, "demo": _demo, "call": _call,
-           "ops": _ops}
+    run = {
+        "serve": _serve,
+        "control": _control,
+        "check-config": _check,
+        "demo": _demo,
+        "call": _call,
+        "ops": _ops,
+    }
     return run[options.command](options)
 
 
@@ -97,6 +106,7 @@
 
 def _run(main: Coroutine[Any, Any, int]) -> int:
     import uvloop
+
     return uvloop.run(main)
 
 
@@ -105,6 +115,7 @@
 
 def _load(path: Path) -> Config | None:
     from brackenloft import config
+
     try:
         return config.load(path)
     except config.ConfigError as error:
@@ -126,28 +137,34 @@
 def _parts(loaded: Config) -> Parts | None:
     """The files that a configuration names beside itself; None if one of them can't be used."""
     from brackenloft import config
+
     extra, sources, front, counter, fleet, control = "", None, None, None, None, None
     try:
         if loaded.membership:
             extra = "membership wants the extra [eureka]"
             from brackenloft.membership import config as membership
+
             sources = membership.load(loaded.membership)
         if loaded.graphql:
             extra = "graphql wants the extra [graphql]"
             from brackenloft.graphql import config as graphql
+
             front = graphql.read(loaded.graphql, loaded.settings)
         if loaded.counter:
             extra = "counter wants the extra [counter]"
             from brackenloft.quota.client import Where
+
             counter = config.read_file(Where, loaded.counter)
         if loaded.fleet:
             extra = "fleet wants the extra [fleet]"
             from brackenloft.fleet import config as fleets
             from brackenloft.fleet import service  # noqa: F401  so that what is missing is told now
+
             fleet = fleets.load(loaded.fleet, counts=counter is not None)
         if loaded.control:
             extra = "control wants the extra [control]"
             from brackenloft.configuration import client, client_config  # noqa: F401  as above
+
             control = client_config.load(loaded.control)
         return Parts(sources, front, counter, fleet, control)
     except config.ConfigError as error:
@@ -167,24 +184,29 @@
     source = "discovery" if loaded.discovery else f"{len(loaded.nodes)} nodes"
     if parts.sources:
         from brackenloft.membership.config import in_order
+
         source = ", then ".join(table.name for table in in_order(parts.sources))
     settings = loaded.settings
     front = f", GraphQL at {parts.front.document.listen}" if parts.front else ""
     front += f", counter {parts.counter.shown()}" if parts.counter else ""
     front += f", fleet of {len(parts.fleet.stores)} stores" if parts.fleet else ""
     front += f", configuration of {len(parts.control.servers)} control servers" if parts.control else ""
-    print(f"{options.config}: good; {len(settings.plans)} plans, {len(settings.classes)} classes, "
-          f"servers from {source}{front}")
+    print(
+        f"{options.config}: good; {len(settings.plans)} plans, {len(settings.classes)} classes, "
+        f"servers from {source}{front}"
+    )
     return 0
 
 
 def _serve(options: argparse.Namespace) -> int:
     from brackenloft.__main__ import Ration
+
     loaded = _load(options.config)
     if loaded is None:
         return 2
     logging.basicConfig(
-        stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(name)s %(message)s")
+        stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(name)s %(message)s"
+    )
     for handler in logging.getLogger().handlers:
         handler.addFilter(Ration())
     try:
@@ -207,6 +229,7 @@
 async def _serve_until_told(config: Config, path: Path, parts: Parts) -> int:
     """Until SIGTERM or SIGINT. SIGHUP reads the file's servers again; what else changed is not taken over."""
     from brackenloft.edge import Edge
+
     loop, stop = asyncio.get_running_loop(), asyncio.Event()
 
     def servers(now: Config) -> None:
@@ -227,6 +250,7 @@
         figures: dict[str, Callable[[], object]] = {}
         if config.admin:
             from brackenloft.ops.station import Station
+
             figures = Station(edge, config.admin).more
         host, port = edge.listen(*config.listen)
         servers(config)
@@ -252,24 +276,31 @@
 
 
 def _follow(
-    sources: Sources | None, edge: Edge, listens: tuple[str, int], figures: dict[str, Callable[[], object]],
+    sources: Sources | None,
+    edge: Edge,
+    listens: tuple[str, int],
+    figures: dict[str, Callable[[], object]],
 ) -> Membership | None:
     """Follow the sources of a file, if there is one."""
     if sources is None:
         return None
     from brackenloft.membership.config import run
+
     membership = run(sources, edge, listens)
     figures["membership"] = membership.members.figures
     return membership
 
 
 def _count(
-    where: Where | None, edge: Edge, figures: dict[str, Callable[[], object]],
+    where: Where | None,
+    edge: Edge,
+    figures: dict[str, Callable[[], object]],
 ) -> Counting | None:
     """Sum quotas with others through a counter, if a file names one."""
     if where is None:
         return None
     from brackenloft.quota.client import follow
+
     counting = follow(edge, where)
     figures["counter"] = counting.figures
     return counting
@@ -280,28 +311,35 @@
     if parts.fleet is None:
         return None
     from brackenloft.fleet.service import Fleet
+
     fleet = Fleet(edge, parts.fleet, parts.counter).start()
     figures["fleet"] = fleet.figures
     return fleet
 
 
 def _configure(
-    control: ClientConfig | None, edge: Edge, figures: dict[str, Callable[[], object]],
+    control: ClientConfig | None,
+    edge: Edge,
+    figures: dict[str, Callable[[], object]],
 ) -> Configured | None:
     """Follow the configuration of control servers, if a file names them."""
     if control is None:
         return None
     from brackenloft.configuration import gateway
+
     return gateway.follow(edge, control, figures)
 
 
 def _open_front(
-    loaded: Front | None, edge: Edge, figures: dict[str, Callable[[], object]],
+    loaded: Front | None,
+    edge: Edge,
+    figures: dict[str, Callable[[], object]],
 ) -> Daemon | None:
     """Take GraphQL too, if a file says so."""
     if loaded is None:
         return None
     from brackenloft.graphql.daemon import Daemon
+
     daemon = Daemon(loaded, edge)
     figures["graphql"] = daemon.front.figures
     log.info("GraphQL on %s:%d", *daemon.address)
@@ -309,7 +347,10 @@
 
 
 async def _leave(
-    edge: Edge, within_s: float, membership: Membership | None, front: Daemon | None,
+    edge: Edge,
+    within_s: float,
+    membership: Membership | None,
+    front: Daemon | None,
 ) -> None:
     """Answer all that was taken. Sources are followed to the end: servers may drain meanwhile."""
     if membership:
@@ -325,11 +366,13 @@
 
 def _ops(options: argparse.Namespace) -> int:
     from brackenloft.ops import caller
+
     return caller.run(options)
 
 
 def _demo(options: argparse.Namespace) -> int:
     from brackenloft.standins import demo
+
     logging.basicConfig(level=logging.ERROR)
     if not 0.0 < options.seconds <= MOST_DEMO_S:
         print(f"brackenloft: --seconds: not above 0 and at most {MOST_DEMO_S:g}", file=sys.stderr)
@@ -362,9 +405,12 @@
 
     from brackenloft.net.wire import decimal
     from brackenloft.standins.peer import Peer, resp
+
     key = f"k={options.key}," if options.key else ""
-    listed = (f"c={options.kind},t={options.plan},d={options.patience_ms},{key}"
-              f"units={decimal(options.units)},spread={options.spread},first={options.first}")
+    listed = (
+        f"c={options.kind},t={options.plan},d={options.patience_ms},{key}"
+        f"units={decimal(options.units)},spread={options.spread},first={options.first}"
+    )
     words = ["CALL.GET" if options.body is None else "CALL.POST", customer, secrets.token_hex(8), listed]
     async with asyncio.timeout(options.patience_ms / 1000.0 + 1.0):
         peer = await Peer().open(port, host)
--- a/brackenloft/config.py
+++ b/brackenloft/config.py
@@ -121,11 +121,21 @@
     site = document.site
     try:
         settings = api.Settings(
-            gateways=site.gateways, index=site.index, zone=site.zone, classes=document.classes,
-            plans=document.plans, limits=document.attempts, contract=document.rules,
-            load_fields=site.load_fields, meter_period_ms=site.meter_period_ms,
-            largest_units=site.largest_units, settles=site.settles, tick_ms=site.tick_ms,
-            cross_zone_price=site.cross_zone_price, plans_change=document.control is not None)
+            gateways=site.gateways,
+            index=site.index,
+            zone=site.zone,
+            classes=document.classes,
+            plans=document.plans,
+            limits=document.attempts,
+            contract=document.rules,
+            load_fields=site.load_fields,
+            meter_period_ms=site.meter_period_ms,
+            largest_units=site.largest_units,
+            settles=site.settles,
+            tick_ms=site.tick_ms,
+            cross_zone_price=site.cross_zone_price,
+            plans_change=document.control is not None,
+        )
     except ValueError as error:
         raise ConfigError(f"site: {error}") from error
     names = [node.name for node in document.nodes]
@@ -133,12 +143,20 @@
         raise ConfigError("nodes: names one twice")
     discovery = None if document.discovery is None else address(document.discovery, "discovery")
     admin = None if document.admin is None else address(document.admin, "admin")
-    return Config(settings, address(document.listen, "listen"), discovery, document.nodes, document.room,
-                  document.seed, admin, place / document.membership if document.membership else None,
-                  place / document.graphql if document.graphql else None,
-                  place / document.counter if document.counter else None,
-                  place / document.fleet if document.fleet else None,
-                  place / document.control if document.control else None)
+    return Config(
+        settings,
+        address(document.listen, "listen"),
+        discovery,
+        document.nodes,
+        document.room,
+        document.seed,
+        admin,
+        place / document.membership if document.membership else None,
+        place / document.graphql if document.graphql else None,
+        place / document.counter if document.counter else None,
+        place / document.fleet if document.fleet else None,
+        place / document.control if document.control else None,
+    )
 
 
 def address(text: str, where: str) -> Address:
--- a/brackenloft/edge/calls.py
+++ b/brackenloft/edge/calls.py
@@ -191,7 +191,10 @@
         return self.admission
 
     async def __aexit__(
-        self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None,
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
     ) -> None:
         self.admission.failed = self.admission.failed or error is not None
         self.admission.release()
--- a/brackenloft/edge/edge.py
+++ b/brackenloft/edge/edge.py
@@ -76,7 +76,8 @@
         self.lifecycle = Lifecycle(self._turn)
         self.watchers: list[Callable[[State], None]] = []  # told of each state that the lifecycle turns to
         self.clients = Clients(
-            self.driver, self.settings, self.budget, room.held, room.asking or 0, self.lifecycle)
+            self.driver, self.settings, self.budget, room.held, room.asking or 0, self.lifecycle
+        )
         self._emptier: asyncio.TimerHandle | None = None
         self.discovery = Discovery(self._news)
         self._listed = self.heard = False  # any list; one that is no old one
@@ -93,7 +94,10 @@
         return self.open()
 
     async def __aexit__(
-        self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None,
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
     ) -> None:
         await self.close()
 
@@ -147,9 +151,12 @@
         self._door_address[name] = address
         known = {number: host for number, host in self.servers.hosts.items() if host.ready}
         door.update(
-            api.ServerList(api.ListKind.FULL, tuple(
-                api.ServerEntry(number, "", started_ms=host.started) for number, host in known.items())),
-            {number: address(host.address) for number, host in known.items()})
+            api.ServerList(
+                api.ListKind.FULL,
+                tuple(api.ServerEntry(number, "", started_ms=host.started) for number, host in known.items()),
+            ),
+            {number: address(host.address) for number, host in known.items()},
+        )
 
     def _update(self, news: api.ServerList, addresses: dict[int, Address]) -> None:
         self.servers.update(news, addresses)
@@ -215,10 +222,16 @@
         for number, server in self.driver.gateway.fleet.servers.items():
             host = self.servers.hosts.get(number)
             if host and number in names:
-                rows.append({
-                    "instanceId": names[number], "hostPort": f"{host.address[0]}:{host.address[1]}",
-                    "zone": server.zone, "cell": server.cell, "startedAtMs": server.started,
-                    "lifecycle": "Ready" if server.ready else "Terminating"})
+                rows.append(
+                    {
+                        "instanceId": names[number],
+                        "hostPort": f"{host.address[0]}:{host.address[1]}",
+                        "zone": server.zone,
+                        "cell": server.cell,
+                        "startedAtMs": server.started,
+                        "lifecycle": "Ready" if server.ready else "Terminating",
+                    }
+                )
         return {"generation": 0, "reset": True, "instances": rows}
 
     def _turn(self, before: State, after: State) -> None:
@@ -248,7 +261,10 @@
     # ---- Plans
 
     def put_plans(
-        self, plans: Mapping[str, api.Plan], names: Mapping[bytes, str], plan_of: Callable[[str], str],
+        self,
+        plans: Mapping[str, api.Plan],
+        names: Mapping[bytes, str],
+        plan_of: Callable[[str], str],
     ) -> None:
         """Other plans are in force from now on: ``api.PlansChanged``; what is given may not change later.
 
@@ -327,12 +343,16 @@
     def counters(self) -> dict[str, float]:
         """What became of the requests so far, and what is in hand now."""
         now = {
-            "in_hand": len(self.driver.calls), "granted_now": self.granted_now,
+            "in_hand": len(self.driver.calls),
+            "granted_now": self.granted_now,
             "client_connections": len(self.clients.connections),
             "server_connections": len(self.servers.connections),
         }
-        bites = {f"bit: {name}": count for part in (self.clients, self.servers)
-                 for name, count in part.bites.counts.items()}
+        bites = {
+            f"bit: {name}": count
+            for part in (self.clients, self.servers)
+            for name, count in part.bites.counts.items()
+        }
         tallies = self.driver.tallies.values()
         ended = {field.name: sum(getattr(tally, field.name) for tally in tallies) for field in fields(Tally)}
         return asdict(self.driver.counters) | ended | now | bites
@@ -346,17 +366,23 @@
         checks = self.checks
         kind = checks.kind(call.class_name)
         wait = kind.deadline_ms + CLIENT_MARGIN_MS if call.patience_ms is None else call.patience_ms
-        request_id = self._new_id() if call.request_id is None else checks.identifier(
-            "request_id", call.request_id)
+        request_id = (
+            self._new_id() if call.request_id is None else checks.identifier("request_id", call.request_id)
+        )
         if request_id in self.driver.calls:
             raise FieldError("request_id", "a request of this id is in hand")
         return api.Request(
-            request_id=request_id, class_name=kind.name, plan=checks.plan(call.plan, call.customer),
+            request_id=request_id,
+            class_name=kind.name,
+            plan=checks.plan(call.plan, call.customer),
             customer=checks.local_customer(call.customer) if local else checks.customer(call.customer),
-            patience_ms=checks.patience(wait, kind), units=checks.units(call.units),
+            patience_ms=checks.patience(wait, kind),
+            units=checks.units(call.units),
             width=checks.place("width", call.width, 1),
             first_gateway=checks.place("first_gateway", call.first_gateway, 0),
-            is_retry=call.is_retry, is_write=kind.effect is not api.Effect.SAFE, served_here=local,
+            is_retry=call.is_retry,
+            is_write=kind.effect is not api.Effect.SAFE,
+            served_here=local,
             paid=call.paid,
         )
 
--- a/brackenloft/edge/sources.py
+++ b/brackenloft/edge/sources.py
@@ -38,11 +38,19 @@
 
 def listing(nodes: Iterable[Node], zone: str, generation: int) -> dict[str, Any]:
     """The whole list, as discovery would tell it; nodes without a zone are in ``zone``."""
-    rows = [{
-        "instanceId": node.name, "hostPort": f"{node.host}:{node.port}", "zone": node.zone or zone,
-        "machineType": node.kind, "cell": node.cell, "weight": node.weight, "startedAtMs": node.started_ms,
-        "lifecycle": "Terminating" if node.draining else "Ready",
-    } for node in nodes]
+    rows = [
+        {
+            "instanceId": node.name,
+            "hostPort": f"{node.host}:{node.port}",
+            "zone": node.zone or zone,
+            "machineType": node.kind,
+            "cell": node.cell,
+            "weight": node.weight,
+            "startedAtMs": node.started_ms,
+            "lifecycle": "Terminating" if node.draining else "Ready",
+        }
+        for node in nodes
+    ]
     names = [row["instanceId"] for row in rows]
     if len(set(names)) != len(names):
         raise FieldError("name", "names one node twice")
--- a/brackenloft/fleet/cli.py
+++ b/brackenloft/fleet/cli.py
@@ -56,11 +56,11 @@
 
     def __init__(self, document: Document) -> None:
         self.document = document
-        self.stores = {place.name: Store(
-            place.url, document.prefix, document.timeout_ms / 1000.0, place.durable)
-            for place in document.stores}
-        self.registers = Registers(
-            self.stores, Members(0, 0, ()), f"operator-{secrets.token_hex(6)}")
+        self.stores = {
+            place.name: Store(place.url, document.prefix, document.timeout_ms / 1000.0, place.durable)
+            for place in document.stores
+        }
+        self.registers = Registers(self.stores, Members(0, 0, ()), f"operator-{secrets.token_hex(6)}")
 
     async def find(self) -> Members:
         """The installation; NotDone if there is none."""
@@ -82,9 +82,11 @@
         """Change a task's lease; False where there was nothing to change."""
         if task not in {each.name for each in self.document.tasks}:
             raise NotDone(f"the file names no task {task!r}")
+
         def change(held: Any) -> bytes | None:
             after = step(model.read(held))
             return None if after is None else model.write(after)
+
         return (await self.registers.change(PREFIX + task, change, WITHIN_S)).mine
 
     def trouble(self) -> str:
@@ -128,6 +130,7 @@
 
 # ---- Looking
 
+
 async def _stores(desk: Desk) -> list[dict[str, Any]]:
     """Each store: whether it has a vote, why not, how far its clock is from ours."""
     members = await known_members(desk.stores) or Members(0, 0, ())
@@ -138,8 +141,13 @@
 
 
 async def _store(desk: Desk, members: Members, name: str, member: Member | None) -> dict[str, Any]:
-    row: dict[str, Any] = {"store": name, "identity": member.identity if member else None,
-                           "member": member in members.stores, "leaves": member in members.old, "vote": False}
+    row: dict[str, Any] = {
+        "store": name,
+        "identity": member.identity if member else None,
+        "member": member in members.stores,
+        "leaves": member in members.old,
+        "vote": False,
+    }
     store = desk.stores.get(name)
     if store is None:
         return row | {"why": "the file has no address for it"}
@@ -159,6 +167,7 @@
 @app.command()
 def stores(config: File, as_json: Json = False) -> None:
     """Which stores have a vote, and why others have none."""
+
     async def work(desk: Desk) -> None:
         rows = await _stores(desk)
         if as_json:
@@ -167,9 +176,17 @@
         table = Table("store", "identity", "member", "vote", "epoch", "ms", "why not")
         for row in rows:
             vote = "yes" if row["vote"] else "no"
-            table.add_row(row["store"], str(row["identity"] or ""), _member(row), vote,
-                          str(row.get("epoch") or ""), str(row.get("ms", "")), row["why"])
+            table.add_row(
+                row["store"],
+                str(row["identity"] or ""),
+                _member(row),
+                vote,
+                str(row.get("epoch") or ""),
+                str(row.get("ms", "")),
+                row["why"],
+            )
         _console().print(table)
+
     _do(config, work)
 
 
@@ -182,6 +199,7 @@
 @app.command()
 def leases(config: File, as_json: Json = False) -> None:
     """Each task's lease, as a majority of stores has it."""
+
     async def work(desk: Desk) -> None:
         await desk.find()
         rows = {name: msgspec.to_builtins(lease) for name, lease in (await desk.leases()).items()}
@@ -192,10 +210,17 @@
         for name, row in rows.items():
             row = row or {}
             wanted = row.get("next", model.ANYBODY)
-            table.add_row(name, str(row.get("token", "")), row.get("holder", ""), str(row.get("beat", "")),
-                          str(row.get("length_ms", "")), "" if wanted == model.ANYBODY else str(wanted),
-                          row.get("checkpoint", "")[:40])
+            table.add_row(
+                name,
+                str(row.get("token", "")),
+                row.get("holder", ""),
+                str(row.get("beat", "")),
+                str(row.get("length_ms", "")),
+                "" if wanted == model.ANYBODY else str(wanted),
+                row.get("checkpoint", "")[:40],
+            )
         _console().print(table)
+
     _do(config, work)
 
 
@@ -203,22 +228,36 @@
     if lease is None:
         return {"state": "never begun", "gateway": None, "runs": 0, "failures": 0, "lost": 0, "paused": ""}
     state = "paused" if lease.paused else "running" if lease.run else "held" if lease.holder else "free"
-    return {"state": state, "gateway": lease.index if lease.holder else None, "runs": lease.runs,
-            "failures": lease.failures, "lost": len(lease.lost), "paused": lease.paused}
+    return {
+        "state": state,
+        "gateway": lease.index if lease.holder else None,
+        "runs": lease.runs,
+        "failures": lease.failures,
+        "lost": len(lease.lost),
+        "paused": lease.paused,
+    }
 
 
 def _tasks_table(rows: dict[str, dict[str, Any]]) -> Table:
     table = Table("task", "state", "gateway", "runs", "failures in a row", "holders lost in a row", "paused")
     for name, row in rows.items():
         gateway = "" if row["gateway"] is None else str(row["gateway"])
-        table.add_row(name, row["state"], gateway, str(row["runs"]), str(row["failures"]), str(row["lost"]),
-                      row["paused"])
+        table.add_row(
+            name,
+            row["state"],
+            gateway,
+            str(row["runs"]),
+            str(row["failures"]),
+            str(row["lost"]),
+            row["paused"],
+        )
     return table
 
 
 @app.command()
 def tasks(config: File, as_json: Json = False) -> None:
     """What is done by whom, and what is paused."""
+
     async def work(desk: Desk) -> None:
         await desk.find()
         rows = {name: _task_row(lease) for name, lease in (await desk.leases()).items()}
@@ -226,12 +265,14 @@
             _say({"tasks": rows}, True)
         else:
             _console().print(_tasks_table(rows))
+
     _do(config, work)
 
 
 @app.command()
 def status(config: File, as_json: Json = False) -> None:
     """Stores with a vote, tasks by state; exits 1 where too few stores have one."""
+
     async def work(desk: Desk) -> None:
         rows = await _stores(desk)
         members = desk.registers.members
@@ -242,17 +283,24 @@
         for lease in (await desk.leases()).values():
             state = _task_row(lease)["state"]
             states[state] = states.get(state, 0) + 1
-        document = {"epoch": members.epoch, "stores": len(members.all()), "voting": voting,
-                    "replacing": bool(members.old), "tasks": states}
+        document = {
+            "epoch": members.epoch,
+            "stores": len(members.all()),
+            "voting": voting,
+            "replacing": bool(members.old),
+            "tasks": states,
+        }
         told = ", ".join(f"{number} {state}" for state, number in sorted(states.items())) or "none"
         line = f"epoch {members.epoch}: {len(voting)} of {len(members.all())} stores have a vote"
         line += ", one is being replaced" if members.old else ""
         _say(document, as_json, f"{line}; tasks: {told}")
+
     _do(config, work)
 
 
 # ---- Changing
 
+
 @app.command()
 def init(
     config: File,
@@ -261,6 +309,7 @@
     as_json: Json = False,
 ) -> None:
     """Set up an installation on its stores, once; every one of them has to be there."""
+
     async def work(desk: Desk) -> None:
         chosen = names.split(",") if names else list(desk.stores)
         unknown = [name for name in chosen if name not in desk.stores]
@@ -271,6 +320,7 @@
         members = places.first(chosen, floor, secrets.token_hex(3))
         await enrol.found(desk.registers, members, force)
         _say(msgspec.to_builtins(members), as_json, f"epoch 1: {', '.join(chosen)}; tokens above {floor}")
+
     _do(config, work)
 
 
@@ -282,28 +332,38 @@
     as_json: Json = False,
 ) -> None:
     """Let a store take another's place, or take one back that forgot. Safe to give again."""
+
     async def work(desk: Desk) -> None:
         await desk.find()
         lines: list[str] = []
         members = await enrol.replace(
-            desk.registers, leaves, comes or leaves, secrets.token_hex(3), WITHIN_S, lines.append)
+            desk.registers, leaves, comes or leaves, secrets.token_hex(3), WITHIN_S, lines.append
+        )
         _say(msgspec.to_builtins(members), as_json, *lines)
+
     _do(config, work)
 
 
 def _change(
-    path: Path, task: str, as_json: bool, said: str, step: Callable[[Lease | None], Lease | None],
+    path: Path,
+    task: str,
+    as_json: bool,
+    said: str,
+    step: Callable[[Lease | None], Lease | None],
 ) -> None:
     async def work(desk: Desk) -> None:
         await desk.find()
         done = await desk.tell(task, step)
         _say({"task": task, "changed": done}, as_json, f"{task}: {said if done else 'was so already'}")
+
     _do(path, work)
 
 
 @app.command()
 def pause(
-    config: File, task: Task, reason: Annotated[str, typer.Option(help="told to all")] = "",
+    config: File,
+    task: Task,
+    reason: Annotated[str, typer.Option(help="told to all")] = "",
     as_json: Json = False,
 ) -> None:
     """Begin no run of a task any more, at any gateway; one that is under way ends."""
@@ -325,5 +385,3 @@
 def main(arguments: list[str]) -> int:
     """Run a subcommand; its exit code."""
     return run_app(app, "brackenloft fleet", arguments)
-
-
--- a/brackenloft/fleet/leases/fence.py
+++ b/brackenloft/fleet/leases/fence.py
@@ -20,7 +20,10 @@
 
 
 async def fenced(
-    client: redis.Redis, key: str, token: int, commands: Sequence[tuple[Any, ...]],
+    client: redis.Redis,
+    key: str,
+    token: int,
+    commands: Sequence[tuple[Any, ...]],
 ) -> list[object]:
     """Carry out the commands in one transaction with a look at the largest token so far, kept at ``key``."""
     for _ in range(MOST_RACES):
--- a/brackenloft/fleet/leases/lease.py
+++ b/brackenloft/fleet/leases/lease.py
@@ -80,7 +80,10 @@
         return self
 
     async def __aexit__(
-        self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None,
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
     ) -> None:
         self.lease.acts.discard(self)
         assert self.limit
@@ -119,8 +122,7 @@
 
     async def save(self, checkpoint: str) -> bool:
         """How far the run has come, for whoever goes on with it."""
-        return await self._change(
-            lambda lease: model.save(lease, self.leases.me, self.token, checkpoint))
+        return await self._change(lambda lease: model.save(lease, self.leases.me, self.token, checkpoint))
 
     async def end(self, good: bool, checkpoint: str) -> bool:
         """The run has ended."""
@@ -175,7 +177,11 @@
     """The leases as one process sees them. ``clock``: milliseconds, at ``clock_rate`` of the loop's."""
 
     def __init__(
-        self, registers: Registers, me: Me, terms: Terms, clock: Callable[[], float],
+        self,
+        registers: Registers,
+        me: Me,
+        terms: Terms,
+        clock: Callable[[], float],
         clock_rate: float = 1.0,
     ) -> None:
         self.registers, self.me, self.terms = registers, me, terms
@@ -227,9 +233,11 @@
 
     async def tell(self, name: str, step: Callable[[Lease | None], Lease | None]) -> bool:
         """A change by who does not hold it: a wish, or an operator's word."""
+
         def change(held: Held | None) -> bytes | None:
             after = step(model.read(held))
             return None if after is None else model.write(after)
+
         done = await self.registers.change(PREFIX + name, change, self.round_s)
         if done.held:
             self.views(name).saw(done.held.version, model.read(done.held), self.clock())
--- a/brackenloft/fleet/leases/model.py
+++ b/brackenloft/fleet/leases/model.py
@@ -89,8 +89,19 @@
     if len(lost) >= MOST_LOST and not paused:
         paused, poison = f"{len(lost)} holders in a row were lost within run {before.run}", True
     return msgspec.structs.replace(
-        before, token=max(before.token, floor) + 1, beat=0, holder=me.who, index=me.index, run=0,
-        length_ms=length_ms, lost=lost, paused=paused, poison=poison, next=ANYBODY, leave=False)
+        before,
+        token=max(before.token, floor) + 1,
+        beat=0,
+        holder=me.who,
+        index=me.index,
+        run=0,
+        length_ms=length_ms,
+        lost=lost,
+        paused=paused,
+        poison=poison,
+        next=ANYBODY,
+        leave=False,
+    )
 
 
 def lives(lease: Lease | None, me: Me) -> Lease | None:
@@ -133,8 +144,12 @@
     if lease is None or not _mine(lease, me, token) or len(checkpoint) > MOST_CHECKPOINT:
         return None
     return msgspec.structs.replace(
-        lease, run=0, lost=() if good else lease.lost, failures=0 if good else lease.failures + 1,
-        checkpoint=checkpoint)
+        lease,
+        run=0,
+        lost=() if good else lease.lost,
+        failures=0 if good else lease.failures + 1,
+        checkpoint=checkpoint,
+    )
 
 
 def release(lease: Lease | None, me: Me, token: int, to: int = ANYBODY) -> Lease | None:
@@ -154,7 +169,8 @@
 def pause(lease: Lease | None, reason: str, floor: int) -> Lease | None:
     """Nobody may begin a run; the holder stays."""
     return msgspec.structs.replace(
-        lease or Lease(floor), poison=False, paused=reason[:MOST_REASON] or "by an operator")
+        lease or Lease(floor), poison=False, paused=reason[:MOST_REASON] or "by an operator"
+    )
 
 
 def resume(lease: Lease | None) -> Lease | None:
--- a/brackenloft/fleet/logs.py
+++ b/brackenloft/fleet/logs.py
@@ -42,17 +42,28 @@
 def logger(name: str) -> BoundLogger:
     """A logger of events with fields."""
     made = structlog.wrap_logger(
-        logging.getLogger(name), wrapper_class=BoundLogger,
-        processors=[structlog.stdlib.filter_by_level, _for_people])
+        logging.getLogger(name),
+        wrapper_class=BoundLogger,
+        processors=[structlog.stdlib.filter_by_level, _for_people],
+    )
     return cast(BoundLogger, made)
 
 
 def as_json() -> None:
     """All handlers of this program write one JSON object a line."""
     shared: list[Any] = [
-        structlog.stdlib.add_log_level, structlog.stdlib.add_logger_name, _for_machines,
-        structlog.processors.TimeStamper(fmt="iso", utc=True), structlog.processors.format_exc_info]
-    formatter = ProcessorFormatter(foreign_pre_chain=shared, processors=[
-        ProcessorFormatter.remove_processors_meta, structlog.processors.JSONRenderer(ensure_ascii=True)])
+        structlog.stdlib.add_log_level,
+        structlog.stdlib.add_logger_name,
+        _for_machines,
+        structlog.processors.TimeStamper(fmt="iso", utc=True),
+        structlog.processors.format_exc_info,
+    ]
+    formatter = ProcessorFormatter(
+        foreign_pre_chain=shared,
+        processors=[
+            ProcessorFormatter.remove_processors_meta,
+            structlog.processors.JSONRenderer(ensure_ascii=True),
+        ],
+    )
     for handler in logging.getLogger().handlers:
         handler.setFormatter(formatter)
--- a/brackenloft/fleet/registers/enrol.py
+++ b/brackenloft/fleet/registers/enrol.py
@@ -52,10 +52,15 @@
 
 
 async def replace(
-    registers: Registers, leaves: str, comes: str, nonce: str, within_s: float,
+    registers: Registers,
+    leaves: str,
+    comes: str,
+    nonce: str,
+    within_s: float,
     told: Callable[[str], None] = lambda line: None,
 ) -> Members:
     """Let ``comes`` take the place of ``leaves``: another store, or the same one blank or doubted."""
+
     def join(held: Held | None) -> bytes | None:
         now = places.read(held.data) if held else registers.members
         if now.old:
@@ -138,8 +143,10 @@
     if newcomer:
         without = [member for member in heard if member.name != newcomer.name]
         if 2 * sum(member in without for member in members.old) <= len(members.old):
-            _stop(f"too few of the other stores heard of epoch {members.epoch}: {_said(without)}; "
-                  "give the command again")
+            _stop(
+                f"too few of the other stores heard of epoch {members.epoch}: {_said(without)}; "
+                "give the command again"
+            )
         await tell(newcomer)
     if not members.enough(heard):
         _stop(f"too few stores heard of epoch {members.epoch}: {_said(heard)}; give the command again")
--- a/brackenloft/fleet/registers/members.py
+++ b/brackenloft/fleet/registers/members.py
@@ -97,8 +97,9 @@
         raise ValueError("a store is being replaced already")
     if leaves not in {member.name for member in now.stores}:
         raise ValueError(f"there is no store {leaves!r}")
-    new = tuple(Member(comes, f"{comes}-{nonce}") if member.name == leaves else member
-                for member in now.stores)
+    new = tuple(
+        Member(comes, f"{comes}-{nonce}") if member.name == leaves else member for member in now.stores
+    )
     return check(Members(now.epoch + 1, now.floor, new, now.stores))
 
 
@@ -127,7 +128,11 @@
 
 
 def judge(
-    member: Member, running: Running | None, own: bytes | None, known: bytes | None, mine: Members,
+    member: Member,
+    running: Running | None,
+    own: bytes | None,
+    known: bytes | None,
+    mine: Members,
 ) -> tuple[Why | None, Members | None]:
     """Whether a store has a vote under ``mine``: why not, and the members that it knows.
 
--- a/brackenloft/fleet/registers/model.py
+++ b/brackenloft/fleet/registers/model.py
@@ -17,7 +17,8 @@
 WHO = re.compile(r"[0-9a-z.-]{1,64}")
 SLOT = re.compile(
     rb"([0-9]{1,3}) ([0-9]{1,15}) ([0-9a-z.-]{1,64}) ([0-9]{1,15}) ([0-9a-z.-]{1,64}) ([0-9]{1,15}) "
-    rb"([0-9a-z.-]{1,64})\n")
+    rb"([0-9a-z.-]{1,64})\n"
+)
 NOBODY = "-"
 MEMBERS = "_members"  # the register of the stores themselves
 
@@ -133,8 +134,10 @@
 def write(slot: Slot) -> bytes:
     """A slot as a store keeps it."""
     held = slot.held or Held(0, NOBODY, b"")
-    head = (f"{slot.promised.number} {slot.promised.who} {slot.accepted.number} {slot.accepted.who} "
-            f"{held.version} {held.op}\n")
+    head = (
+        f"{slot.promised.number} {slot.promised.who} {slot.accepted.number} {slot.accepted.who} "
+        f"{held.version} {held.op}\n"
+    )
     return FORM + b" " + head.encode() + held.data
 
 
@@ -146,7 +149,7 @@
     if not match or match[1] != FORM:
         raise NonsenseError(f"no slot: {len(text)} bytes, {text[:40]!r}")
     promised, accepted = Ballot(int(match[2]), match[3].decode()), Ballot(int(match[4]), match[5].decode())
-    version, data = int(match[6]), text[match.end():]
+    version, data = int(match[6]), text[match.end() :]
     if accepted > promised or (version == 0) != (match[7] == b"-") or (not version and data):
         raise NonsenseError(f"a slot that can't be: {text[:80]!r}")
     held = Held(version, match[7].decode(), data) if version else None
--- a/brackenloft/fleet/registers/registers.py
+++ b/brackenloft/fleet/registers/registers.py
@@ -50,7 +50,11 @@
     """The registers as one process sees them. ``who``: unique to this process among all, ever."""
 
     def __init__(
-        self, stores: Mapping[str, Store], members: Members, who: str, seed: int | None = None,
+        self,
+        stores: Mapping[str, Store],
+        members: Members,
+        who: str,
+        seed: int | None = None,
         now: Callable[[], float] = time.monotonic,
     ) -> None:
         if not model.WHO.fullmatch(who):
@@ -73,8 +77,11 @@
     def adopt(self, members: Members) -> None:
         """Later members than those known so far."""
         if members.epoch > self.members.epoch:
-            log.info("stores of an epoch", epoch=members.epoch,
-                     stores=", ".join(member.identity for member in members.all()))
+            log.info(
+                "stores of an epoch",
+                epoch=members.epoch,
+                stores=", ".join(member.identity for member in members.all()),
+            )
             self.members = members
             self.leads.clear()
 
@@ -161,7 +168,8 @@
         try:
             while step.result is None:
                 done, _ = await asyncio.wait(
-                    out, timeout=max(0.0, end - self.now()), return_when=asyncio.FIRST_COMPLETED)
+                    out, timeout=max(0.0, end - self.now()), return_when=asyncio.FIRST_COMPLETED
+                )
                 heard = [(out.pop(task), task.result()) for task in done]
                 if not done:  # the time is up: who said nothing is silent
                     heard = [(place, None) for place in out.values()]
@@ -192,8 +200,11 @@
         Linearizable: what is told stood at some moment within the call.
         """
         members, end = self.members, self.now() + within_s
-        tasks = {asyncio.create_task(self._look(member, members, names)): member
-                 for member in members.all() if member.name in self.stores}
+        tasks = {
+            asyncio.create_task(self._look(member, members, names)): member
+            for member in members.all()
+            if member.name in self.stores
+        }
         looks: dict[Member, Look] = {}
         found: dict[str, Held | None] = {}
         waiting = set(tasks)
@@ -252,11 +263,13 @@
 
 async def known_members(stores: Mapping[str, Store]) -> Members | None:
     """The latest members that any of these stores knows; None if none tells of any."""
+
     async def ask(store: Store) -> Members | None:
         try:
             _, known, _ = await store.own()
             return places.read(known) if known else None
         except (Lost, NonsenseError):
             return None
+
     found = [members for members in await asyncio.gather(*map(ask, stores.values())) if members]
     return max(found, key=lambda members: members.epoch, default=None)
--- a/brackenloft/fleet/registers/rounds.py
+++ b/brackenloft/fleet/registers/rounds.py
@@ -68,7 +68,12 @@
     """One round. ``ask`` is what every store in ``to`` is to be asked now."""
 
     def __init__(
-        self, members: Members, ballot: Ballot, op: str, change: Change, lead: Lead | None = None,
+        self,
+        members: Members,
+        ballot: Ballot,
+        op: str,
+        change: Change,
+        lead: Lead | None = None,
     ) -> None:
         self.members, self.ballot, self.op, self.change = members, ballot, op, change
         self.to = members.all()
--- a/brackenloft/fleet/registers/store.py
+++ b/brackenloft/fleet/registers/store.py
@@ -49,13 +49,22 @@
     """A store's connection. Calls wait for each other; each ends within ``timeout_s`` a trip."""
 
     def __init__(
-        self, url: str, prefix: str, timeout_s: float, durable: bool = False,
+        self,
+        url: str,
+        prefix: str,
+        timeout_s: float,
+        durable: bool = False,
         now: Callable[[], float] = time.monotonic,
     ) -> None:
         self.prefix, self.timeout_s, self.durable, self.now = prefix, timeout_s, durable, now
         self.pool = redis.ConnectionPool.from_url(
-            url, protocol=2, socket_timeout=None, socket_connect_timeout=timeout_s, retry=None,
-            health_check_interval=0)
+            url,
+            protocol=2,
+            socket_timeout=None,
+            socket_connect_timeout=timeout_s,
+            retry=None,
+            health_check_interval=0,
+        )
         self.line: Any = None
         self.running: Running | None = None
         self.turn = asyncio.Lock()
@@ -83,8 +92,10 @@
                 for text in await self._trip([("INFO", "server"), ("INFO", "replication")]):
                     if isinstance(text, bytes):
                         found.update(INFO.findall(text[:LONGEST_REPLY]))
-            self.running = Running(found.get(b"run_id", b"").decode().lower() or "none",
-                                   found.get(b"master_replid", b"").decode().lower() or "none")
+            self.running = Running(
+                found.get(b"run_id", b"").decode().lower() or "none",
+                found.get(b"master_replid", b"").decode().lower() or "none",
+            )
             self.pause_s = PAUSE_S[0]
         except BaseException:
             self.again_at = self.now() + self.pause_s
@@ -132,18 +143,29 @@
     # ---- Slots
 
     async def ask(
-        self, member: Member, members: Members, name: str, ask: model.Ask, marks: Marks,
+        self,
+        member: Member,
+        members: Members,
+        name: str,
+        ask: model.Ask,
+        marks: Marks,
     ) -> Reply | None:
         """Carry out a request to one register's slot."""
         try:
             reply: Reply | None = await self._guarded(
-                lambda: self._ask(member, members, name, ask, marks), 2 * MOST_RACES)
+                lambda: self._ask(member, members, name, ask, marks), 2 * MOST_RACES
+            )
         except Lost:
             return None
         return reply
 
     async def _ask(
-        self, member: Member, members: Members, name: str, ask: model.Ask, marks: Marks,
+        self,
+        member: Member,
+        members: Members,
+        name: str,
+        ask: model.Ask,
+        marks: Marks,
     ) -> Reply | None:
         keys = self.key("self"), self.key("members"), self.key("r:" + name)
         for _ in range(MOST_RACES):
@@ -172,13 +194,21 @@
         return model.Refused(slots[0].promised)  # nothing of ours was written: others are at it
 
     def _judge(
-        self, member: Member, members: Members, found: object, names: Sequence[str], marks: Marks,
+        self,
+        member: Member,
+        members: Members,
+        found: object,
+        names: Sequence[str],
+        marks: Marks,
     ) -> tuple[Void | None, Members | None, list[Slot]]:
         """Whether it has a vote, and its slots."""
         if isinstance(found, ResponseError):
             return self._refused(found), None, []
-        if not isinstance(found, list) or len(found) != len(names) + 2 or not all(
-                item is None or isinstance(item, bytes) for item in found):
+        if (
+            not isinstance(found, list)
+            or len(found) != len(names) + 2
+            or not all(item is None or isinstance(item, bytes) for item in found)
+        ):
             return self._void(Why.NONSENSE), None, []
         running = None if self.durable else self.running
         why, theirs = places.judge(member, running, found[0], found[1], members)
@@ -202,7 +232,11 @@
         return self._void(Why.ERROR, text=f"refuses: {str(error).split(' ')[0][:20]}")
 
     async def look(
-        self, member: Member, members: Members, names: Sequence[str], marks: Marks,
+        self,
+        member: Member,
+        members: Members,
+        names: Sequence[str],
+        marks: Marks,
     ) -> Look | Void | None:
         """Slots as they are, in one trip, with the store's clock."""
         try:
@@ -212,7 +246,11 @@
         return found
 
     async def _look(
-        self, member: Member, members: Members, names: Sequence[str], marks: Marks,
+        self,
+        member: Member,
+        members: Members,
+        names: Sequence[str],
+        marks: Marks,
     ) -> Look | Void:
         keys = [self.key("self"), self.key("members"), *(self.key("r:" + name) for name in names)]
         asked = self.now()
@@ -228,8 +266,10 @@
 
     async def own(self) -> tuple[bytes | None, bytes | None, Running | None]:
         """Its identity, the members that it knows, its process; Lost if it says nothing."""
+
         async def read() -> list[object]:
             return await self._trip([("MGET", self.key("self"), self.key("members"))])
+
         try:
             (found,) = await self._guarded(read, 1)
         except Lost:  # maybe the line alone, of a process that is gone
@@ -240,6 +280,7 @@
 
     async def enrol(self, member: Member, members: Members, fresh: bool) -> None:
         """Give it members, and an identity if ``fresh``: what it held before is left behind. Lost if not."""
+
         async def write() -> list[object]:
             assert self.running
             gone = await self._names() if fresh else []
@@ -248,6 +289,7 @@
                 steps.append(("SET", self.key("self"), places.write_self(member, self.running)))
             steps += [("DEL", self.key("r:" + name)) for name in gone]
             return await self._trip([*steps, ("EXEC",)])
+
         *_, done = await self._guarded(write, 2 + MOST_PAGES)
         if not isinstance(done, list):
             raise Lost(f"it refuses: {done!r:.60}")
--- a/brackenloft/fleet/service.py
+++ b/brackenloft/fleet/service.py
@@ -32,8 +32,10 @@
 
 def stores_of(document: Document) -> dict[str, Store]:
     """The stores as this process reaches them."""
-    return {place.name: Store(place.url, document.prefix, document.timeout_ms / 1000.0, place.durable)
-            for place in document.stores}
+    return {
+        place.name: Store(place.url, document.prefix, document.timeout_ms / 1000.0, place.durable)
+        for place in document.stores
+    }
 
 
 class Fleet:
@@ -67,6 +69,7 @@
             if self.counter is None:
                 raise ConfigError(f"tasks.{task.name}: sweep wants a counter")
             from brackenloft.fleet.tasks.sweep import Sweep
+
             return Sweep(self.counter, task.ended_ms)
         module, _, name = task.kind.partition(":")
         try:
@@ -78,8 +81,9 @@
 
     def _looked(self, store: str, look: Look) -> None:
         rate = self.clock.rate
-        self.pace.heard(store, look.asked_s * 1000.0 * rate, look.heard_s * 1000.0 * rate,
-                        look.clock_s * 1000.0)
+        self.pace.heard(
+            store, look.asked_s * 1000.0 * rate, look.heard_s * 1000.0 * rate, look.clock_s * 1000.0
+        )
 
     def _unfit(self) -> str:
         """Why this gateway is not to hold a task; nothing if it may."""
@@ -141,11 +145,17 @@
         """For people."""
         members = self.registers.members
         return {
-            "who": self.me.who, "epoch": members.epoch, "waits_for": self.said,
-            "stores": {name: {"counts": dict(store.counts), "no_vote": store.why}
-                       for name, store in self.registers.stores.items()},
+            "who": self.me.who,
+            "epoch": members.epoch,
+            "waits_for": self.said,
+            "stores": {
+                name: {"counts": dict(store.counts), "no_vote": store.why}
+                for name, store in self.registers.stores.items()
+            },
             "rounds": dict(self.registers.counts),
             "clock_apart": {name: round(value, 4) for name, value in self.pace.apart.items()},
-            "hints": {"bad": list(self.listener.hints.bad(self.listener.clock())),
-                      "told": self.listener.told},
+            "hints": {
+                "bad": list(self.listener.hints.bad(self.listener.clock())),
+                "told": self.listener.told,
+            },
         } | self.runner.figures()
--- a/brackenloft/fleet/tasks/core.py
+++ b/brackenloft/fleet/tasks/core.py
@@ -95,8 +95,13 @@
 
     @classmethod
     def of(
-        cls, me: Me, terms: Terms, specs: Iterable[Spec], ranks: Mapping[str, int],
-        views: Callable[[str], View], gateways: int,
+        cls,
+        me: Me,
+        terms: Terms,
+        specs: Iterable[Spec],
+        ranks: Mapping[str, int],
+        views: Callable[[str], View],
+        gateways: int,
     ) -> Book:
         """A book of these tasks, nothing of which is known yet."""
         entries = {spec.name: Entry(spec, ranks[spec.name], views(spec.name)) for spec in specs}
@@ -140,7 +145,7 @@
         entry = self.entries[task]
         entry.running = False
         entry.failures = 0 if good else entry.failures + 1
-        pace = min(MOST_PACE, FAILED_PACE ** entry.failures)
+        pace = min(MOST_PACE, FAILED_PACE**entry.failures)
         entry.runs_at = now + entry.spec.every_ms * pace
 
     # ---- What is to be done
@@ -162,9 +167,15 @@
         if looks:  # one trip for all that fall due soon
             soon = now + TOGETHER * self.terms.length_ms
             named = {order.task for order in looks}
-            orders += [Order(Do.LOOK, name) for name, entry in self.entries.items()
-                       if name not in named and entry.token is None and not entry.busy
-                       and entry.looks_at <= soon and not any(order.task == name for order in orders)]
+            orders += [
+                Order(Do.LOOK, name)
+                for name, entry in self.entries.items()
+                if name not in named
+                and entry.token is None
+                and not entry.busy
+                and entry.looks_at <= soon
+                and not any(order.task == name for order in orders)
+            ]
         return orders
 
     def _holds(self, entry: Entry, now: float, fit: bool) -> Order | None:
@@ -199,8 +210,14 @@
             if entry.rank < STANDBYS:
                 return Order(Do.LOOK, name)
         lease = view.lease
-        if (entry.rank == 0 and lease and lease.holder and lease.next == ANYBODY and now >= entry.wants_at
-                and now - self.fit_since >= SETTLED * length):
+        if (
+            entry.rank == 0
+            and lease
+            and lease.holder
+            and lease.next == ANYBODY
+            and now >= entry.wants_at
+            and now - self.fit_since >= SETTLED * length
+        ):
             entry.wants_at = now + WANTS * length
             return Order(Do.WANT, name)
         return None
--- a/brackenloft/fleet/tasks/probe.py
+++ b/brackenloft/fleet/tasks/probe.py
@@ -71,7 +71,8 @@
         bad = verdicts.found(known, answers, addresses)
         after = Verdicts(run.act.token, self.every_ms, bad, turn)
         done = await self.registers.change(
-            verdicts.REGISTER, lambda held: verdicts.replaced(held, after), ROUND_S)
+            verdicts.REGISTER, lambda held: verdicts.replaced(held, after), ROUND_S
+        )
         if not done.mine:
             raise LeaseOver("a larger token has written its verdicts")
 
@@ -79,10 +80,14 @@
         """Addresses by name, and whom our own decisions doubt."""
         edge, fleet = self.edge, self.edge.driver.gateway.fleet
         names = {number: name for name, number in edge.discovery.roster.numbers.items()}
-        addresses = {names[number]: host.address for number, host in edge.servers.hosts.items()
-                     if number in names and host.ready}
-        doubted = [names[number] for number, server in fleet.servers.items()
-                   if number in names and server.bad]
+        addresses = {
+            names[number]: host.address
+            for number, host in edge.servers.hosts.items()
+            if number in names and host.ready
+        }
+        doubted = [
+            names[number] for number, server in fleet.servers.items() if number in names and server.bad
+        ]
         return addresses, doubted
 
 
@@ -90,7 +95,9 @@
     """Reads the verdicts and tells the decisions, at every gateway."""
 
     def __init__(
-        self, edge: Edge, registers: Registers,
+        self,
+        edge: Edge,
+        registers: Registers,
         clock: Callable[[], float] = lambda: time.monotonic() * 1000.0,
     ) -> None:
         self.edge, self.registers, self.clock = edge, registers, clock
--- a/brackenloft/fleet/tasks/runner.py
+++ b/brackenloft/fleet/tasks/runner.py
@@ -60,7 +60,11 @@
     """The tasks of one gateway. ``fit``: whether it may hold any, and why not."""
 
     def __init__(
-        self, leases: Leases, book: Book, jobs: Mapping[str, Job], fit: Callable[[], str],
+        self,
+        leases: Leases,
+        book: Book,
+        jobs: Mapping[str, Job],
+        fit: Callable[[], str],
     ) -> None:
         self.leases, self.book, self.jobs, self.fit = leases, book, jobs, fit
         self.held: dict[str, Holding] = {}
@@ -83,8 +87,9 @@
         for task in (self.task, *self.runs.values(), *self.orders):
             if task:
                 task.cancel()
-        await asyncio.gather(*filter(None, (self.task, *self.runs.values(), *self.orders)),
-                             return_exceptions=True)
+        await asyncio.gather(
+            *filter(None, (self.task, *self.runs.values(), *self.orders)), return_exceptions=True
+        )
         try:
             async with asyncio.timeout(LEAVE_S):
                 await asyncio.gather(*(holding.release() for holding in self.held.values()))
@@ -251,8 +256,12 @@
         for name, entry in self.book.entries.items():
             lease = entry.view.lease
             rows[name] = {
-                "rank": entry.rank, "mine": name in self.held, "running": name in self.runs,
+                "rank": entry.rank,
+                "mine": name in self.held,
+                "running": name in self.runs,
                 "holder": lease.index if lease and lease.holder else None,
-                "token": lease.token if lease else None, "runs": lease.runs if lease else 0,
-                "paused": lease.paused if lease else ""}
+                "token": lease.token if lease else None,
+                "runs": lease.runs if lease else 0,
+                "paused": lease.paused if lease else "",
+            }
         return {"unfit": self.unfit, "tasks": rows, "counts": dict(self.counts)}
--- a/brackenloft/fleet/tasks/sweep.py
+++ b/brackenloft/fleet/tasks/sweep.py
@@ -50,7 +50,8 @@
         self.at = now
         self.still = {
             name: self.still[name] if name in self.still and self.still[name][0] == beat else (beat, now)
-            for name, beat in beats.items()}
+            for name, beat in beats.items()
+        }
 
     def ended(self) -> frozenset[str]:
         """Those that have stood still for long enough."""
@@ -73,14 +74,17 @@
     """The job."""
 
     def __init__(
-        self, where: Where, ended_ms: float = KEEP_MS,
+        self,
+        where: Where,
+        ended_ms: float = KEEP_MS,
         now: Callable[[], float] = lambda: time.monotonic() * 1000.0,
     ) -> None:
         self.where, self.ended_ms, self.now = where, ended_ms, now
         wait_s = where.timeout_ms / 1000.0
         more: dict[str, Any] = {"ssl_ca_certs": where.ca} if where.ca else {}
         self.client = redis.Redis.from_url(
-            where.url, **more, protocol=2, socket_timeout=wait_s, socket_connect_timeout=wait_s, retry=None)
+            where.url, **more, protocol=2, socket_timeout=wait_s, socket_connect_timeout=wait_s, retry=None
+        )
         self.ages: Ages | None = None
         self.token = 0
         self.taken_out = 0
@@ -109,13 +113,17 @@
 
     async def _page(self, run: Run, cursor: int, ended: frozenset[str]) -> int:
         after, keys = await self.client.execute_command(  # type: ignore[no-untyped-call]
-            "SCAN", cursor, "MATCH", f"{self.where.prefix}:c:*", "COUNT", PAGE)
+            "SCAN", cursor, "MATCH", f"{self.where.prefix}:c:*", "COUNT", PAGE
+        )
         async with self.client.pipeline(transaction=False) as pipe:
             for key in keys:
                 pipe.execute_command("HGETALL", key)
             hashes = await pipe.execute()
-        gone = [("HDEL", key, *names) for key, hash_ in zip(keys, hashes, strict=True)
-                if (names := fields_of(hash_, ended))]
+        gone = [
+            ("HDEL", key, *names)
+            for key, hash_ in zip(keys, hashes, strict=True)
+            if (names := fields_of(hash_, ended))
+        ]
         if gone:
             await self._take_out(run, gone)
         return int(after)
--- a/brackenloft/fleet/tasks/verdicts.py
+++ b/brackenloft/fleet/tasks/verdicts.py
@@ -62,7 +62,10 @@
 
 
 def to_ask(
-    servers: Iterable[str], doubted: Collection[str], bad: Mapping[str, int], turn: int,
+    servers: Iterable[str],
+    doubted: Collection[str],
+    bad: Mapping[str, int],
+    turn: int,
 ) -> list[str]:
     """Whom to ask in this run: who is bad, ever more seldom; whom we doubt; some of the others in turn."""
     names = sorted(name for name in servers if len(name) <= LONGEST_NAME)
--- a/brackenloft/gateway_types/actions.py
+++ b/brackenloft/gateway_types/actions.py
@@ -121,6 +121,16 @@
 
 
 Action = (
-    Send | Refuse | Fail | Cancel | SetTimer | Log | Subscribe | FetchList | Probe | CloseIdle
-    | TellPeer | CounterAdd
+    Send
+    | Refuse
+    | Fail
+    | Cancel
+    | SetTimer
+    | Log
+    | Subscribe
+    | FetchList
+    | Probe
+    | CloseIdle
+    | TellPeer
+    | CounterAdd
 )
--- a/brackenloft/gateway_types/events.py
+++ b/brackenloft/gateway_types/events.py
@@ -180,6 +180,16 @@
 
 
 Event = (
-    ServerList | Request | Outcome | StreamStarted | ClientGone | TimerFired
-    | ProbeResult | PeerMessage | CounterReply | Reading | Stopping | PlansChanged
+    ServerList
+    | Request
+    | Outcome
+    | StreamStarted
+    | ClientGone
+    | TimerFired
+    | ProbeResult
+    | PeerMessage
+    | CounterReply
+    | Reading
+    | Stopping
+    | PlansChanged
 )
--- a/brackenloft/gateway_types/settings.py
+++ b/brackenloft/gateway_types/settings.py
@@ -31,7 +31,8 @@
     def __post_init__(self) -> None:
         refuse_if(not self.name, self, "name", "is empty")
         check_numbers(
-            self, 0.0, "aim_ms", "deadline_ms", "worth", "late_share", "key_memory_ms", "aim_stretch")
+            self, 0.0, "aim_ms", "deadline_ms", "worth", "late_share", "key_memory_ms", "aim_stretch"
+        )
         refuse_if(self.deadline_ms <= 0, self, "deadline_ms", "leaves no time")
         refuse_if(self.aim_ms <= 0, self, "aim_ms", "leaves no time")
 
@@ -131,7 +132,8 @@
     def __post_init__(self) -> None:
         check_numbers(self, 1, "gateways")
         check_numbers(
-            self, 0.0, "index", "meter_period_ms", "counter_timeout_ms", "tick_ms", "cross_zone_price")
+            self, 0.0, "index", "meter_period_ms", "counter_timeout_ms", "tick_ms", "cross_zone_price"
+        )
         refuse_if(self.index >= self.gateways, self, "index", "is not below the number of gateways")
         check_numbers(self, 0.0, "largest_units")
         refuse_if(self.largest_units <= 0, self, "largest_units", "is nothing")
--- a/brackenloft/graphql/config.py
+++ b/brackenloft/graphql/config.py
@@ -83,7 +83,8 @@
     texts = tuple(text for _, text in allowed)
     try:
         documents = Documents(
-            priced, document.limits, texts, document.only_documents, document.kept_documents)
+            priced, document.limits, texts, document.only_documents, document.kept_documents
+        )
     except Turned as error:
         raise ConfigError(f"documents: {error.message}") from error
     return Loaded(listen, document, documents)
@@ -103,5 +104,11 @@
     offset = loaded.document.port_offset
     protocol = ServerProtocol(Answers, GraphqlReplyDecoder())
     edge.open_door(DOOR, protocol, lambda address: (address[0], address[1] + offset))
-    return GraphQLFront(edge, loaded.documents, loaded.document.price, HeaderCallers(loaded.document.plan),
-                        loaded.document.path, loaded.document.reading)
+    return GraphQLFront(
+        edge,
+        loaded.documents,
+        loaded.document.price,
+        HeaderCallers(loaded.document.plan),
+        loaded.document.path,
+        loaded.document.reading,
+    )
--- a/brackenloft/graphql/cost.py
+++ b/brackenloft/graphql/cost.py
@@ -68,7 +68,10 @@
     """A document with its variables, as execution would walk it."""
 
     def __init__(
-        self, priced: Priced, fragments: Mapping[str, FragmentDefinitionNode], variables: Variables,
+        self,
+        priced: Priced,
+        fragments: Mapping[str, FragmentDefinitionNode],
+        variables: Variables,
         limits: Limits,
     ) -> None:
         self.priced, self.fragments, self.variables, self.limits = priced, fragments, variables, limits
@@ -92,7 +95,11 @@
         return found
 
     def _collect(
-        self, kind: GraphQLObjectType, selections: SelectionSetNode, found: dict[str, Nodes], seen: set[str],
+        self,
+        kind: GraphQLObjectType,
+        selections: SelectionSetNode,
+        found: dict[str, Nodes],
+        seen: set[str],
     ) -> None:
         item: Any  # a field, a spread or an inline fragment
         for item in selections.selections:
@@ -129,8 +136,11 @@
         wanted = self.conditions[name]
         if wanted is kind:
             return True
-        return wanted is not None and not isinstance(wanted, GraphQLObjectType) and (
-            self.priced.schema.is_sub_type(wanted, kind))
+        return (
+            wanted is not None
+            and not isinstance(wanted, GraphQLObjectType)
+            and (self.priced.schema.is_sub_type(wanted, kind))
+        )
 
     # ---- One field
 
@@ -161,7 +171,9 @@
         return sum(
             self.priced.inputs.get((kind.name, name), 0.0)
             + self._inputs(get_named_type(kind.fields[name].type), part)
-            for name, part in value.items() if name in kind.fields)
+            for name, part in value.items()
+            if name in kind.fields
+        )
 
     def size(self, where: str, cost: FieldCost, given: Mapping[str, Any]) -> int:
         """How long the field's list is at most, or those of the fields that it sizes."""
@@ -192,7 +204,10 @@
 
 
 def _of_fields(
-    walk: Walk, kind: GraphQLObjectType, sets: Iterable[SelectionSetNode], sized: Mapping[str, int],
+    walk: Walk,
+    kind: GraphQLObjectType,
+    sets: Iterable[SelectionSetNode],
+    sized: Mapping[str, int],
 ) -> Cost:
     """Of the fields of one value. ``sized``: the length of those whose parent tells it."""
     total = NOTHING
@@ -243,7 +258,10 @@
 
 
 def _true_fields(
-    walk: Walk, kind: GraphQLObjectType, sets: Iterable[SelectionSetNode], data: Mapping[str, Any],
+    walk: Walk,
+    kind: GraphQLObjectType,
+    sets: Iterable[SelectionSetNode],
+    data: Mapping[str, Any],
 ) -> Cost:
     total = NOTHING
     for key, nodes in walk.collect(kind, sets).items():
@@ -276,7 +294,10 @@
 
 
 def _types_of(
-    walk: Walk, named: Composite, sets: list[SelectionSetNode], value: Mapping[str, Any],
+    walk: Walk,
+    named: Composite,
+    sets: list[SelectionSetNode],
+    value: Mapping[str, Any],
 ) -> list[GraphQLObjectType]:
     """The types that a value may have: the one that it tells, where ``__typename`` was asked for."""
     possible = walk.priced.possible(named)
--- a/brackenloft/graphql/daemon.py
+++ b/brackenloft/graphql/daemon.py
@@ -46,10 +46,22 @@
         sys.setswitchinterval(SWITCH_S)
         self.address: tuple[str, int] = self.socket.getsockname()
         self.front = config.front(loaded, edge)
-        self.server = _Server(uvicorn.Config(
-            self.front, lifespan="off", log_config=None, access_log=False, http="h11", ws="none",
-            server_header=False, backlog=BACKLOG, timeout_keep_alive=IDLE_S, limit_concurrency=CONNECTIONS,
-            h11_max_incomplete_event_size=HEAD, timeout_graceful_shutdown=None))
+        self.server = _Server(
+            uvicorn.Config(
+                self.front,
+                lifespan="off",
+                log_config=None,
+                access_log=False,
+                http="h11",
+                ws="none",
+                server_header=False,
+                backlog=BACKLOG,
+                timeout_keep_alive=IDLE_S,
+                limit_concurrency=CONNECTIONS,
+                h11_max_incomplete_event_size=HEAD,
+                timeout_graceful_shutdown=None,
+            )
+        )
         self.task = asyncio.get_running_loop().create_task(self.server.serve(sockets=[self.socket]))
 
     async def close(self, within_s: float) -> None:
--- a/brackenloft/graphql/documents.py
+++ b/brackenloft/graphql/documents.py
@@ -26,7 +26,11 @@
     """
 
     def __init__(
-        self, priced: Priced, limits: Limits, allowed: tuple[str, ...] = (), only_allowed: bool = False,
+        self,
+        priced: Priced,
+        limits: Limits,
+        allowed: tuple[str, ...] = (),
+        only_allowed: bool = False,
         most: int = MOST_DOCUMENTS,
     ) -> None:
         self.priced, self.limits, self.most, self.only_allowed = priced, limits, most, only_allowed
--- a/brackenloft/graphql/front.py
+++ b/brackenloft/graphql/front.py
@@ -74,8 +74,12 @@
     """Serves one schema on one edge at one path; other paths are not found."""
 
     def __init__(
-        self, edge: Edge, documents: Documents, price: Price = Price(),  # noqa: B008
-        callers: Callable[[Scope], Caller] | None = None, path: str = PATH,
+        self,
+        edge: Edge,
+        documents: Documents,
+        price: Price = Price(),  # noqa: B008
+        callers: Callable[[Scope], Caller] | None = None,
+        path: str = PATH,
         reading: Reading = Reading(),  # noqa: B008
     ) -> None:
         self.edge, self.documents, self.price, self.path = edge, documents, price, path
@@ -93,8 +97,12 @@
     def figures(self) -> dict[str, object]:
         """What became of requests, by code, and how the documents' cache does."""
         documents = self.documents
-        return {"answers": dict(self.counts), "documents": len(documents.kept), "hits": documents.hits,
-                "misses": documents.misses}
+        return {
+            "answers": dict(self.counts),
+            "documents": len(documents.kept),
+            "hits": documents.hits,
+            "misses": documents.misses,
+        }
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """One connection scope of ASGI 3."""
@@ -136,8 +144,12 @@
         except FieldError as wrong:
             await self._turn(Turned(Code.BAD_REQUEST, str(wrong)), media_type, [], send)
         except EdgeClosed:
-            await self._turn(Turned(Code.CLOSED, "the gateway is not open", 503), media_type,
-                             list(problems.CLOSED.headers), send)
+            await self._turn(
+                Turned(Code.CLOSED, "the gateway is not open", 503),
+                media_type,
+                list(problems.CLOSED.headers),
+                send,
+            )
 
     # ---- From a request to a plan
 
@@ -204,7 +216,11 @@
         return reading
 
     def _prepare(
-        self, prepared: Prepared, asked: Asked, caller: Caller, key: str | None,
+        self,
+        prepared: Prepared,
+        asked: Asked,
+        caller: Caller,
+        key: str | None,
     ) -> tuple[Plan, Run]:
         """Check, cost and plan; nothing is charged yet."""
         documents = self.documents
@@ -215,14 +231,17 @@
         variables = plans.coerce(priced, operation, asked.variables)
         plan = plans.plan(prepared, operation, variables, priced, limits)
         checks = self.edge.checks
-        given = {item.variable.name.value: asked.variables[item.variable.name.value]
-                 for item in operation.variable_definitions or ()
-                 if item.variable.name.value in asked.variables}
+        given = {
+            item.variable.name.value: asked.variables[item.variable.name.value]
+            for item in operation.variable_definitions or ()
+            if item.variable.name.value in asked.variables
+        }
         units = costs.units(plan.cost, self.price.per_unit, self.price.least, checks.largest)
         walk = Walk(priced, prepared.fragments, variables, limits)
         keys = plans.keys(plan, checks.classes, key)
-        return plan, Run(self.edge, plan, caller, walk, given, keys, units, self.price.per_unit,
-                         self.price.least)
+        return plan, Run(
+            self.edge, plan, caller, walk, given, keys, units, self.price.per_unit, self.price.least
+        )
 
     # ---- From a plan to an answer
 
@@ -243,7 +262,13 @@
         return problems.quota_headers(caller.plan, left)
 
     async def _tell(
-        self, plan: Plan, run: Run, joined: Joined, media_type: str, headers: Headers, send: Send,
+        self,
+        plan: Plan,
+        run: Run,
+        joined: Joined,
+        media_type: str,
+        headers: Headers,
+        send: Send,
     ) -> None:
         if joined.refused:
             await self._refuse(joined.refused, media_type, headers, send)
@@ -252,8 +277,9 @@
         document: dict[str, Any] = {"data": joined.data}
         if joined.errors:
             document = {"errors": joined.errors} | document
-        document["extensions"] = {"cost": {
-            "requested": plan.cost.total, "actual": min(true, plan.cost.total), "units": run.units}}
+        document["extensions"] = {
+            "cost": {"requested": plan.cost.total, "actual": min(true, plan.cost.total), "units": run.units}
+        }
         self.counts["SERVED" if joined.served else Code.FAILED.value] += 1
         await _send(send, status_for(media_type, 502, joined.served), media_type, headers, document)
 
@@ -277,10 +303,23 @@
 
 
 async def _send(
-    send: Send, status: int, media_type: str, headers: Headers, document: Mapping[str, Any],
+    send: Send,
+    status: int,
+    media_type: str,
+    headers: Headers,
+    document: Mapping[str, Any],
 ) -> None:
     body = encode(document)
-    await send({"type": "http.response.start", "status": status, "headers": [
-        (b"content-type", f"{media_type}; charset=utf-8".encode()),
-        (b"content-length", b"%d" % len(body)), (b"vary", b"accept"), *headers]})
+    await send(
+        {
+            "type": "http.response.start",
+            "status": status,
+            "headers": [
+                (b"content-type", f"{media_type}; charset=utf-8".encode()),
+                (b"content-length", b"%d" % len(body)),
+                (b"vary", b"accept"),
+                *headers,
+            ],
+        }
+    )
     await send({"type": "http.response.body", "body": body})
--- a/brackenloft/graphql/nodes.py
+++ b/brackenloft/graphql/nodes.py
@@ -30,8 +30,17 @@
 
 
 def command(
-    host: str, document: str, operation: str | None, variables: Mapping[str, Any], key: str | None,
-    request_id: str, customer: str, plan: str, class_name: str, wait_ms: float, units: float,
+    host: str,
+    document: str,
+    operation: str | None,
+    variables: Mapping[str, Any],
+    key: str | None,
+    request_id: str,
+    customer: str,
+    plan: str,
+    class_name: str,
+    wait_ms: float,
+    units: float,
 ) -> bytes:
     """A request as it is written. ``variables`` are those of the document, as the client gave them."""
     body: dict[str, Any] = {"query": document}
@@ -41,11 +50,18 @@
         body["variables"] = variables
     data = json.dumps(body, ensure_ascii=False, separators=(",", ":")).encode("utf-8", "surrogatepass")
     lines = [
-        f"POST {PATH} HTTP/1.1", f"Host: {host}", "Content-Type: application/json",
-        f"Accept: {TYPES[0]}, {TYPES[1]};q=0.9", f"Content-Length: {len(data)}",
-        f"X-Request-Id: {request_id}", f"X-Customer: {customer}", f"X-Plan: {plan}",
-        f"X-Class: {class_name}", f"X-Units: {units:.9g}",
-        f"Prefer: wait={max(1, round(wait_ms / 1000.0))}", f"X-Wait-Ms: {max(1, int(wait_ms))}",
+        f"POST {PATH} HTTP/1.1",
+        f"Host: {host}",
+        "Content-Type: application/json",
+        f"Accept: {TYPES[0]}, {TYPES[1]};q=0.9",
+        f"Content-Length: {len(data)}",
+        f"X-Request-Id: {request_id}",
+        f"X-Customer: {customer}",
+        f"X-Plan: {plan}",
+        f"X-Class: {class_name}",
+        f"X-Units: {units:.9g}",
+        f"Prefer: wait={max(1, round(wait_ms / 1000.0))}",
+        f"X-Wait-Ms: {max(1, int(wait_ms))}",
     ]
     if key:
         lines.append(f'Idempotency-Key: "{key}"')
--- a/brackenloft/graphql/plan.py
+++ b/brackenloft/graphql/plan.py
@@ -105,11 +105,15 @@
     for item in document.definitions:
         if isinstance(item, OperationDefinitionNode) and priced.schema.get_root_type(item.operation) is None:
             raise Turned(Code.INVALID, f"there is no {item.operation.value} here")
-    operations = {item.name.value if item.name else "": item for item in document.definitions
-                  if isinstance(item, OperationDefinitionNode)}
+    operations = {
+        item.name.value if item.name else "": item
+        for item in document.definitions
+        if isinstance(item, OperationDefinitionNode)
+    }
     assert operations, "fragments alone are unused ones, which validation has turned away"
-    fragments = {item.name.value: item for item in document.definitions
-                 if isinstance(item, FragmentDefinitionNode)}
+    fragments = {
+        item.name.value: item for item in document.definitions if isinstance(item, FragmentDefinitionNode)
+    }
     return Prepared(text, operations, fragments)
 
 
@@ -133,7 +137,10 @@
 
 
 def plan(
-    prepared: Prepared, operation: OperationDefinitionNode, variables: Mapping[str, Any], priced: Priced,
+    prepared: Prepared,
+    operation: OperationDefinitionNode,
+    variables: Mapping[str, Any],
+    priced: Priced,
     limits: Limits,
 ) -> Plan:
     """What becomes of an operation with these variables. Raises Turned."""
@@ -147,7 +154,10 @@
 
 
 def _plan(
-    prepared: Prepared, operation: OperationDefinitionNode, variables: Mapping[str, Any], priced: Priced,
+    prepared: Prepared,
+    operation: OperationDefinitionNode,
+    variables: Mapping[str, Any],
+    priced: Priced,
     limits: Limits,
 ) -> Plan:
     kind = operation.operation.value
@@ -158,8 +168,10 @@
         fields = walk.collect(root, [operation.selection_set])
         whole = costs.bound(walk, root, operation.selection_set)
         groups = _groups(kind, fields, priced)
-        parts = [_part(walk, prepared, operation, root, fields, class_name, names, len(groups) == 1)
-                 for class_name, names in groups]
+        parts = [
+            _part(walk, prepared, operation, root, fields, class_name, names, len(groups) == 1)
+            for class_name, names in groups
+        ]
     except GraphQLError as error:
         raise Turned(Code.VARIABLES, error.message[:MOST_MESSAGE]) from error
     if whole.total > limits.cost:
@@ -169,8 +181,14 @@
 
 def _groups(kind: str, fields: Mapping[str, list[FieldNode]], priced: Priced) -> list[tuple[str, list[str]]]:
     """Class and response names of each part. ``__typename`` goes with the first field."""
-    first = next((priced.classes[kind, nodes[0].name.value] for nodes in fields.values()
-                  if (kind, nodes[0].name.value) in priced.classes), "")
+    first = next(
+        (
+            priced.classes[kind, nodes[0].name.value]
+            for nodes in fields.values()
+            if (kind, nodes[0].name.value) in priced.classes
+        ),
+        "",
+    )
     if not first:
         first = next((name for (operation, _), name in priced.classes.items() if operation == kind), "")
     found: list[tuple[str, list[str]]] = []
@@ -192,33 +210,51 @@
 
 
 def _part(
-    walk: Walk, prepared: Prepared, operation: OperationDefinitionNode, root: GraphQLObjectType,
-    fields: Mapping[str, list[FieldNode]], class_name: str, names: list[str], alone: bool,
+    walk: Walk,
+    prepared: Prepared,
+    operation: OperationDefinitionNode,
+    root: GraphQLObjectType,
+    fields: Mapping[str, list[FieldNode]],
+    class_name: str,
+    names: list[str],
+    alone: bool,
 ) -> Part:
     cost = Cost()
     for name in names:
         cost = cost.plus(costs.of_field(walk, root, fields[name]))
-    nullable = all(not is_non_null_type(root.fields[fields[name][0].name.value].type)
-                   for name in names if fields[name][0].name.value in root.fields)
+    nullable = all(
+        not is_non_null_type(root.fields[fields[name][0].name.value].type)
+        for name in names
+        if fields[name][0].name.value in root.fields
+    )
     operation_name = operation.name.value if operation.name else None
     if alone and len(prepared.operations) == 1:
         used = frozenset(item.variable.name.value for item in operation.variable_definitions or ())
         return Part(class_name, tuple(names), prepared.text, used, cost, operation_name, nullable)
-    selections = operation.selection_set if alone else SelectionSetNode(
-        selections=tuple(node for name in names for node in fields[name]))
+    selections = (
+        operation.selection_set
+        if alone
+        else SelectionSetNode(selections=tuple(node for name in names for node in fields[name]))
+    )
     fragments = _spread(selections, prepared.fragments)
     used = _variables([selections, *fragments])
-    definitions = tuple(item for item in operation.variable_definitions or ()
-                        if item.variable.name.value in used)
+    definitions = tuple(
+        item for item in operation.variable_definitions or () if item.variable.name.value in used
+    )
     mine = OperationDefinitionNode(
-        operation=operation.operation, name=operation.name, variable_definitions=definitions,
-        directives=operation.directives, selection_set=selections)
+        operation=operation.operation,
+        name=operation.name,
+        variable_definitions=definitions,
+        directives=operation.directives,
+        selection_set=selections,
+    )
     text = print_ast(DocumentNode(definitions=(mine, *fragments)))
     return Part(class_name, tuple(names), text, used, cost, operation_name, nullable)
 
 
 def _spread(
-    selections: SelectionSetNode, fragments: Mapping[str, FragmentDefinitionNode],
+    selections: SelectionSetNode,
+    fragments: Mapping[str, FragmentDefinitionNode],
 ) -> list[FragmentDefinitionNode]:
     """The fragments that are needed, each once."""
     found: dict[str, FragmentDefinitionNode] = {}
--- a/brackenloft/graphql/reading.py
+++ b/brackenloft/graphql/reading.py
@@ -184,8 +184,9 @@
 
 def _check_fragments(document: DocumentNode, limits: Limits) -> None:
     """Fragments without cycles, small once they are spread out, few root fields."""
-    fragments = {item.name.value: item for item in document.definitions
-                 if isinstance(item, FragmentDefinitionNode)}
+    fragments = {
+        item.name.value: item for item in document.definitions if isinstance(item, FragmentDefinitionNode)
+    }
     measure = Measure(fragments, limits)
     for name in fragments:
         measure._fragment(name, ())
@@ -197,7 +198,9 @@
 
 
 def _roots(
-    selections: SelectionSetNode, fragments: dict[str, FragmentDefinitionNode], limits: Limits,
+    selections: SelectionSetNode,
+    fragments: dict[str, FragmentDefinitionNode],
+    limits: Limits,
 ) -> int:
     """Root fields, with fragments spread out; no more steps than fields, which are bounded by now."""
     count, todo = 0, [selections]
--- a/brackenloft/graphql/requests.py
+++ b/brackenloft/graphql/requests.py
@@ -32,8 +32,9 @@
     if len(query) > limits.body_bytes:
         raise Turned(Code.BYTES, f"a query string of more than {limits.body_bytes} bytes", 414)
     try:
-        pairs = parse_qsl(query.decode("ascii"), keep_blank_values=True, max_num_fields=MOST_PARAMETERS,
-                          errors="strict")
+        pairs = parse_qsl(
+            query.decode("ascii"), keep_blank_values=True, max_num_fields=MOST_PARAMETERS, errors="strict"
+        )
     except (ValueError, UnicodeDecodeError) as error:
         raise Turned(Code.BAD_REQUEST, "the query string can't be read") from error
     found = dict(pairs)
@@ -76,8 +77,12 @@
         raise Turned(Code.BAD_REQUEST, "the request is no object")
     text, operation = document.get("query"), document.get("operationName")
     variables, extensions = document.get("variables"), document.get("extensions")
-    for name, value, kind in (("query", text, str), ("operationName", operation, str),
-                              ("variables", variables, dict), ("extensions", extensions, dict)):
+    for name, value, kind in (
+        ("query", text, str),
+        ("operationName", operation, str),
+        ("variables", variables, dict),
+        ("extensions", extensions, dict),
+    ):
         if value is not None and not isinstance(value, kind):
             raise Turned(Code.BAD_REQUEST, f"{name}: not {'a text' if kind is str else 'an object'}")
     persisted = _persisted(extensions or {})
@@ -102,8 +107,12 @@
     """How deep lists and objects are nested, as far as it matters."""
     depth, level = 0, [value]
     while level and depth <= MOST_VARIABLES_DEPTH:
-        inner = [part for item in level if isinstance(item, (dict, list))
-                 for part in (item.values() if isinstance(item, dict) else item)]
+        inner = [
+            part
+            for item in level
+            if isinstance(item, (dict, list))
+            for part in (item.values() if isinstance(item, dict) else item)
+        ]
         depth, level = depth + 1, inner
     return depth
 
--- a/brackenloft/graphql/run.py
+++ b/brackenloft/graphql/run.py
@@ -63,8 +63,16 @@
     """One operation in hand."""
 
     def __init__(
-        self, edge: Edge, plan: Plan, caller: Caller, walk: Walk, given: Mapping[str, Any],
-        keys: list[str | None], units: float, per_unit: float, least: float,
+        self,
+        edge: Edge,
+        plan: Plan,
+        caller: Caller,
+        walk: Walk,
+        given: Mapping[str, Any],
+        keys: list[str | None],
+        units: float,
+        per_unit: float,
+        least: float,
     ) -> None:
         self.edge, self.plan, self.caller, self.walk, self.given = edge, plan, caller, walk, given
         self.keys, self.units, self.per_unit, self.least = keys, units, per_unit, least
@@ -93,8 +101,10 @@
         try:
             await asyncio.wait((first, waiting), return_when=asyncio.FIRST_COMPLETED)
             if admitted.is_set():
-                rest = [asyncio.ensure_future(self._begin(number, None).wait())
-                        for number in range(1, len(self.results))]
+                rest = [
+                    asyncio.ensure_future(self._begin(number, None).wait())
+                    for number in range(1, len(self.results))
+                ]
             for result, answer in zip(self.results, [first, *rest], strict=False):
                 result.answer = await answer
         finally:  # also when the client has left
@@ -110,16 +120,34 @@
         share = max(LEAST_UNITS, part.cost.total / self.per_unit)
         units = self.units if number == 0 else min(share, self.units)
         call = Call(
-            part.class_name, caller.plan, caller.customer, units=units, patience_ms=caller.patience_ms,
-            width=caller.width, first_gateway=caller.first_gateway, key=self.keys[number], paid=number > 0)
+            part.class_name,
+            caller.plan,
+            caller.customer,
+            units=units,
+            patience_ms=caller.patience_ms,
+            width=caller.width,
+            first_gateway=caller.first_gateway,
+            key=self.keys[number],
+            paid=number > 0,
+        )
         variables = {name: value for name, value in self.given.items() if name in part.variables}
 
         def encode(request_id: str, wait_ms: float) -> bytes:
             if sent:
                 sent()
             return nodes.command(
-                HOST, part.document, part.operation, variables, self.keys[number], request_id,
-                caller.customer, caller.plan, part.class_name, wait_ms, units)
+                HOST,
+                part.document,
+                part.operation,
+                variables,
+                self.keys[number],
+                request_id,
+                caller.customer,
+                caller.plan,
+                part.class_name,
+                wait_ms,
+                units,
+            )
 
         def weigh(reply: Reply) -> None:
             result.document = reply.parsed
--- a/brackenloft/graphql/schema.py
+++ b/brackenloft/graphql/schema.py
@@ -141,7 +141,10 @@
 
 
 def _field_cost(
-    where: str, item: GraphQLField, above: list[GraphQLField], schema: GraphQLSchema,
+    where: str,
+    item: GraphQLField,
+    above: list[GraphQLField],
+    schema: GraphQLSchema,
 ) -> FieldCost:
     """Of a field; what it does not declare is as an interface declares it that has it too (``above``)."""
     named = get_named_type(item.type)
@@ -151,19 +154,28 @@
         if weight is None:
             weight = _weight(where, declared.ast_node, schema)
         sizes = sizes or _directive("listSize", declared.ast_node, schema)
-    arguments = {name: _weight(f"{where}({name})", argument.ast_node, schema) or 0.0
-                 for name, argument in item.args.items()}
+    arguments = {
+        name: _weight(f"{where}({name})", argument.ast_node, schema) or 0.0
+        for name, argument in item.args.items()
+    }
     lists, kind = 0, cast(Any, item.type)
     while is_list_type(kind) or is_non_null_type(kind):
         lists += is_list_type(kind)
         kind = kind.of_type
     return FieldCost(
-        (0.0 if plain else 1.0) if weight is None else weight, arguments,
-        _list_size(where, item, lists, named, sizes), lists)
+        (0.0 if plain else 1.0) if weight is None else weight,
+        arguments,
+        _list_size(where, item, lists, named, sizes),
+        lists,
+    )
 
 
 def _list_size(
-    where: str, item: GraphQLField, lists: int, named: GraphQLNamedType, found: dict[str, Any] | None,
+    where: str,
+    item: GraphQLField,
+    lists: int,
+    named: GraphQLNamedType,
+    found: dict[str, Any] | None,
 ) -> ListSize | None:
     if found is None:
         return None
--- a/brackenloft/handover/frames.py
+++ b/brackenloft/handover/frames.py
@@ -48,7 +48,7 @@
             end = HEAD.size + length
             if len(self.buffer) < end:
                 break
-            body = bytes(self.buffer[HEAD.size:end])
+            body = bytes(self.buffer[HEAD.size : end])
             del self.buffer[:end]
             found.append(_document(body, checksum))
         return found
--- a/brackenloft/handover/state.py
+++ b/brackenloft/handover/state.py
@@ -42,8 +42,9 @@
 
 
 def _marks(now: float, marks: Mapping[str, Any]) -> dict[str, Row]:
-    return {name: [bad, seen, _moment(now, then)]
-            for name, (bad, seen, then) in list(marks.items())[:MOST_MARKS]}
+    return {
+        name: [bad, seen, _moment(now, then)] for name, (bad, seen, then) in list(marks.items())[:MOST_MARKS]
+    }
 
 
 def _customer(plan: str, name: str, customer: Customer, owed: float, now: float) -> Row:
@@ -53,8 +54,14 @@
 
 
 def _server(server: Server, now: float) -> Row:
-    return [server.started, server.ratio, _moment(now, server.ratio_at), server.queue,
-            _moment(now, server.queue_at), _marks(now, server.marks)]
+    return [
+        server.started,
+        server.ratio,
+        _moment(now, server.ratio_at),
+        server.queue,
+        _moment(now, server.queue_at),
+        _marks(now, server.marks),
+    ]
 
 
 def pending(gateway: Gateway) -> set[str]:
@@ -73,15 +80,24 @@
     customers = list(meter.customers.items())
     return {
         "kind": "state",
-        "customers": [_customer(*key, customer, owed.get(key, 0.0), now)
-                      for key, customer in customers[-MOST_CUSTOMERS:]],
+        "customers": [
+            _customer(*key, customer, owed.get(key, 0.0), now)
+            for key, customer in customers[-MOST_CUSTOMERS:]
+        ],
         "whole": len(customers) <= MOST_CUSTOMERS,
         "started": _age(now, min(meter.started_at, now)),
-        "servers": {names[number]: _server(server, now) for number, server in fleet.servers.items()
-                    if number in names},
-        "fleet": {"pool": fleet.pool if isfinite(fleet.pool) else None, "answers": fleet.answers,
-                  "mean": fleet.mean, "sends": fleet.sends, "latency": fleet.latency,
-                  "marks": _marks(now, fleet.marks), "retries": gateway.retries},
+        "servers": {
+            names[number]: _server(server, now) for number, server in fleet.servers.items() if number in names
+        },
+        "fleet": {
+            "pool": fleet.pool if isfinite(fleet.pool) else None,
+            "answers": fleet.answers,
+            "mean": fleet.mean,
+            "sends": fleet.sends,
+            "latency": fleet.latency,
+            "marks": _marks(now, fleet.marks),
+            "retries": gateway.retries,
+        },
     }
 
 
@@ -181,8 +197,10 @@
         gateway, meter, fleet = self.gateway, self.gateway.meter, self.gateway.fleet
         rows = _items(document["customers"], list, MOST_CUSTOMERS)
         customers = dict(_read_customer(row, gateway, now) for row in rows)
-        servers = {_text(name): _read_server(row, now)
-                   for name, row in _items(document["servers"], dict, MOST_SERVERS).items()}
+        servers = {
+            _text(name): _read_server(row, now)
+            for name, row in _items(document["servers"], dict, MOST_SERVERS).items()
+        }
         figures = _items(document["fleet"], dict, 16)
         pool = figures["pool"] if figures["pool"] is None else _number(figures["pool"])
         answers, mean, sends = _count(figures["answers"]), _number(figures["mean"]), _count(figures["sends"])
--- a/brackenloft/lab/conformance/script.py
+++ b/brackenloft/lab/conformance/script.py
@@ -123,9 +123,7 @@
     return ("answer", name, what)
 
 
-def outcome(
-    status: Status, server: int = 0, attempt: int = 0, closed: bool = False, name: str = "a"
-) -> Seen:
+def outcome(status: Status, server: int = 0, attempt: int = 0, closed: bool = False, name: str = "a") -> Seen:
     """An attempt has ended."""
     return ("outcome", name, attempt, server, status, closed)
 
@@ -150,87 +148,152 @@
     """The first attempt comes to nothing, the second is served."""
     ended = outcome(first.status)
     return _Made(
-        ((first,), (OK,)), {asked(): (TO_0,), ended: (TO_1,)},
-        (asked(), ended, answer("served"), outcome(Status.OK, 1, 1, True)))
+        ((first,), (OK,)),
+        {asked(): (TO_0,), ended: (TO_1,)},
+        (asked(), ended, answer("served"), outcome(Status.OK, 1, 1, True)),
+    )
 
 
 _ALL: dict[str, _Made] = {
     # A good answer goes to the client before the decisions hear of it.
     "served": _Made(
-        ((OK,), ()), {asked(): (TO_0,)}, (asked(), answer("served"), outcome(Status.OK, closed=True))),
+        ((OK,), ()), {asked(): (TO_0,)}, (asked(), answer("served"), outcome(Status.OK, closed=True))
+    ),
     "refused": _Made(((), ()), {asked(): (Refuse("a", 40.0),)}, (asked(), answer("refused"))),
     "failed": _Made(((), ()), {asked(): (Fail("a"),)}, (asked(), answer("failed"))),
     "an error, then served": _second(ERROR),
     "full, then served": _second(FULL),
     "reset, then served": _second(RESET),
     "no connection, then served": _Made(
-        (None, (OK,)), {asked(): (TO_0,), outcome(Status.CONNECT_FAILED): (TO_1,)},
-        (asked(), outcome(Status.CONNECT_FAILED), answer("served"), outcome(Status.OK, 1, 1, True))),
+        (None, (OK,)),
+        {asked(): (TO_0,), outcome(Status.CONNECT_FAILED): (TO_1,)},
+        (asked(), outcome(Status.CONNECT_FAILED), answer("served"), outcome(Status.OK, 1, 1, True)),
+    ),
     "no connection at all": _Made(
         (None, None),
-        {asked(): (TO_0,), outcome(Status.CONNECT_FAILED): (TO_1,),
-         outcome(Status.CONNECT_FAILED, 1, 1): (Fail("a"),)},
-        (asked(), outcome(Status.CONNECT_FAILED), outcome(Status.CONNECT_FAILED, 1, 1), answer("failed"))),
+        {
+            asked(): (TO_0,),
+            outcome(Status.CONNECT_FAILED): (TO_1,),
+            outcome(Status.CONNECT_FAILED, 1, 1): (Fail("a"),),
+        },
+        (asked(), outcome(Status.CONNECT_FAILED), outcome(Status.CONNECT_FAILED, 1, 1), answer("failed")),
+    ),
     # An attempt's own time: the node sees that it is given up, the client still waits.
     "an attempt's time is up": _Made(
         ((SILENT,), (OK,)),
         {asked(): (Send("a", 0, STEP_MS),), outcome(Status.TIMEOUT): (TO_1,)},
-        (asked(), outcome(Status.TIMEOUT), answer("served"), outcome(Status.OK, 1, 1, True)), ((0, "a"),)),
+        (asked(), outcome(Status.TIMEOUT), answer("served"), outcome(Status.OK, 1, 1, True)),
+        ((0, "a"),),
+    ),
     # Both good: the first is the answer, the second an outcome and no answer.
     "two at once": _Made(
-        ((OK,), (LATER,)), {asked(): (TO_0, TO_1)},
-        (asked(), answer("served"), outcome(Status.OK, closed=True), outcome(Status.OK, 1, 1, True))),
+        ((OK,), (LATER,)),
+        {asked(): (TO_0, TO_1)},
+        (asked(), answer("served"), outcome(Status.OK, closed=True), outcome(Status.OK, 1, 1, True)),
+    ),
     "the second is faster": _Made(
-        ((LATER,), (OK,)), {asked(): (TO_0, TO_1)},
-        (asked(), answer("served"), outcome(Status.OK, 1, 1, True), outcome(Status.OK, closed=True))),
+        ((LATER,), (OK,)),
+        {asked(): (TO_0, TO_1)},
+        (asked(), answer("served"), outcome(Status.OK, 1, 1, True), outcome(Status.OK, closed=True)),
+    ),
     "sent after the answer": _Made(
-        ((OK, OK), (LATER,)), {asked(): (TO_0, TO_1), outcome(Status.OK, closed=True): (TO_0,)},
-        (asked(), answer("served"), outcome(Status.OK, closed=True),
-         outcome(Status.NOT_SENT, 0, 2, True), outcome(Status.OK, 1, 1, True))),
+        ((OK, OK), (LATER,)),
+        {asked(): (TO_0, TO_1), outcome(Status.OK, closed=True): (TO_0,)},
+        (
+            asked(),
+            answer("served"),
+            outcome(Status.OK, closed=True),
+            outcome(Status.NOT_SENT, 0, 2, True),
+            outcome(Status.OK, 1, 1, True),
+        ),
+    ),
     "cancelled": _Made(
         ((SILENT,), ()),
-        {asked(): (TO_0, SetTimer(7, STEP_MS, "a")), ("timer", 7): (Cancel("a", 0),),
-         outcome(Status.CANCELLED): (Refuse("a"),)},
-        (asked(), ("timer", 7), outcome(Status.CANCELLED), answer("refused")), ((0, "a"),)),
+        {
+            asked(): (TO_0, SetTimer(7, STEP_MS, "a")),
+            ("timer", 7): (Cancel("a", 0),),
+            outcome(Status.CANCELLED): (Refuse("a"),),
+        },
+        (asked(), ("timer", 7), outcome(Status.CANCELLED), answer("refused")),
+        ((0, "a"),),
+    ),
     "cancelled after its answer": _Made(
         ((OK,), (SILENT,)),
         {asked(): (TO_0, TO_1), outcome(Status.OK, closed=True): (Cancel("a", 1),)},
         (asked(), answer("served"), outcome(Status.OK, closed=True), outcome(Status.CANCELLED, 1, 1, True)),
-        ((1, "a"),)),
+        ((1, "a"),),
+    ),
     "cancelled too late": _Made(
-        ((ERROR,), ()), {asked(): (TO_0,), outcome(Status.ERROR): (Cancel("a", 0), Fail("a"))},
-        (asked(), outcome(Status.ERROR), answer("failed"))),
+        ((ERROR,), ()),
+        {asked(): (TO_0,), outcome(Status.ERROR): (Cancel("a", 0), Fail("a"))},
+        (asked(), outcome(Status.ERROR), answer("failed")),
+    ),
     "refused while one is out": _Made(
-        ((LAST,), ()), {asked(): (TO_0, SetTimer(1, STEP_MS)), ("timer", 1): (Refuse("a"),)},
-        (asked(), ("timer", 1), answer("refused"), outcome(Status.OK, closed=True))),
+        ((LAST,), ()),
+        {asked(): (TO_0, SetTimer(1, STEP_MS)), ("timer", 1): (Refuse("a"),)},
+        (asked(), ("timer", 1), answer("refused"), outcome(Status.OK, closed=True)),
+    ),
     "answered once": _Made(
-        ((LAST,), ()), {asked(): (TO_0, SetTimer(1, STEP_MS)), ("timer", 1): (Fail("a"), Refuse("a"))},
-        (asked(), ("timer", 1), answer("failed"), outcome(Status.OK, closed=True))),
+        ((LAST,), ()),
+        {asked(): (TO_0, SetTimer(1, STEP_MS)), ("timer", 1): (Fail("a"), Refuse("a"))},
+        (asked(), ("timer", 1), answer("failed"), outcome(Status.OK, closed=True)),
+    ),
     "the client leaves": _Made(
-        ((LAST,), ()), {asked(): (TO_0,)},
-        (asked(), ("gone", "a"), outcome(Status.OK, closed=True)), asks=(Asks("a", leaves=STEP_MS),)),
+        ((LAST,), ()),
+        {asked(): (TO_0,)},
+        (asked(), ("gone", "a"), outcome(Status.OK, closed=True)),
+        asks=(Asks("a", leaves=STEP_MS),),
+    ),
     "the client leaves, and it is cancelled": _Made(
-        ((SILENT,), ()), {asked(): (TO_0,), ("gone", "a"): (Cancel("a", 0),)},
-        (asked(), ("gone", "a"), outcome(Status.CANCELLED, closed=True)), ((0, "a"),),
-        (Asks("a", leaves=STEP_MS),)),
+        ((SILENT,), ()),
+        {asked(): (TO_0,), ("gone", "a"): (Cancel("a", 0),)},
+        (asked(), ("gone", "a"), outcome(Status.CANCELLED, closed=True)),
+        ((0, "a"),),
+        (Asks("a", leaves=STEP_MS),),
+    ),
     "the client leaves before anything is sent": _Made(
-        ((), ()), {}, (asked(), ("gone", "a")), asks=(Asks("a", leaves=STEP_MS),)),
+        ((), ()), {}, (asked(), ("gone", "a")), asks=(Asks("a", leaves=STEP_MS),)
+    ),
     "timers by their time": _Made(
         ((), ()),
-        {asked(): (SetTimer(1, 3 * STEP_MS), SetTimer(2, STEP_MS), SetTimer(3, 2 * STEP_MS)),
-         ("timer", 1): (Fail("a"),)},
-        (asked(), ("timer", 2), ("timer", 3), ("timer", 1), answer("failed"))),
+        {
+            asked(): (SetTimer(1, 3 * STEP_MS), SetTimer(2, STEP_MS), SetTimer(3, 2 * STEP_MS)),
+            ("timer", 1): (Fail("a"),),
+        },
+        (asked(), ("timer", 2), ("timer", 3), ("timer", 1), answer("failed")),
+    ),
     "two requests, each its own": _Made(
-        ((LAST, OK), ()), {asked(): (TO_0,), asked("b"): (Send("b", 0),)},
-        (asked(), asked("b"), answer("served", "b"), outcome(Status.OK, closed=True, name="b"),
-         answer("served"), outcome(Status.OK, closed=True)),
-        asks=(Asks("a"), Asks("b", STEP_MS))),
+        ((LAST, OK), ()),
+        {asked(): (TO_0,), asked("b"): (Send("b", 0),)},
+        (
+            asked(),
+            asked("b"),
+            answer("served", "b"),
+            outcome(Status.OK, closed=True, name="b"),
+            answer("served"),
+            outcome(Status.OK, closed=True),
+        ),
+        asks=(Asks("a"), Asks("b", STEP_MS)),
+    ),
     "one is cancelled, the other is not touched": _Made(
         ((SILENT, LAST), ()),
-        {asked(): (TO_0,), asked("b"): (Send("b", 0), Cancel("a", 0)),
-         outcome(Status.CANCELLED): (Fail("a"),)},
-        (asked(), asked("b"), outcome(Status.CANCELLED), answer("failed"), answer("served", "b"),
-         outcome(Status.OK, closed=True, name="b")), ((0, "a"),), (Asks("a"), Asks("b", STEP_MS))),
+        {
+            asked(): (TO_0,),
+            asked("b"): (Send("b", 0), Cancel("a", 0)),
+            outcome(Status.CANCELLED): (Fail("a"),),
+        },
+        (
+            asked(),
+            asked("b"),
+            outcome(Status.CANCELLED),
+            answer("failed"),
+            answer("served", "b"),
+            outcome(Status.OK, closed=True, name="b"),
+        ),
+        ((0, "a"),),
+        (Asks("a"), Asks("b", STEP_MS)),
+    ),
 }
 SCRIPTS = tuple(
-    Script(name, made.asks, made.nodes, made.does, made.happens, made.stopped) for name, made in _ALL.items())
+    Script(name, made.asks, made.nodes, made.does, made.happens, made.stopped) for name, made in _ALL.items()
+)
--- a/brackenloft/lab/conformance/virtual.py
+++ b/brackenloft/lab/conformance/virtual.py
@@ -41,8 +41,13 @@
     def __init__(self, script: Script) -> None:
         self.script, self.played = script, Trace(script)
         experiment = Experiment(
-            name="script", classes=[KIND], plans=[PLAN], nodes=Nodes(count=len(script.nodes), zones=1),
-            clients=Clients(retries=0, patience=1.0), gateways=Gateways(count=1, width=1))
+            name="script",
+            classes=[KIND],
+            plans=[PLAN],
+            nodes=Nodes(count=len(script.nodes), zones=1),
+            clients=Clients(retries=0, patience=1.0),
+            gateways=Gateways(count=1, width=1),
+        )
         super().__init__(experiment, lambda settings, seed: self.played, 1)
 
     def _node(self, number: int) -> Node:
