--- a/brackenloft/lab/conformance/wire.py
+++ b/brackenloft/lab/conformance/wire.py
@@ -28,8 +28,12 @@
 LIMIT_S = 20.0  # a script that has not happened by then never will
 REST_MS = 100.0  # after the last thing that is wanted, for what is not wanted to come
 TURN_S = 0.001  # between two looks whether a connection has come up
-TEXTS = {api.Status.OK: array(b"done"), api.Status.ERROR: b"-ERR failed\r\n", api.Status.FULL: b"-BUSY\r\n",
-         api.Status.RESET: b""}
+TEXTS = {
+    api.Status.OK: array(b"done"),
+    api.Status.ERROR: b"-ERR failed\r\n",
+    api.Status.FULL: b"-BUSY\r\n",
+    api.Status.RESET: b"",
+}
 
 
 class Decisions:
@@ -56,8 +60,9 @@
         budget = Budget(2 * ROOM, {Side.CLIENTS: ROOM, Side.SERVERS: ROOM}, 0)
         self.servers = Servers(SETTINGS, budget, MOST_HELD)
         self.driver = Driver(cast(Gateway, Decisions(self.played, self.news)), self.servers, Clock())
-        self.nodes = [Node(number, Nodes(), 1.0, lambda: 0.0, lambda *_: None)
-                      for number in range(len(script.nodes))]
+        self.nodes = [
+            Node(number, Nodes(), 1.0, lambda: 0.0, lambda *_: None) for number in range(len(script.nodes))
+        ]
         self.to_come = [list(answers or ()) for answers in script.nodes]
         self.listeners = [Listener(self._doors(node)) for node in self.nodes]
 
@@ -72,7 +77,8 @@
                 listener.refuse()
         self.servers.update(
             api.ServerList(api.ListKind.FULL, tuple(api.ServerEntry(n.number, "zone-0") for n in self.nodes)),
-            {node.number: ("127.0.0.1", self.listeners[node.number].port) for node in self.nodes})
+            {node.number: ("127.0.0.1", self.listeners[node.number].port) for node in self.nodes},
+        )
         for asks in self.script.asks:
             self.loop.call_later(asks.at / 1000.0, self._asks, asks)
         try:
--- a/brackenloft/lab/fleet/check.py
+++ b/brackenloft/lab/fleet/check.py
@@ -51,7 +51,8 @@
             if latest and span.begin <= latest.end and span.token != latest.token:
                 broken.append(
                     f"{task}: {latest.who} (token {latest.token}) acts until {latest.end:.1f} and {span.who} "
-                    f"(token {span.token}) from {span.begin:.1f}")
+                    f"(token {span.token}) from {span.begin:.1f}"
+                )
             if latest is None or span.end > latest.end:
                 latest = span
     return broken
@@ -81,7 +82,10 @@
 
 
 def goes_on(
-    events: Sequence[Event], calm: Iterable[tuple[float, float]], tasks: Sequence[str], within_ms: float,
+    events: Sequence[Event],
+    calm: Iterable[tuple[float, float]],
+    tasks: Sequence[str],
+    within_ms: float,
 ) -> list[str]:
     """Tasks that nobody did for longer than the bound, within a time in which a majority could be had."""
     broken = []
@@ -94,6 +98,7 @@
 
 # ---- Registers
 
+
 @dataclass(frozen=True, slots=True)
 class Op:
     """One operation on a register, from the call to its answer.
@@ -130,7 +135,8 @@
         if event["kind"] == "op":
             end = CUT_MS if event["took"] is None else event["at"]
             found.setdefault(event["register"], []).append(
-                Op(event["begin"], end, event["does"], event["version"], event["data"], event["took"]))
+                Op(event["begin"], end, event["does"], event["version"], event["data"], event["took"])
+            )
     return found
 
 
--- a/brackenloft/lab/fleet/clerk.py
+++ b/brackenloft/lab/fleet/clerk.py
@@ -1,6 +1,6 @@
 """A process that reads and changes a few registers, and writes what it saw into a history.
 
-    python -m brackenloft.lab.fleet.clerk FILE      FILE: JSON, see ``Order``
+python -m brackenloft.lab.fleet.clerk FILE      FILE: JSON, see ``Order``
 """
 
 from __future__ import annotations
@@ -41,8 +41,9 @@
     def __init__(self, order: Order) -> None:
         self.order, self.random = order, random.Random(order.seed)
         self.writer = Writer(Path(order.history))
-        self.stores = {name: Store(url, "fleet", order.timeout_ms / 1000.0)
-                       for name, url in order.stores.items()}
+        self.stores = {
+            name: Store(url, "fleet", order.timeout_ms / 1000.0) for name, url in order.stores.items()
+        }
         self.known: dict[str, int] = {}
         self.left = {name: order.most for name in order.registers}
 
@@ -89,8 +90,15 @@
 
     def _note(self, name: str, begin: float, does: str, version: int, data: str, took: bool | None) -> None:
         self.writer.write(
-            "op", register=name, who=self.order.who, begin=begin, does=does, version=version, data=data,
-            took=took)
+            "op",
+            register=name,
+            who=self.order.who,
+            begin=begin,
+            does=does,
+            version=version,
+            data=data,
+            took=took,
+        )
 
 
 if __name__ == "__main__":
--- a/brackenloft/lab/fleet/control.py
+++ b/brackenloft/lab/fleet/control.py
@@ -52,8 +52,14 @@
     async def start(self, *more: str) -> dict[str, Any]:
         """A new process; what it said first."""
         self.process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", *self.words, *more, stdin=asyncio.subprocess.PIPE,
-            stdout=asyncio.subprocess.PIPE, limit=LONGEST_LINE)
+            sys.executable,
+            "-m",
+            *self.words,
+            *more,
+            stdin=asyncio.subprocess.PIPE,
+            stdout=asyncio.subprocess.PIPE,
+            limit=LONGEST_LINE,
+        )
         async with asyncio.timeout(START_S), self.turn:
             self.hello = await self._line()
         return self.hello
--- a/brackenloft/lab/fleet/exercise.py
+++ b/brackenloft/lab/fleet/exercise.py
@@ -1,7 +1,7 @@
 """A job for trials: it acts in small steps, stamps each, and sends effects to a place that compares tokens.
 
-    kind = "brackenloft.lab.fleet.exercise:Exercise"
-    option = '{"task": "t1", "place": "redis://127.0.0.1:7000", "history": "g0.jsonl"}'
+kind = "brackenloft.lab.fleet.exercise:Exercise"
+option = '{"task": "t1", "place": "redis://127.0.0.1:7000", "history": "g0.jsonl"}'
 """
 
 from __future__ import annotations
@@ -42,7 +42,8 @@
         self.writer = Writer(Path(self.option.history))
         self.who = str(os.getpid())
         self.client = redis.Redis.from_url(
-            self.option.place, protocol=2, socket_timeout=PLACE_S, socket_connect_timeout=PLACE_S, retry=None)
+            self.option.place, protocol=2, socket_timeout=PLACE_S, socket_connect_timeout=PLACE_S, retry=None
+        )
         self.runs = 0
 
     async def close(self) -> None:
@@ -58,7 +59,8 @@
             at = now_ms()
             run.act.check()
             self.writer.write(
-                "acts", at, task=self.option.task, who=self.who, token=run.act.token, run=self.runs)
+                "acts", at, task=self.option.task, who=self.who, token=run.act.token, run=self.runs
+            )
             if self.option.poison:
                 os.abort()
             if step % 5 == 0:
--- a/brackenloft/lab/fleet/explore.py
+++ b/brackenloft/lab/fleet/explore.py
@@ -98,10 +98,19 @@
         rows = []
         for peer in self.peers:
             step, view = peer.step, peer.view
-            rows.append((
-                view.version, leases.stands(view.lease), min(self.now - view.seen_ms, 2.0 * LENGTH),
-                step and (peer.doing, type(step.ask), step.ask.ballot, step.ballot, self.now - peer.asked),
-                peer.looks is not None, peer.token, max(0.0, peer.until - self.now), peer.rounds))
+            rows.append(
+                (
+                    view.version,
+                    leases.stands(view.lease),
+                    min(self.now - view.seen_ms, 2.0 * LENGTH),
+                    step
+                    and (peer.doing, type(step.ask), step.ask.ballot, step.ballot, self.now - peer.asked),
+                    peer.looks is not None,
+                    peer.token,
+                    max(0.0, peer.until - self.now),
+                    peer.rounds,
+                )
+            )
         places = []
         for store, member in enumerate(STORES):
             part = [self.stores[store], self.votes[store]]
@@ -135,8 +144,9 @@
 
     def __init__(self, gateways: int, guards: Guards, budget: Budget, drift: float = 0.0) -> None:
         self.guards, self.terms = guards, Terms(LENGTH, drift)
-        self.first = World(0.0, [EMPTY] * len(STORES), [True] * len(STORES),
-                           [Peer() for _ in range(gateways)], budget)
+        self.first = World(
+            0.0, [EMPTY] * len(STORES), [True] * len(STORES), [Peer() for _ in range(gateways)], budget
+        )
         self.states = 0
 
     def search(self, depth: int, most: int, begin: Iterable[Move] = ()) -> tuple[Move, ...] | None:
@@ -175,8 +185,9 @@
             if peer.step:
                 yield from self._asks(peer.step, number, left.losses > 0)
             elif peer.looks is not None:
-                yield from (("see", number, store) for store, member in enumerate(STORES)
-                            if member not in peer.looks)
+                yield from (
+                    ("see", number, store) for store, member in enumerate(STORES) if member not in peer.looks
+                )
             else:
                 yield from self._begins(world, number, peer)
             if left.crashes and (peer.step or peer.until > world.now):
@@ -240,7 +251,8 @@
         if what == "take":
             compares = not self.guards.stands_not_compared
             change: Callable[[Held | None], bytes | None] = partial(
-                _take, me, leases.stands(peer.view.lease), compares)
+                _take, me, leases.stands(peer.view.lease), compares
+            )
         else:
             change = partial(_renew, me, peer.token)
         highest = max(slot.promised.number for slot in world.stores)  # as refusals would have told it
@@ -292,7 +304,12 @@
 
 
 def run(
-    gateways: int, guards: Guards, budget: Budget, depth: int, most: int, begin: Iterable[Move] = (),
+    gateways: int,
+    guards: Guards,
+    budget: Budget,
+    depth: int,
+    most: int,
+    begin: Iterable[Move] = (),
 ) -> tuple[int, list[Move]]:
     """States looked at, and the path to a broken promise, if there is one."""
     explorer = Explorer(gateways, guards, budget)
@@ -301,7 +318,13 @@
 
 
 LOOKED: tuple[Move, ...] = (
-    ("look", 0, 0), ("see", 0, 0), ("see", 0, 1), ("take", 0, 0), ("ask", 0, 0), ("ask", 0, 1))
+    ("look", 0, 0),
+    ("see", 0, 0),
+    ("see", 0, 1),
+    ("take", 0, 0),
+    ("ask", 0, 0),
+    ("ask", 0, 1),
+)
 HOLDS: tuple[Move, ...] = (*LOOKED, ("ask", 0, 0), ("ask", 0, 1))  # the first gateway holds the lease
 SEEN: tuple[Move, ...] = (("look", 1, 0), ("see", 1, 0), ("see", 1, 1))  # and the second has seen it
 UNTOLD: tuple[Move, ...] = (*LOOKED, ("ask", 0, 0), ("lose answer", 0, 1))  # it holds, and was not told
@@ -324,7 +347,8 @@
 
 def main() -> int:
     parser = argparse.ArgumentParser(
-        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
     parser.add_argument("--mutant", choices=sorted(PLACES))
     parser.add_argument("--more", type=int, default=0, help="so much deeper")
     parser.add_argument("--most", type=int, default=300_000, help="states of a search")
--- a/brackenloft/lab/fleet/gateway.py
+++ b/brackenloft/lab/fleet/gateway.py
@@ -12,6 +12,7 @@
     words = sys.argv[1:]
     if words[:1] == ["--mutant"]:
         from brackenloft.lab.fleet.mutants import MUTANTS
+
         MUTANTS[words[1]]()
         words = words[2:]
     sys.exit(main(words))
--- a/brackenloft/lab/fleet/links.py
+++ b/brackenloft/lab/fleet/links.py
@@ -65,8 +65,10 @@
             await self.open["there"].wait()
             back, other = await asyncio.open_connection("127.0.0.1", self.target)
             self.writers.add(other)
-            pumps = {asyncio.create_task(self._pump("there", reader, other)),
-                     asyncio.create_task(self._pump("back", back, writer))}
+            pumps = {
+                asyncio.create_task(self._pump("there", reader, other)),
+                asyncio.create_task(self._pump("back", back, writer)),
+            }
             await asyncio.wait(pumps, return_when=asyncio.FIRST_COMPLETED)
             for pump in pumps:
                 pump.cancel()
@@ -90,16 +92,16 @@
         """What is left to be passed on of a piece that comes back."""
         if self.spoil == "garble":
             middle = len(data) // 2
-            return data[:middle] + bytes([data[middle] ^ 0x55]) + data[middle + 1:]
+            return data[:middle] + bytes([data[middle] ^ 0x55]) + data[middle + 1 :]
         if len(data) <= self.left_bytes:
             self.left_bytes -= len(data)
             return data
-        writer.write(data[:self.left_bytes])
+        writer.write(data[: self.left_bytes])
         await writer.drain()
         if self.spoil == "truncate":
             self.left_bytes = self.size_bytes
             raise ConnectionAbortedError
-        rest, self.left_bytes = data[self.left_bytes:], 0
+        rest, self.left_bytes = data[self.left_bytes :], 0
         self.open["back"].clear()
         await self.open["back"].wait()
         return rest
--- a/brackenloft/lab/fleet/mutants.py
+++ b/brackenloft/lab/fleet/mutants.py
@@ -31,6 +31,7 @@
 
 def token_not_compared() -> None:
     """The place takes whatever comes."""
+
     async def unfenced(client: Any, key: str, token: int, commands: Any) -> list[object]:
         async with client.pipeline(transaction=True) as pipe:
             pipe.execute_command("SET", key, token)
@@ -60,6 +61,9 @@
 
 
 MUTANTS: dict[str, Callable[[], None]] = {
-    "short_guard": short_guard, "clock_after": clock_after, "token_not_compared": token_not_compared,
-    "blank_votes": blank_votes, "no_check": no_check,
+    "short_guard": short_guard,
+    "clock_after": clock_after,
+    "token_not_compared": token_not_compared,
+    "blank_votes": blank_votes,
+    "no_check": no_check,
 }
--- a/brackenloft/lab/fleet/schedule.py
+++ b/brackenloft/lab/fleet/schedule.py
@@ -111,8 +111,25 @@
     all_stores = [f"s{number}" for number in range(base.stores)]
     span = dice.choice((0.3, 0.8, 1.3, 2.2)) * lease
     span = min(span, base.length_ms - 1500.0 - at)
-    kind = dice.choice(("cut", "cut", "cut one way", "cut one way", "cut off place", "slow", "reset", "stop",
-                        "stop", "stop store", "kill", "end", "mood", "store", "store"))
+    kind = dice.choice(
+        (
+            "cut",
+            "cut",
+            "cut one way",
+            "cut one way",
+            "cut off place",
+            "slow",
+            "reset",
+            "stop",
+            "stop",
+            "stop store",
+            "kill",
+            "end",
+            "mood",
+            "store",
+            "store",
+        )
+    )
     ways = ("there", "back")
     match kind:
         case "cut" | "cut one way":
@@ -124,8 +141,13 @@
             return Fault(at, "cut", (f"{gateway}>place",), span, ("there",))
         case "slow":
             some = all_stores if dice.random() < 0.5 else [store]
-            return Fault(at, "slow", tuple(f"{gateway}>{name}" for name in some), span,
-                         ms=dice.choice((10.0, 25.0, 200.0)))
+            return Fault(
+                at,
+                "slow",
+                tuple(f"{gateway}>{name}" for name in some),
+                span,
+                ms=dice.choice((10.0, 25.0, 200.0)),
+            )
         case "reset":
             return Fault(at, "reset", tuple(f"{gateway}>{name}" for name in all_stores))
         case "stop" | "kill" | "end":
@@ -149,8 +171,14 @@
     Within each of them every task has to go on; from one to the next nothing is promised. A store is taken
     back by a majority of the others, so where two are in trouble at once nothing is until all is over.
     """
-    if any(one != other and one.on[0].startswith("s") and other.on[0].startswith("s")
-           and one.at_ms <= other.at_ms < _over(one) for one in schedule.faults for other in schedule.faults):
+    if any(
+        one != other
+        and one.on[0].startswith("s")
+        and other.on[0].startswith("s")
+        and one.at_ms <= other.at_ms < _over(one)
+        for one in schedule.faults
+        for other in schedule.faults
+    ):
         over = max(_over(fault) for fault in schedule.faults)
         return [(over, schedule.length_ms)] if over < schedule.length_ms else []
     marks = {0.0, schedule.length_ms}
@@ -199,7 +227,7 @@
     size = len(faults)
     while size:
         for start in range(0, len(faults), size):
-            yield msgspec.structs.replace(schedule, faults=faults[:start] + faults[start + size:])
+            yield msgspec.structs.replace(schedule, faults=faults[:start] + faults[start + size :])
         size //= 2
     last = max((fault.ends() for fault in faults), default=0.0) + 2.5 * schedule.lease_ms
     if last < schedule.length_ms:
--- a/brackenloft/lab/fleet/trial.py
+++ b/brackenloft/lab/fleet/trial.py
@@ -57,8 +57,9 @@
 
     def __init__(self, schedule: Schedule, folder: Path) -> None:
         self.schedule, self.folder = schedule, folder
-        self.stores = {f"s{number}": Helper("brackenloft.lab.fleet.store")
-                       for number in range(schedule.stores)}
+        self.stores = {
+            f"s{number}": Helper("brackenloft.lab.fleet.store") for number in range(schedule.stores)
+        }
         self.place = Helper("brackenloft.lab.fleet.store")
         self.gateways = [GatewayProcess(schedule, folder, number) for number in range(schedule.gateways)]
         self.clerks: list[asyncio.subprocess.Process] = []
@@ -90,8 +91,11 @@
             self.ports[name] = (await store.start())["port"]
         hello = await self.place.start("--history", str(self.folder / "place.jsonl"))
         self.ports["place"] = hello["port"]
-        direct = {name: Store(f"redis://127.0.0.1:{port}", "fleet", 0.5)
-                  for name, port in self.ports.items() if name != "place"}
+        direct = {
+            name: Store(f"redis://127.0.0.1:{port}", "fleet", 0.5)
+            for name, port in self.ports.items()
+            if name != "place"
+        }
         members = places.first(direct, FLOOR, "a")
         self.registers = Registers(direct, members, "operator", self.schedule.seed)
         await enrol.found(self.registers, members)
@@ -107,15 +111,29 @@
         return {event["task"] for event in self._events() if event["kind"] == "acts"}
 
     async def _clerk(self, number: int) -> None:
-        stores = {name: f"redis://127.0.0.1:{port}"
-                  for name, port in self.gateways[number].links.hello.items() if name != "place"}
+        stores = {
+            name: f"redis://127.0.0.1:{port}"
+            for name, port in self.gateways[number].links.hello.items()
+            if name != "place"
+        }
         path = self.folder / f"clerk-{number}.json"
-        path.write_text(json.dumps({
-            "who": f"clerk-{number}", "seed": self.schedule.seed * 100 + number, "stores": stores,
-            "registers": ["x0", "x1", "x2"], "history": str(self.folder / f"ops-{number}.jsonl"),
-            "timeout_ms": self.schedule.timeout_ms}))
-        self.clerks.append(await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "brackenloft.lab.fleet.clerk", str(path)))
+        path.write_text(
+            json.dumps(
+                {
+                    "who": f"clerk-{number}",
+                    "seed": self.schedule.seed * 100 + number,
+                    "stores": stores,
+                    "registers": ["x0", "x1", "x2"],
+                    "history": str(self.folder / f"ops-{number}.jsonl"),
+                    "timeout_ms": self.schedule.timeout_ms,
+                }
+            )
+        )
+        self.clerks.append(
+            await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "brackenloft.lab.fleet.clerk", str(path)
+            )
+        )
 
     async def _end(self) -> None:
         for task in list(self.tasks):
@@ -229,16 +247,24 @@
                 stands.append(f"t0: killed {len(killed)} holders, {MOST_LOST} at most, and so many are there")
         longest = max(check.gaps(events, begin, end, names).values(), default=0.0)
         counts = {
-            "two_holders": len(two), "stale_effects": len(stale), "not_linearizable": len(lines),
-            "stood_still": len(stands), "promised": sum(last - first > bound for first, last in well),
+            "two_holders": len(two),
+            "stale_effects": len(stale),
+            "not_linearizable": len(lines),
+            "stood_still": len(stands),
+            "promised": sum(last - first > bound for first, last in well),
             "longest_gap_ms": round(longest, 1),
             "acts": sum(event["kind"] == "acts" for event in events),
             "effects": sum(event["kind"] == "effect" for event in events),
             "refused": sum(event["kind"] == "stale" for event in events),
             "ops": sum(event["kind"] == "op" for event in events),
             "swept": sum(len(event["runs"]) for event in events if event["kind"] == "swept"),
-            "sweepers": len({event["token"] for event in events
-                             if event["kind"] == "effect" and event["place"] == "quota:sweep"}),
+            "sweepers": len(
+                {
+                    event["token"]
+                    for event in events
+                    if event["kind"] == "effect" and event["place"] == "quota:sweep"
+                }
+            ),
             "holders": len({(event["task"], event["token"]) for event in events if event["kind"] == "acts"}),
         }
         return Verdict(plan, [*two, *stale, *lines, *stands], counts | dict(self.counts))
@@ -271,7 +297,8 @@
 
 async def _main() -> int:
     parser = argparse.ArgumentParser(
-        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seeds", type=int, default=1)
     parser.add_argument("--at-once", type=int, default=1)
--- a/brackenloft/lab/fleet/virtual.py
+++ b/brackenloft/lab/fleet/virtual.py
@@ -135,6 +135,7 @@
             if gateway.alive:
                 what(gateway)
                 self._after(chance, gateway, what)
+
         self.at(self.now + self.dice.expovariate(chance) * 1000.0, happens)
 
     def _lose(self, gateway: Gateway) -> None:
@@ -145,6 +146,7 @@
 
         def again() -> None:
             self.gateways[number] = self._new(number, life)
+
         self.at(self.now + self.dice.uniform(100.0, 5000.0), again)
 
     def _all(self) -> None:
@@ -235,6 +237,7 @@
             for name, (version, lease) in found.items():
                 gateway.views[name].saw(version, lease, own)
                 gateway.book.looked(name, own)
+
         return told
 
     def _change(self, name: str, step: Callable[[Lease | None], Lease | None]) -> tuple[int, Lease] | None:
@@ -258,12 +261,20 @@
             gateway.until.pop(name)
             gateway.book.lost(name, self.now * gateway.rate)
             self.acting.pop(name, None)
-            self._ask(gateway, [name], CHANGE_TRIPS, lambda: self._change(
-                name, lambda lease: model.release(lease, me, token, order.to)))
+            self._ask(
+                gateway,
+                [name],
+                CHANGE_TRIPS,
+                lambda: self._change(name, lambda lease: model.release(lease, me, token, order.to)),
+            )
         else:
             step = model.want if order.do is Do.WANT else model.lives
-            self._ask(gateway, [name], TAKE_TRIPS, lambda: self._change(
-                name, lambda lease: step(lease, gateway.book.me)))
+            self._ask(
+                gateway,
+                [name],
+                TAKE_TRIPS,
+                lambda: self._change(name, lambda lease: step(lease, gateway.book.me)),
+            )
 
     def _take(self, gateway: Gateway, name: str) -> None:
         view, asked, me = gateway.views[name], self.now * gateway.rate, gateway.book.me
@@ -286,11 +297,16 @@
                         self.takeovers.append(self.now - self.lost_at.pop(name))
                     self._acts(gateway, name)
                 gateway.book.took(name, gateway.tokens.get(name), own)
+
             return told
+
         self._ask(gateway, [name], TAKE_TRIPS, carry_out)
 
     def _hold(
-        self, gateway: Gateway, name: str, step: Callable[[Lease | None, Me, int], Lease | None],
+        self,
+        gateway: Gateway,
+        name: str,
+        step: Callable[[Lease | None, Me, int], Lease | None],
         then: Callable[[], None] = lambda: None,
     ) -> None:
         token, asked = gateway.tokens[name], self.now * gateway.rate
@@ -314,7 +330,9 @@
                 gateway.until[name] = max(gateway.until[name], self.terms.until(asked, done[1].length_ms))
                 self._acts(gateway, name)
                 then()
+
             return told
+
         self._ask(gateway, [name], CHANGE_TRIPS, carry_out)
 
     def _run_task(self, gateway: Gateway, name: str) -> None:
@@ -330,6 +348,7 @@
             if gateway.alive and name in gateway.tokens and not entry.busy and not stopped:
                 self._hold(gateway, name, lambda lease, me, token: model.end(lease, me, token, True, ""))
             gateway.book.ended(name, True, own)
+
         self._hold(gateway, name, model.begin, begun)
 
     # ---- The promise
@@ -356,7 +375,8 @@
     settled = fleet.plan.length_ms / 1000.0
     later = [number for second, number in fleet.trips.items() if second >= settled]
     return {
-        "two_holders": fleet.two_holders, "taken": fleet.taken,
+        "two_holders": fleet.two_holders,
+        "taken": fleet.taken,
         "trips_s": round(sum(later) / max(1.0, fleet.plan.seconds - settled), 1),
         "trips_s_worst": max(fleet.trips.values()),
         "takeover_p99": round(percentile(fleet.takeovers, 0.99) / fleet.plan.length_ms, 3),
--- a/brackenloft/lab/real/beside.py
+++ b/brackenloft/lab/real/beside.py
@@ -16,8 +16,18 @@
 MOST_QUEUED = 0.02  # of the world's median, that a try may wait for processors, for the same reason: in
 # one run alone it was 0.0003; at 0.037 the median was 14 to 18% higher, at 0.055 22 to 28%
 PROCESSES = 5  # of a run, about: four gateways that are mostly idle, clients and nodes
-FIGURES = ("served_share", "refused_share", "failed_share", "service", "overuse_cost", "beyond_quota",
-           "median_ms", "p99_ms", "tries", "rules_broken")
+FIGURES = (
+    "served_share",
+    "refused_share",
+    "failed_share",
+    "service",
+    "overuse_cost",
+    "beyond_quota",
+    "median_ms",
+    "p99_ms",
+    "tries",
+    "rules_broken",
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,12 +73,19 @@
     real_figures, world_figures = run.oracle.figures(), world.oracle.figures()
     found = apart(real_figures, world_figures, run.late_share(), run.queued_ms)
     return {
-        "name": experiment.name, "seed": seed, "verdict": found.verdict(),
-        "served_points": found.served_points, "median_percent": found.median_percent,
-        "late_share": found.late_share, "queued_share": found.queued_share,
-        "real": real_figures, "world": world_figures,
-        "rules": dict(run.oracle.rules), "broken": run.oracle.words,
-        "gateways_cpu_s": round(run.cpu_s, 2), "connections": run.connections,
+        "name": experiment.name,
+        "seed": seed,
+        "verdict": found.verdict(),
+        "served_points": found.served_points,
+        "median_percent": found.median_percent,
+        "late_share": found.late_share,
+        "queued_share": found.queued_share,
+        "real": real_figures,
+        "world": world_figures,
+        "rules": dict(run.oracle.rules),
+        "broken": run.oracle.words,
+        "gateways_cpu_s": round(run.cpu_s, 2),
+        "connections": run.connections,
     }
 
 
--- a/brackenloft/lab/real/commands.py
+++ b/brackenloft/lab/real/commands.py
@@ -17,8 +17,10 @@
     """A try as a client writes it."""
     kind, customer = ask.kind, ask.customer
     key = f"k={keyed(customer, ask.first_at)}," if kind.effect is api.Effect.KEYED else ""
-    listed = (f"c={kind.name},t={customer.plan.name},d={max(1, int(wait_ms))},{key}units={kind.units:g},"
-              f"spread={width},first={customer.first}")
+    listed = (
+        f"c={kind.name},t={customer.plan.name},d={max(1, int(wait_ms))},{key}units={kind.units:g},"
+        f"spread={width},first={customer.first}"
+    )
     words = [f"{customer.number:016x}", f"{int(ask.name[1:]):016x}", listed]
     return resp("CALL.GET", *words) if kind.effect is api.Effect.SAFE else resp("CALL.POST", *words, b"body")
 
--- a/brackenloft/lab/real/gateways.py
+++ b/brackenloft/lab/real/gateways.py
@@ -26,13 +26,25 @@
 
 def configuration(settings: Settings, discovery: int, seed: int) -> dict[str, Any]:
     """The file of one gateway, for ``serve``."""
-    site = ("gateways", "index", "zone", "load_fields", "meter_period_ms", "largest_units", "settles",
-            "tick_ms", "cross_zone_price")
+    site = (
+        "gateways",
+        "index",
+        "zone",
+        "load_fields",
+        "meter_period_ms",
+        "largest_units",
+        "settles",
+        "tick_ms",
+        "cross_zone_price",
+    )
     return {
-        "listen": "127.0.0.1:0", "discovery": f"127.0.0.1:{discovery}", "seed": seed,
+        "listen": "127.0.0.1:0",
+        "discovery": f"127.0.0.1:{discovery}",
+        "seed": seed,
         "classes": [_plain(asdict(kind)) for kind in settings.classes],
         "plans": [asdict(plan) for plan in settings.plans],
-        "attempts": asdict(settings.limits), "rules": asdict(settings.contract),
+        "attempts": asdict(settings.limits),
+        "rules": asdict(settings.contract),
         "site": {name: getattr(settings, name) for name in site},
     }
 
@@ -81,8 +93,15 @@
         path = self.folder / f"gateway-{self.index}.json"
         path.write_text(json.dumps(configuration(self.settings, self.teller.port, self.seed)))
         self.process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "brackenloft.lab.real.child", "serve", "--config", str(path),
-            stderr=asyncio.subprocess.PIPE, limit=LONGEST_LINE)
+            sys.executable,
+            "-m",
+            "brackenloft.lab.real.child",
+            "serve",
+            "--config",
+            str(path),
+            stderr=asyncio.subprocess.PIPE,
+            limit=LONGEST_LINE,
+        )
         self.killed = False
         listens: asyncio.Future[int] = asyncio.get_running_loop().create_future()
         self.reading = asyncio.create_task(self._read(self.process, listens))
--- a/brackenloft/lab/real/limits.py
+++ b/brackenloft/lab/real/limits.py
@@ -22,5 +22,6 @@
     words = {"nodes.count": "gateways times nodes", "length_ms": "seconds", "load": "requests a second"}
     for key, value, most in limits:
         if value > most:
-            raise ExperimentError(f"{key}: {value:.0f} {words.get(key, 'processes')}, "
-                                  f"{most:.0f} at most on sockets")
+            raise ExperimentError(
+                f"{key}: {value:.0f} {words.get(key, 'processes')}, {most:.0f} at most on sockets"
+            )
--- a/brackenloft/lab/real/sockets.py
+++ b/brackenloft/lab/real/sockets.py
@@ -36,7 +36,11 @@
     """One run. ``run`` plays it; ``oracle`` has kept watch."""
 
     def __init__(
-        self, experiment: Experiment, seed: int, folder: Path, place: type[GatewayProcess] = GatewayProcess,
+        self,
+        experiment: Experiment,
+        seed: int,
+        folder: Path,
+        place: type[GatewayProcess] = GatewayProcess,
     ) -> None:
         check(experiment)
         super().__init__(experiment, seed, SLACK_MS)
@@ -51,7 +55,8 @@
         ]
         self.listeners = {
             (seat.index, node.number): Listener(self._doors(seat.index, node))
-            for seat in self.seats for node in self.nodes
+            for seat in self.seats
+            for node in self.nodes
         }
         self.asks: dict[int, ClientTry] = {}  # by number, for what nodes are sent
         self.out: dict[ClientTry, set[Slot]] = defaultdict(set)  # attempts at nodes
@@ -69,6 +74,7 @@
         def make() -> Door:
             self.connections += 1
             return Door(self, gateway, node)
+
         return make
 
     # ---- Time
@@ -233,9 +239,14 @@
         if not door.open or not node.up:
             return
         slot.job = Job(
-            ask.name, ask.sends, ask.kind.name,
-            ask.chain() if ask.kind.effect is api.Effect.KEYED else "", ask.kind, self.work(ask.kind),
-            lambda job, status: self._done(door, slot, status))
+            ask.name,
+            ask.sends,
+            ask.kind.name,
+            ask.chain() if ask.kind.effect is api.Effect.KEYED else "",
+            ask.kind,
+            self.work(ask.kind),
+            lambda job, status: self._done(door, slot, status),
+        )
         ask.sends += 1
         ask.jobs.append(slot.job)
         self.out[ask].add(slot)
@@ -308,7 +319,8 @@
     async def _connect(self, seat: Seat, ask: ClientTry) -> None:
         try:
             _, line = await self.loop.create_connection(
-                lambda: Line(self, seat.index), "127.0.0.1", self.gateways[seat.index].port)
+                lambda: Line(self, seat.index), "127.0.0.1", self.gateways[seat.index].port
+            )
         except OSError:
             self._tick()
             self._died(seat, ask)
@@ -376,4 +388,3 @@
     """One run on sockets."""
     with TemporaryDirectory(prefix="lab-") as folder:
         return await Sockets(experiment, seed, Path(folder)).run()
-
--- a/brackenloft/lab/stage.py
+++ b/brackenloft/lab/stage.py
@@ -135,7 +135,6 @@
         state = state or (api.ServerState.READY if node.up else api.ServerState.GONE)
         return api.ServerEntry(node.number, zone(node.zone), state=state, started_ms=node.started_ms)
 
-
     def work(self, kind: Class) -> float:
         """Work of one request at a node of speed 1, drawn."""
         return kind.work_ms * (1.0 / 3.0 + self.streams["work"].expovariate(1.5))
--- a/brackenloft/load/cli.py
+++ b/brackenloft/load/cli.py
@@ -69,11 +69,20 @@
         addresses = tuple(config.address(text, "--at") for text in at or []) or (read.listen,)
         wanted = check(
             Load(
-                addresses, stages(stage or ["100x10"]),
+                addresses,
+                stages(stage or ["100x10"]),
                 shares("class", kind or [], [item.name for item in settings.classes]),
                 shares("plan", plan or [], [item.name for item in settings.plans]),
-                customers, processes, connections, seed, even, wait_ms, body),
-            settings)
+                customers,
+                processes,
+                connections,
+                seed,
+                even,
+                wait_ms,
+                body,
+            ),
+            settings,
+        )
     except (LoadError, config.ConfigError) as error:
         print(f"brackenloft load: {error}", file=sys.stderr)
         raise typer.Exit(WRONG) from None
--- a/brackenloft/load/client.py
+++ b/brackenloft/load/client.py
@@ -176,10 +176,12 @@
         lane.ask(due, self._command(due, kind.effect, wait_ms), wait_ms / 1000.0)
 
     def _command(self, due: Due, effect: Effect, wait_ms: float) -> bytes:
-        number = f"{self.load.seed & 0xffffff:06x}{due.number:010x}"
+        number = f"{self.load.seed & 0xFFFFFF:06x}{due.number:010x}"
         key = f"k={number}," if effect is Effect.KEYED else ""
-        listed = (f"c={due.kind},t={due.plan},d={wait_ms:.0f},{key}units=1,"
-                  f"spread={self.settings.gateways},first={due.first}")
+        listed = (
+            f"c={due.kind},t={due.plan},d={wait_ms:.0f},{key}units=1,"
+            f"spread={self.settings.gateways},first={due.first}"
+        )
         words = [f"{due.customer:016x}", number, listed]
         if effect is Effect.SAFE:
             return resp("CALL.GET", *words)
--- a/brackenloft/load/plan.py
+++ b/brackenloft/load/plan.py
@@ -83,11 +83,14 @@
     """The load, if it can be played against these settings; LoadError names the option."""
     limits = (
         ("stage", max(step.rate for step in load.steps) if load.steps else 0.0, 0.001, MOST_RATE),
-        ("stage", load.seconds(), 0.001, MOST_S), ("stage", load.expected(), 0.001, float(MOST_REQUESTS)),
+        ("stage", load.seconds(), 0.001, MOST_S),
+        ("stage", load.expected(), 0.001, float(MOST_REQUESTS)),
         ("processes", load.processes, 1, MOST_PROCESSES),
         ("connections", load.connections, 1, MOST_CONNECTIONS),
-        ("customers", load.customers, 1, MOST_CUSTOMERS), ("at", len(load.addresses), 1, 1000),
-        ("body", load.body, 0, 1 << 20), ("wait-ms", load.wait_ms, 0.0, 600_000.0),
+        ("customers", load.customers, 1, MOST_CUSTOMERS),
+        ("at", len(load.addresses), 1, 1000),
+        ("body", load.body, 0, 1 << 20),
+        ("wait-ms", load.wait_ms, 0.0, 600_000.0),
     )
     for name, value, low, high in limits:
         if not low <= value <= high:
@@ -138,8 +141,13 @@
             # A customer has one plan and one set of gateways, the same in each process.
             fate = random.Random(customer).random()
             yield Due(
-                at, number, customer, load.plans[bisect_right(plans, fate * all_plans)].name,
-                load.classes[bisect_right(kinds, draw.random() * all_kinds)].name, customer % gateways)
+                at,
+                number,
+                customer,
+                load.plans[bisect_right(plans, fate * all_plans)].name,
+                load.classes[bisect_right(kinds, draw.random() * all_kinds)].name,
+                customer % gateways,
+            )
             number += load.processes
         begins = ends
 
--- a/brackenloft/load/tally.py
+++ b/brackenloft/load/tally.py
@@ -96,16 +96,21 @@
             "seconds": {second: dict(counts) for second, counts in self.seconds.items()},
             "classes": {kind: dict(counts) for kind, counts in self.classes.items()},
             "times": {kind: times.encode() for kind, times in self.times.items()},
-            "service": self.service.encode(), "delay": self.delay.encode(),
-            "most_waiting": self.most_waiting, "connects": self.connects,
+            "service": self.service.encode(),
+            "delay": self.delay.encode(),
+            "most_waiting": self.most_waiting,
+            "connects": self.connects,
         }
 
 
 def unpacked(data: dict[str, Any]) -> Tally:
     """The reverse of ``packed``."""
     tally = Tally(
-        service=HdrHistogram.decode(data["service"]), delay=HdrHistogram.decode(data["delay"]),
-        most_waiting=data["most_waiting"], connects=data["connects"])
+        service=HdrHistogram.decode(data["service"]),
+        delay=HdrHistogram.decode(data["delay"]),
+        most_waiting=data["most_waiting"],
+        connects=data["connects"],
+    )
     for second, counts in data["seconds"].items():
         tally.seconds[int(second)].update(counts)
     for kind, counts in data["classes"].items():
@@ -144,14 +149,18 @@
         return ""
     counts = tally.total()
     waited = f", {tally.most_waiting} waited for a connection at once" if tally.most_waiting else ""
-    return (f"{100.0 * share:.1f}% of {counts['due']} requests were sent more than {LATE_S * 1000.0:.0f} ms "
-            f"late or not at all{waited}: more processes or connections, or a lower rate")
+    return (
+        f"{100.0 * share:.1f}% of {counts['due']} requests were sent more than {LATE_S * 1000.0:.0f} ms "
+        f"late or not at all{waited}: more processes or connections, or a lower rate"
+    )
 
 
 def rows(tally: Tally) -> list[dict[str, Any]]:
     """A line for each second."""
-    return [{"second": second, **{name: counts[name] for name in ("due", "sent", "late", *ENDS)}}
-            for second, counts in sorted(tally.seconds.items())]
+    return [
+        {"second": second, **{name: counts[name] for name in ("due", "sent", "late", *ENDS)}}
+        for second, counts in sorted(tally.seconds.items())
+    ]
 
 
 def summary(tally: Tally, seconds: float, processes: int) -> dict[str, Any]:
@@ -159,11 +168,20 @@
     counts = tally.total()
     behind = fell_behind(tally, counts["due"])
     return {
-        "due": counts["due"], "sent": counts["sent"], **{end: counts[end] for end in ENDS},
-        "rate": round(counts["due"] / seconds, 2), "processes": processes, "connects": tally.connects,
-        "late_share": round(late_share(tally), 6), "fell_behind": bool(behind), "why": behind,
+        "due": counts["due"],
+        "sent": counts["sent"],
+        **{end: counts[end] for end in ENDS},
+        "rate": round(counts["due"] / seconds, 2),
+        "processes": processes,
+        "connects": tally.connects,
+        "late_share": round(late_share(tally), 6),
+        "fell_behind": bool(behind),
+        "why": behind,
         **percentiles(tally.all_times()),
-        "service": percentiles(tally.service), "delay": percentiles(tally.delay),
-        "classes": {kind: {**dict(counts), **percentiles(tally.times.get(kind, histogram()))}
-                    for kind, counts in sorted(tally.classes.items())},
+        "service": percentiles(tally.service),
+        "delay": percentiles(tally.delay),
+        "classes": {
+            kind: {**dict(counts), **percentiles(tally.times.get(kind, histogram()))}
+            for kind, counts in sorted(tally.classes.items())
+        },
     }
--- a/brackenloft/membership/config.py
+++ b/brackenloft/membership/config.py
@@ -179,6 +179,7 @@
 
 def _start(table: Table, zone: str, seed: int) -> Start:
     """What runs a source, once there is a loop."""
+
     def start(number: int, say: Callable[[Said], None], clock: Callable[[], float]) -> Running:
         if isinstance(table, ListedTable):
             return ListedSource(number, table.nodes, zone, say)
@@ -186,11 +187,31 @@
             address: Address = files.address(table.address, "discovery.address")
             return DiscoverySource(number, address, say)
         from brackenloft.membership.eureka.client import Eureka, Terms
-        choice = Choice(table.apps, table.vips, table.port, zone, table.kind_key, table.cell_key,
-                        table.weight_key, table.started_key)
-        terms = Terms(table.servers, choice, zone, table.interval_s * 1000.0, table.timeout_s * 1000.0,
-                      table.vip, table.secure_vip, table.deltas, table.compact, table.xml)
+
+        choice = Choice(
+            table.apps,
+            table.vips,
+            table.port,
+            zone,
+            table.kind_key,
+            table.cell_key,
+            table.weight_key,
+            table.started_key,
+        )
+        terms = Terms(
+            table.servers,
+            choice,
+            zone,
+            table.interval_s * 1000.0,
+            table.timeout_s * 1000.0,
+            table.vip,
+            table.secure_vip,
+            table.deltas,
+            table.compact,
+            table.xml,
+        )
         return Eureka(number, terms, say, clock, seed + number)
+
     return start
 
 
@@ -231,12 +252,24 @@
     if table is None:
         return None
     from brackenloft.membership.eureka.registrar import Entry, Registrar
+
     (registry,) = [item for item in document.eureka if item.name == table.at]
     port = table.port or listens[1]
-    return Registrar(edge, Entry(
-        tuple(server.url for server in registry.servers), table.app,
-        table.name or f"{table.host}:{table.app.lower()}:{port}", table.host, port, table.vip,
-        edge.settings.zone, table.health_url, table.interval_s, table.lease_s))
+    return Registrar(
+        edge,
+        Entry(
+            tuple(server.url for server in registry.servers),
+            table.app,
+            table.name or f"{table.host}:{table.app.lower()}:{port}",
+            table.host,
+            port,
+            table.vip,
+            edge.settings.zone,
+            table.health_url,
+            table.interval_s,
+            table.lease_s,
+        ),
+    )
 
 
 def follow(document: Document, edge: Edge) -> Members:
--- a/brackenloft/membership/eureka/client.py
+++ b/brackenloft/membership/eureka/client.py
@@ -75,7 +75,12 @@
     """One registry as a source. ``say`` is told what has changed."""
 
     def __init__(
-        self, number: int, terms: Terms, say: Callable[[Said], None], clock: Clock, seed: int,
+        self,
+        number: int,
+        terms: Terms,
+        say: Callable[[Said], None],
+        clock: Clock,
+        seed: int,
     ) -> None:
         self.number, self.terms, self.say, self.clock = number, terms, say, clock
         self.random = random.Random(seed)
@@ -99,8 +104,13 @@
         # No proxies or credentials of the environment: only what the file says. Certificates are read, which
         # holds the loop for 40 ms, where there is a use for them.
         self.http = httpx.AsyncClient(
-            headers=headers, timeout=timeout, trust_env=False, follow_redirects=False, verify=secure,
-            limits=httpx.Limits(max_connections=2, max_keepalive_connections=1))
+            headers=headers,
+            timeout=timeout,
+            trust_env=False,
+            follow_redirects=False,
+            verify=secure,
+            limits=httpx.Limits(max_connections=2, max_keepalive_connections=1),
+        )
         self.task = asyncio.get_running_loop().create_task(self._run())
 
     def figures(self) -> dict[str, object]:
--- a/brackenloft/membership/eureka/copy.py
+++ b/brackenloft/membership/eureka/copy.py
@@ -187,7 +187,8 @@
                 starts[now.name] = known.started_ms
         change.changed = [
             replace(item, started_ms=starts[item.name]) if item.name in starts else item
-            for item in change.changed]
+            for item in change.changed
+        ]
 
 
 class Loading:
--- a/brackenloft/membership/eureka/forms.py
+++ b/brackenloft/membership/eureka/forms.py
@@ -47,7 +47,7 @@
             more = self.decode(data)
         except UnicodeDecodeError as error:
             raise FormError(f"no UTF-8: {error.reason}") from error
-        self.text, self.place = self.text[self.place:] + more, 0
+        self.text, self.place = self.text[self.place :] + more, 0
         return self._run()
 
     def _run(self) -> Iterator[Raw]:
--- a/brackenloft/membership/eureka/lease.py
+++ b/brackenloft/membership/eureka/lease.py
@@ -1,9 +1,9 @@
 """The gateway's own entry in a registry: when it registers, renews, reports another state, withdraws. Pure.
 
-    not registered   register at once; where that fails, the next server, and a wait after the last one
-    registered       renew each interval; where the registry has forgotten us (404), register at once
-    another status   register anew with it, at most once a second
-    leaving          withdraw, once at each server until one has heard it
+not registered   register at once; where that fails, the next server, and a wait after the last one
+registered       renew each interval; where the registry has forgotten us (404), register at once
+another status   register anew with it, at most once a second
+leaving          withdraw, once at each server until one has heard it
 """
 
 from __future__ import annotations
@@ -21,10 +21,15 @@
 
 # As others are to see us: none but a gateway that serves is up. While it hands over, its successor serves.
 STATUS: dict[State, str] = {
-    State.STARTING: "STARTING", State.HELD_BACK: "STARTING", State.READY: "UP",
-    State.DRAINING: "OUT_OF_SERVICE", State.HANDING: "UP", State.HANDING_EMPTY: "OUT_OF_SERVICE",
+    State.STARTING: "STARTING",
+    State.HELD_BACK: "STARTING",
+    State.READY: "UP",
+    State.DRAINING: "OUT_OF_SERVICE",
+    State.HANDING: "UP",
+    State.HANDING_EMPTY: "OUT_OF_SERVICE",
     State.LEAVING: "DOWN",
-    State.LEAVING_HANDED: "DOWN", State.GONE: "DOWN",
+    State.LEAVING_HANDED: "DOWN",
+    State.GONE: "DOWN",
 }
 
 
--- a/brackenloft/membership/eureka/registrar.py
+++ b/brackenloft/membership/eureka/registrar.py
@@ -41,14 +41,25 @@
     def document(self, status: str, dirty_ms: int) -> dict[str, Any]:
         """The registration."""
         info: dict[str, Any] = {
-            "instanceId": self.name, "app": self.app.upper(), "hostName": self.host, "ipAddr": self.host,
-            "status": status, "overriddenStatus": "UNKNOWN", "vipAddress": self.vip or self.app.lower(),
-            "port": {"$": self.port, "@enabled": "true"}, "securePort": {"$": 0, "@enabled": "false"},
+            "instanceId": self.name,
+            "app": self.app.upper(),
+            "hostName": self.host,
+            "ipAddr": self.host,
+            "status": status,
+            "overriddenStatus": "UNKNOWN",
+            "vipAddress": self.vip or self.app.lower(),
+            "port": {"$": self.port, "@enabled": "true"},
+            "securePort": {"$": 0, "@enabled": "false"},
             "dataCenterInfo": {
-                "@class": "com.netflix.appinfo.InstanceInfo$DefaultDataCenterInfo", "name": "MyOwn"},
+                "@class": "com.netflix.appinfo.InstanceInfo$DefaultDataCenterInfo",
+                "name": "MyOwn",
+            },
             "leaseInfo": {
-                "renewalIntervalInSecs": round(self.interval_s), "durationInSecs": round(self.lease_s)},
-            "metadata": {"zone": self.zone}, "lastDirtyTimestamp": str(dirty_ms),
+                "renewalIntervalInSecs": round(self.interval_s),
+                "durationInSecs": round(self.lease_s),
+            },
+            "metadata": {"zone": self.zone},
+            "lastDirtyTimestamp": str(dirty_ms),
         }
         if self.health_url:
             info |= {"healthCheckUrl": self.health_url, "statusPageUrl": self.health_url}
@@ -68,8 +79,12 @@
         self.complained = ""
         secure = any(url.startswith("https:") for url in entry.urls)
         self.http = httpx.AsyncClient(
-            timeout=ANSWER_S, trust_env=False, follow_redirects=False, verify=secure,
-            headers={"User-Agent": "brackenloft"})
+            timeout=ANSWER_S,
+            trust_env=False,
+            follow_redirects=False,
+            verify=secure,
+            headers={"User-Agent": "brackenloft"},
+        )
         edge.watchers.append(self._turn)
         self.task = asyncio.get_running_loop().create_task(self._run())
 
--- a/brackenloft/membership/eureka/rounds.py
+++ b/brackenloft/membership/eureka/rounds.py
@@ -42,7 +42,11 @@
     """The order of asking. ``zone``: servers of this zone come first, then the others as they are listed."""
 
     def __init__(
-        self, servers: tuple[Server, ...], zone: str, interval_ms: float, deltas: bool = True,
+        self,
+        servers: tuple[Server, ...],
+        zone: str,
+        interval_ms: float,
+        deltas: bool = True,
     ) -> None:
         if not servers:
             raise ValueError("servers: is empty")
--- a/brackenloft/membership/eureka/rows.py
+++ b/brackenloft/membership/eureka/rows.py
@@ -77,15 +77,24 @@
     lease, metadata = _table(raw.get("leaseInfo")), _texts(raw.get("metadata"))
     override = raw.get("overriddenStatus", raw.get("overriddenstatus"))
     return Row(
-        app=app, instance=name, status=status, overridden=_status(override),
-        ip=_text(raw.get("ipAddr")), host=_text(raw.get("hostName")),
-        port=_port(raw.get("port"), enabled=True), secure_port=_port(raw.get("securePort"), enabled=False),
-        vips=_names(raw.get("vipAddress")), secure_vips=_names(raw.get("secureVipAddress")),
+        app=app,
+        instance=name,
+        status=status,
+        overridden=_status(override),
+        ip=_text(raw.get("ipAddr")),
+        host=_text(raw.get("hostName")),
+        port=_port(raw.get("port"), enabled=True),
+        secure_port=_port(raw.get("securePort"), enabled=False),
+        vips=_names(raw.get("vipAddress")),
+        secure_vips=_names(raw.get("secureVipAddress")),
         action=_text(raw.get("actionType")).upper(),
         registered_ms=_number(lease.get("registrationTimestamp")),
         up_since_ms=_number(lease.get("serviceUpTimestamp")),
-        updated_ms=_number(raw.get("lastUpdatedTimestamp")), dirty_ms=_number(raw.get("lastDirtyTimestamp")),
-        zone=metadata.get("zone") or _cloud(raw).get(ZONE_IN_CLOUD, ""), metadata=metadata)
+        updated_ms=_number(raw.get("lastUpdatedTimestamp")),
+        dirty_ms=_number(raw.get("lastDirtyTimestamp")),
+        zone=metadata.get("zone") or _cloud(raw).get(ZONE_IN_CLOUD, ""),
+        metadata=metadata,
+    )
 
 
 def ipv4(row: Row) -> str:
@@ -114,8 +123,11 @@
 
 def _texts(value: Any) -> dict[str, str]:
     """A table of texts; what is none is left out. ``@class`` names the server's own type."""
-    return {key: item.strip() for key, item in _table(value).items()
-            if isinstance(item, str) and len(item) <= MOST_TEXT and not key.startswith("@")}
+    return {
+        key: item.strip()
+        for key, item in _table(value).items()
+        if isinstance(item, str) and len(item) <= MOST_TEXT and not key.startswith("@")
+    }
 
 
 def _cloud(raw: Mapping[str, Any]) -> dict[str, str]:
--- a/brackenloft/membership/eureka/servers.py
+++ b/brackenloft/membership/eureka/servers.py
@@ -75,12 +75,17 @@
             raise RowError(f"no {choice.port} port is enabled")
         metadata, host = row.metadata, ipv4(row)
         return Instance(
-            name=f"{row.app}/{row.instance}", host=host, port=port, zone=row.zone or choice.zone,
+            name=f"{row.app}/{row.instance}",
+            host=host,
+            port=port,
+            zone=row.zone or choice.zone,
             kind=metadata.get(choice.kind_key, ""),
-            cell=int(_figure(metadata, choice.cell_key, 0.0, MOST_CELL)), ready=row.in_service,
+            cell=int(_figure(metadata, choice.cell_key, 0.0, MOST_CELL)),
+            ready=row.in_service,
             size=_figure(metadata, choice.weight_key, 1.0, MOST_WEIGHT) or 1.0,
             started_ms=self._started(row, (host, port), before, moment),
-            registered_ms=row.registered_ms or row.dirty_ms)
+            registered_ms=row.registered_ms or row.dirty_ms,
+        )
 
     def _started(self, row: Row, address: Address, before: Record | None, moment: Moment) -> float:
         said = _figure(row.metadata, self.choice.started_key, 0.0, inf)
--- a/brackenloft/membership/members.py
+++ b/brackenloft/membership/members.py
@@ -41,7 +41,10 @@
     """
 
     def __init__(
-        self, edge: Edge, sources: list[tuple[SourceTerms, Start]], combine: Combine = Combine.UNION,
+        self,
+        edge: Edge,
+        sources: list[tuple[SourceTerms, Start]],
+        combine: Combine = Combine.UNION,
     ) -> None:
         self.edge, self.clock = edge, edge.driver.clock
         self.loop = asyncio.get_running_loop()
@@ -118,8 +121,15 @@
         """What the sources stand at, for people."""
         now = self.clock()
         ready = sum(node.entry.state is api.ServerState.READY for node in self.merge.nodes.values())
-        return {"nodes": len(self.merge.nodes), "ready": ready, "held": self.merge.held(),
-                "out": len(self.merge.strikes.out), "resting": len(self.merge.flaps.until),
-                "stale": self.merge.stale(now, self.began), "sources": {
-                    terms.terms.name: running.figures()
-                    for terms, running in zip(self.merge.sources, self.running, strict=True)}}
+        return {
+            "nodes": len(self.merge.nodes),
+            "ready": ready,
+            "held": self.merge.held(),
+            "out": len(self.merge.strikes.out),
+            "resting": len(self.merge.flaps.until),
+            "stale": self.merge.stale(now, self.began),
+            "sources": {
+                terms.terms.name: running.figures()
+                for terms, running in zip(self.merge.sources, self.running, strict=True)
+            },
+        }
--- a/brackenloft/membership/merge.py
+++ b/brackenloft/membership/merge.py
@@ -116,8 +116,11 @@
 
     def stale(self, now: float, began: float = -inf) -> list[str]:
         """The names of sources that have said nothing for too long, or not since they were first asked."""
-        return [source.terms.name for source in self.sources
-                if not source.fresh(now) and now - began >= source.terms.stale_after_ms]
+        return [
+            source.terms.name
+            for source in self.sources
+            if not source.fresh(now) and now - began >= source.terms.stale_after_ms
+        ]
 
     def held(self) -> int:
         """Entries that are kept although they are missing from their source's list."""
@@ -133,8 +136,9 @@
         if self.wakes:
             times.append(self.wakes[0][0])
         if self.combine is Combine.FALLBACK:
-            times += [self.sources[number].stale_at() for number in self.active
-                      if self.sources[number].fresh(now)]
+            times += [
+                self.sources[number].stale_at() for number in self.active if self.sources[number].fresh(now)
+            ]
         return min(times, default=inf)
 
     def settle(self, now: float, most: int = MOST_AT_ONCE) -> Update | None:
@@ -187,8 +191,8 @@
             number = before.entry.server if before else next(self.unused)
             state = api.ServerState.READY if ready else api.ServerState.DRAINING
             entry = api.ServerEntry(
-                number, instance.zone, instance.kind, instance.cell, state, instance.size,
-                instance.started_ms)
+                number, instance.zone, instance.kind, instance.cell, state, instance.size, instance.started_ms
+            )
             if before is None:
                 self.nodes[key] = Listed(entry, wanted)
                 self.keys[number] = key
--- a/brackenloft/membership/platform.py
+++ b/brackenloft/membership/platform.py
@@ -62,17 +62,41 @@
 
 def _instance(name: str, address: Address, entry: api.ServerEntry) -> Instance:
     return Instance(
-        name, *address, entry.zone, entry.kind, entry.cell, entry.state is api.ServerState.READY, entry.size,
-        entry.started_ms, entry.started_ms)
+        name,
+        *address,
+        entry.zone,
+        entry.kind,
+        entry.cell,
+        entry.state is api.ServerState.READY,
+        entry.size,
+        entry.started_ms,
+        entry.started_ms,
+    )
 
 
 class ListedSource:
     """Nodes that the file names, as they are there."""
 
     def __init__(self, number: int, nodes: Iterable[Node], zone: str, say: Callable[[Said], None]) -> None:
-        say(Said(number, tuple(
-            Instance(node.name, node.host, node.port, node.zone or zone, node.kind, node.cell,
-                     not node.draining, node.weight, node.started_ms) for node in nodes)))
+        say(
+            Said(
+                number,
+                tuple(
+                    Instance(
+                        node.name,
+                        node.host,
+                        node.port,
+                        node.zone or zone,
+                        node.kind,
+                        node.cell,
+                        not node.draining,
+                        node.weight,
+                        node.started_ms,
+                    )
+                    for node in nodes
+                ),
+            )
+        )
 
     def figures(self) -> dict[str, object]:
         """Nothing changes."""
--- a/brackenloft/net/attempt.py
+++ b/brackenloft/net/attempt.py
@@ -36,11 +36,27 @@
 class Attempt:
     """A command on its way to a server; ``done`` is called once with what came of it."""
 
-    __slots__ = ("payload", "done", "connection", "due", "written", "began", "waits", "opened", "streams",
-                 "request_id", "number", "server", "before_write")
+    __slots__ = (
+        "payload",
+        "done",
+        "connection",
+        "due",
+        "written",
+        "began",
+        "waits",
+        "opened",
+        "streams",
+        "request_id",
+        "number",
+        "server",
+        "before_write",
+    )
 
     def __init__(
-        self, payload: bytes, done: Callable[[Reply], None], due: float = inf,
+        self,
+        payload: bytes,
+        done: Callable[[Reply], None],
+        due: float = inf,
         opened: Callable[[Attempt, Stream], bool] | None = None,
     ) -> None:
         self.payload = payload
--- a/brackenloft/net/call.py
+++ b/brackenloft/net/call.py
@@ -39,11 +39,29 @@
     """A client's request in hand, until it has been answered and no attempt is out."""
 
     __slots__ = (
-        "request_id", "encode", "on_answer", "deadline", "sends", "out", "answered", "timers", "tally",
-        "request", "on_open", "stream", "first_ms", "door", "weigh", "left")
+        "request_id",
+        "encode",
+        "on_answer",
+        "deadline",
+        "sends",
+        "out",
+        "answered",
+        "timers",
+        "tally",
+        "request",
+        "on_open",
+        "stream",
+        "first_ms",
+        "door",
+        "weigh",
+        "left",
+    )
 
     def __init__(
-        self, request_id: str, encode: Callable[[float], bytes], on_answer: Callable[[Answer], None],
+        self,
+        request_id: str,
+        encode: Callable[[float], bytes],
+        on_answer: Callable[[Answer], None],
         on_open: Callable[[Opened], None] | None = None,
     ) -> None:
         self.on_open = on_open  # where a long value is taken as a stream, whose end is the answer
--- a/brackenloft/net/client.py
+++ b/brackenloft/net/client.py
@@ -115,8 +115,11 @@
             return True
         if not some:
             return False
-        return (some >= MOST_PIPELINED or clients.held >= clients.most_held
-                or (clients.parked.count > 0 and some >= clients.depth()))
+        return (
+            some >= MOST_PIPELINED
+            or clients.held >= clients.most_held
+            or (clients.parked.count > 0 and some >= clients.depth())
+        )
 
     def _read(self) -> None:
         """Read commands, but no more than may be in hand at once, and not so many that others wait.
@@ -162,8 +165,13 @@
         """Read on, or no further, as there is room."""
         if self.transport is None or self.transport.is_closing():
             return
-        pause = (self.ending or self.half_closed or self.tired or self._full()
-                 or not self.clients.may_send_on(self))
+        pause = (
+            self.ending
+            or self.half_closed
+            or self.tired
+            or self._full()
+            or not self.clients.may_send_on(self)
+        )
         if pause != self.paused:
             self.paused = pause
             if self.reads:
@@ -263,8 +271,12 @@
             age_ms = self.age_s * 1000.0 if self.age_s >= AGED_S else 0.0
             patience_ms = max(0.0, request.patience_ms - age_ms)
             request = replace(
-                request, scarcity=self.clients.scarcity(), turnover=self.clients.turnover(), age_ms=age_ms,
-                patience_ms=patience_ms)
+                request,
+                scarcity=self.clients.scarcity(),
+                turnover=self.clients.turnover(),
+                age_ms=age_ms,
+                patience_ms=patience_ms,
+            )
         driver.request(slot.call, request, request.patience_ms)
 
     def has_left(self) -> bool:
--- a/brackenloft/net/clients.py
+++ b/brackenloft/net/clients.py
@@ -48,7 +48,12 @@
     """The listener and the connections it accepted, bounded in number and in what they hold."""
 
     def __init__(
-        self, driver: Driver, settings: api.Settings, budget: Budget, most_held: int, usual: int,
+        self,
+        driver: Driver,
+        settings: api.Settings,
+        budget: Budget,
+        most_held: int,
+        usual: int,
         lifecycle: Lifecycle,
     ) -> None:
         super().__init__(budget, lifecycle)
@@ -193,9 +198,16 @@
             self.sweeper = self.loop.call_later(SWEEP_S, self._sweep)
 
     def _busy(self) -> bool:
-        return bool(self.owing or self.slow or self.stuck or self.intake.rows or self.emptying
-                    or (self.listener and not self.accepting and self.lifecycle.facts.accepts)
-                    or self.held > self.most_held or self.short())
+        return bool(
+            self.owing
+            or self.slow
+            or self.stuck
+            or self.intake.rows
+            or self.emptying
+            or (self.listener and not self.accepting and self.lifecycle.facts.accepts)
+            or self.held > self.most_held
+            or self.short()
+        )
 
     def _sweep(self) -> None:
         self.sweeper = None
@@ -317,8 +329,10 @@
 
     def written(self) -> bool:
         """Whether all answers have gone to the kernel."""
-        return all(client.transport is None or not client.transport.get_write_buffer_size()
-                   for client in self.connections)
+        return all(
+            client.transport is None or not client.transport.get_write_buffer_size()
+            for client in self.connections
+        )
 
     def abort(self) -> None:
         """Close what is left, at the very end."""
--- a/brackenloft/net/discovery.py
+++ b/brackenloft/net/discovery.py
@@ -29,7 +29,9 @@
 LARGEST_PORT = 65_535
 BAD = (ValueError, KeyError, TypeError, AttributeError, OverflowError)  # what reading a malformed list raises
 STATES = {
-    "Ready": api.ServerState.READY, "Terminating": api.ServerState.DRAINING, "Gone": api.ServerState.GONE,
+    "Ready": api.ServerState.READY,
+    "Terminating": api.ServerState.DRAINING,
+    "Gone": api.ServerState.GONE,
 }
 News = Callable[[api.ServerList, dict[int, Address]], None]
 
@@ -70,8 +72,12 @@
         if number is None:
             number = numbers[name] = next(self.unused)
         entry = api.ServerEntry(
-            server=number, zone=row["zone"], kind=row.get("machineType", ""), cell=row.get("cell", 0),
-            state=STATES[row["lifecycle"]], size=row.get("weight", 1.0),
+            server=number,
+            zone=row["zone"],
+            kind=row.get("machineType", ""),
+            cell=row.get("cell", 0),
+            state=STATES[row["lifecycle"]],
+            size=row.get("weight", 1.0),
             started_ms=float(row.get("startedAtMs") or 0.0),
         )
         return entry, (host, port)
@@ -95,7 +101,8 @@
         self.transport = cast(asyncio.Transport, transport)
         host, port = self.feed.address
         self.transport.write(
-            f"GET {self.target} HTTP/1.1\r\nHost: {host}:{port}\r\nAccept: application/json\r\n\r\n".encode())
+            f"GET {self.target} HTTP/1.1\r\nHost: {host}:{port}\r\nAccept: application/json\r\n\r\n".encode()
+        )
         self._wait(FIRST_S)
 
     def _wait(self, seconds: float) -> None:
--- a/brackenloft/net/driver.py
+++ b/brackenloft/net/driver.py
@@ -57,8 +57,12 @@
         self.timers = Timers(self.loop, clock, LATE_MS)
         self.lag = Lag(self.loop, LATE_MS, self._stalled, lambda: bool(self.calls))
         self.actions: dict[type, Callable[[Any], None]] = {
-            api.Send: self._send, api.Refuse: self._refuse, api.Fail: self._fail, api.Cancel: self._cancel,
-            api.SetTimer: self._set_timer, api.Log: lambda action: log.info("%s", action.text),
+            api.Send: self._send,
+            api.Refuse: self._refuse,
+            api.Fail: self._fail,
+            api.Cancel: self._cancel,
+            api.SetTimer: self._set_timer,
+            api.Log: lambda action: log.info("%s", action.text),
             api.CloseIdle: self._close_idle,
         }
 
@@ -275,7 +279,13 @@
         (stream.end if good else stream.fail)()
 
     def _outcome(
-        self, call: Call, number: int, server: int, reply: Reply, latency_ms: float, streamed: bool = False,
+        self,
+        call: Call,
+        number: int,
+        server: int,
+        reply: Reply,
+        latency_ms: float,
+        streamed: bool = False,
     ) -> None:
         """The outcome of an attempt; a good answer goes to the client first, if it still waits."""
         if call.stream and streamed:
@@ -285,9 +295,19 @@
             self._answer(call, Served(reply.value))
         if self.counting and reply.cost is not None:
             self.counting.settled(call.request_id, reply.cost)
-        self.post(api.Outcome(
-            call.request_id, number, server, reply.status, latency_ms, call.answered,
-            reply.used, reply.cost, reply.load))
+        self.post(
+            api.Outcome(
+                call.request_id,
+                number,
+                server,
+                reply.status,
+                latency_ms,
+                call.answered,
+                reply.used,
+                reply.cost,
+                reply.load,
+            )
+        )
         self._drop_if_done(call)
 
     def _refuse(self, action: api.Refuse) -> None:
--- a/brackenloft/net/lag.py
+++ b/brackenloft/net/lag.py
@@ -57,7 +57,10 @@
     """
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, least_ms: float, stalled: Callable[[float], None],
+        self,
+        loop: asyncio.AbstractEventLoop,
+        least_ms: float,
+        stalled: Callable[[float], None],
         busy: Callable[[], bool],
     ) -> None:
         self.loop, self.least, self.stalled, self.busy = loop, least_ms / 1000.0, stalled, busy
--- a/brackenloft/net/requests.py
+++ b/brackenloft/net/requests.py
@@ -15,7 +15,8 @@
 DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
 USUAL = re.compile(  # the list of names and values as most write it; the forms of each are the same
     rb"c=([^,=]+),t=([^,=]+),d=([0-9]{1,9}(?:\.[0-9]{1,9})?),(?:k=([0-9A-Za-z]{1,64}),)?"
-    rb"units=([0-9]{1,9}(?:\.[0-9]{1,9})?),spread=([0-9]{1,6}),first=([0-9]{1,6})(?:,r=([01]))?")
+    rb"units=([0-9]{1,9}(?:\.[0-9]{1,9})?),spread=([0-9]{1,6}),first=([0-9]{1,6})(?:,r=([01]))?"
+)
 
 
 class CommandError(ValueError):
@@ -62,11 +63,16 @@
             raise CommandError("bad request id")
         checks = self.checks
         request = api.Request(
-            request_id=request_id.decode("ascii"), class_name=kind.name, plan=plan,
+            request_id=request_id.decode("ascii"),
+            class_name=kind.name,
+            plan=plan,
             customer=checks.customer(customer.decode("latin-1")),
-            patience_ms=checks.patience(float(wait), kind), units=checks.units(float(units)),
-            width=checks.place("spread", int(spread), 1), first_gateway=checks.place("first", int(first), 0),
-            is_retry=again == b"1", is_write=posts,
+            patience_ms=checks.patience(float(wait), kind),
+            units=checks.units(float(units)),
+            width=checks.place("spread", int(spread), 1),
+            first_gateway=checks.place("first", int(first), 0),
+            is_retry=again == b"1",
+            is_write=posts,
         )
         return request, wire.forwarded(name, command, listed)
 
@@ -89,6 +95,12 @@
             raise CommandError("unknown class or plan")
         key = fields.get(b"k")
         return (
-            fields[b"c"], fields.get(b"t", b""), _field(fields, b"d", DECIMAL),
-            key if key and ID.fullmatch(key) else None, _field(fields, b"units", DECIMAL),
-            _field(fields, b"spread", WHOLE), _field(fields, b"first", WHOLE), fields.get(b"r"))
+            fields[b"c"],
+            fields.get(b"t", b""),
+            _field(fields, b"d", DECIMAL),
+            key if key and ID.fullmatch(key) else None,
+            _field(fields, b"units", DECIMAL),
+            _field(fields, b"spread", WHOLE),
+            _field(fields, b"first", WHOLE),
+            fields.get(b"r"),
+        )
--- a/brackenloft/net/resp.py
+++ b/brackenloft/net/resp.py
@@ -18,7 +18,8 @@
 ARRAY = re.compile(rb"\*([0-9]{1,7})\r\n")
 USUAL = re.compile(  # a command but for its body; each word at most as long as Commands allows
     rb"\*([45])\r\n\$([0-9]{1,2})\r\n([^\r\n]{1,64})\r\n\$([0-9]{1,2})\r\n([^\r\n]{1,64})\r\n"
-    rb"\$([0-9]{1,3})\r\n([^\r\n]{1,128})\r\n\$([0-9]{1,3})\r\n([^\r\n]{1,512})\r\n")
+    rb"\$([0-9]{1,3})\r\n([^\r\n]{1,128})\r\n\$([0-9]{1,3})\r\n([^\r\n]{1,512})\r\n"
+)
 MOST_PARTS = 64  # pieces that are kept apart
 BULK = re.compile(rb"\$([0-9]{1,7}|-1)\r\n")
 
@@ -52,7 +53,7 @@
             return
         self.parts.append(data)
         if len(self.parts) >= MOST_PARTS or self.left >= self.needed:
-            self.buffer = b"".join((self.buffer[self.start:], *self.parts))
+            self.buffer = b"".join((self.buffer[self.start :], *self.parts))
             self.place -= self.start
             self.start = 0
             self.parts.clear()
@@ -113,7 +114,7 @@
 
     def _refuse_if_wrong(self, kind: bytes) -> None:
         """No header stands here: whether one may still come of it."""
-        rest = self.buffer[self.place:self.place + LONGEST_HEADER]
+        rest = self.buffer[self.place : self.place + LONGEST_HEADER]
         if rest and (rest[:1] != kind or len(rest) == LONGEST_HEADER or b"\n" in rest):
             raise ProtocolError("bad header")
 
@@ -144,7 +145,7 @@
             first, end = body.end(), body.end() + length + 2
             if len(self.buffer) < end or not self.buffer.startswith(b"\r\n", end - 2):
                 return None
-            words.append(self.buffer[first:end - 2])
+            words.append(self.buffer[first : end - 2])
         self._done(end)
         return words
 
@@ -167,7 +168,7 @@
         if not self.count or self.words or self.length is None or self.length <= least:
             return None
         length = self.length
-        come = b"".join((self.buffer[self.place:], *self.parts))
+        come = b"".join((self.buffer[self.place :], *self.parts))
         self.parts.clear()
         self.buffer, self.start, self.place, self.left, self.needed = b"", 0, 0, 0, 0
         self.value_left, self.length = length, 0  # an empty value is left for the reader, and its end
@@ -175,10 +176,10 @@
 
     def piece(self, data: bytes) -> bytes:
         """Of what has come, the part that belongs to the value; the rest is fed."""
-        part = data[:self.value_left] if len(data) > self.value_left else data
+        part = data[: self.value_left] if len(data) > self.value_left else data
         self.value_left -= len(part)
         if len(part) < len(data):
-            self.feed(data[len(part):])
+            self.feed(data[len(part) :])
         return part
 
     def answer(self) -> Answer | None:
@@ -190,7 +191,7 @@
             if self.left >= LONGEST_LINE:
                 raise ProtocolError("a line without end")
             return None
-        line = self.buffer[self.start + 1:end]
+        line = self.buffer[self.start + 1 : end]
         self._done(end + 2)
         if not line.isascii():
             raise ProtocolError("a line that is no text")
--- a/brackenloft/net/servers.py
+++ b/brackenloft/net/servers.py
@@ -41,7 +41,11 @@
     """The servers of discovery's list and all connections to them, bounded over all."""
 
     def __init__(
-        self, settings: api.Settings, budget: Budget, most_held: int, protocol: ServerProtocol | None = None,
+        self,
+        settings: api.Settings,
+        budget: Budget,
+        most_held: int,
+        protocol: ServerProtocol | None = None,
     ) -> None:
         self.loop = asyncio.get_running_loop()
         self.connect: Callable[[socket.socket, Address], Awaitable[None]] = partial(connect, self.loop)
@@ -185,7 +189,10 @@
         return oldest is not None
 
     def stop(
-        self, attempt: Attempt, status: api.Status, not_up: api.Status = api.Status.CONNECT_FAILED,
+        self,
+        attempt: Attempt,
+        status: api.Status,
+        not_up: api.Status = api.Status.CONNECT_FAILED,
     ) -> None:
         """Stop waiting: the connection is closed, then the outcome told. One not written whole never ran."""
         connection = attempt.connection
--- a/brackenloft/net/slots.py
+++ b/brackenloft/net/slots.py
@@ -29,7 +29,11 @@
     __slots__ = ("connection", "answer", "request_id", "size", "call", "stream")
 
     def __init__(
-        self, connection: ReplyWriter, answer: bytes | None = None, request_id: str = "", size: int = 0,
+        self,
+        connection: ReplyWriter,
+        answer: bytes | None = None,
+        request_id: str = "",
+        size: int = 0,
     ) -> None:
         self.connection, self.answer, self.request_id = connection, answer, request_id
         self.size = size  # bytes that it holds: the command, later the answer
--- a/brackenloft/net/timers.py
+++ b/brackenloft/net/timers.py
@@ -24,7 +24,10 @@
     """Times in milliseconds by ``clock``. ``late_ms``: a loop so late was held up."""
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, clock: Callable[[], float], late_ms: float,
+        self,
+        loop: asyncio.AbstractEventLoop,
+        clock: Callable[[], float],
+        late_ms: float,
     ) -> None:
         self.loop, self.clock, self.late_ms = loop, clock, late_ms
         self.buckets: dict[int, dict[int, Entry]] = {}
--- a/brackenloft/net/wire.py
+++ b/brackenloft/net/wire.py
@@ -35,8 +35,8 @@
     """A client's command: everything goes on unchanged but ``d``, which tells how long the gateway waits."""
     place = WAIT.search(listed)
     assert place, "it has been checked"
-    before, after = listed[:place.end()], listed[listed.find(b",", place.end()):]
-    if b"," not in listed[place.end():]:
+    before, after = listed[: place.end()], listed[listed.find(b",", place.end()) :]
+    if b"," not in listed[place.end() :]:
         after = b""
 
     def encode(wait_ms: float) -> bytes:
@@ -56,8 +56,11 @@
     posts = request.is_write
     words = [b"CALL.POST" if posts else b"CALL.GET", request.customer.encode(), request.request_id.encode()]
     fields = [
-        *([f"k={key}"] if key else []), f"units={decimal(request.units)}", f"spread={request.width}",
-        f"first={request.first_gateway}", *(["r=1"] if request.is_retry else []),
+        *([f"k={key}"] if key else []),
+        f"units={decimal(request.units)}",
+        f"spread={request.width}",
+        f"first={request.first_gateway}",
+        *(["r=1"] if request.is_retry else []),
     ]
     head, tail = f"c={request.class_name},t={request.plan},d=", "," + ",".join(fields)
 
--- a/brackenloft/ops/address.py
+++ b/brackenloft/ops/address.py
@@ -29,8 +29,10 @@
     """The response as it is written; the connection ends behind it."""
     body = json.dumps(response.document, separators=(",", ":")).encode() + b"\n"
     allow = f"Allow: {response.allow}\r\n" if response.allow else ""
-    return (f"HTTP/1.1 {response.status.value} {response.status.phrase}\r\nContent-Type: application/json\r\n"
-            f"Content-Length: {len(body)}\r\n{allow}Connection: close\r\n\r\n").encode() + body
+    return (
+        f"HTTP/1.1 {response.status.value} {response.status.phrase}\r\nContent-Type: application/json\r\n"
+        f"Content-Length: {len(body)}\r\n{allow}Connection: close\r\n\r\n"
+    ).encode() + body
 
 
 class Caller(asyncio.Protocol):
--- a/brackenloft/ops/caller.py
+++ b/brackenloft/ops/caller.py
@@ -12,8 +12,12 @@
 import time
 from typing import Any
 
-CALLS = {"ready": ("GET", "/-/ready"), "metrics": ("GET", "/-/metrics"), "drain": ("POST", "/-/drain"),
-         "resume": ("POST", "/-/resume")}
+CALLS = {
+    "ready": ("GET", "/-/ready"),
+    "metrics": ("GET", "/-/metrics"),
+    "drain": ("POST", "/-/drain"),
+    "resume": ("POST", "/-/resume"),
+}
 YES, NO, NO_ANSWER = 0, 1, 2
 ANSWER_S = 2.0  # answers are owed in 1 s
 AGAIN_S = 0.05  # between two calls while one waits for a yes
@@ -25,8 +29,13 @@
     parser.add_argument("call", choices=CALLS)
     parser.add_argument("--at", default="127.0.0.1:9800", metavar="HOST:PORT", help="the second address")
     parser.add_argument("--json", action="store_true", help="the answer as it came")
-    parser.add_argument("--wait", type=float, default=0.0, metavar="SECONDS",
-                        help="with ready: ask again until it says yes, so long at most")
+    parser.add_argument(
+        "--wait",
+        type=float,
+        default=0.0,
+        metavar="SECONDS",
+        help="with ready: ask again until it says yes, so long at most",
+    )
 
 
 def run(options: argparse.Namespace) -> int:
--- a/brackenloft/ops/calls.py
+++ b/brackenloft/ops/calls.py
@@ -44,4 +44,5 @@
         return Response(HTTPStatus.SERVICE_UNAVAILABLE, {"state": lifecycle.state.value})
     return Response(
         HTTPStatus.CONFLICT,
-        {"error": f"no {event.value} while {lifecycle.state.value}", "state": lifecycle.state.value})
+        {"error": f"no {event.value} while {lifecycle.state.value}", "state": lifecycle.state.value},
+    )
--- a/brackenloft/ops/figures.py
+++ b/brackenloft/ops/figures.py
@@ -24,7 +24,10 @@
     return {
         "handled": {
             name: {"passed": tally.passed, "dropped": tally.dropped, "bad_gateway": tally.failed}
-            for name, tally in tallies.items()},
-        "upstream_tries": now.tries, "in_progress": now.in_progress,
-        "known_servers": now.known, "skipped_servers": now.skipped,
+            for name, tally in tallies.items()
+        },
+        "upstream_tries": now.tries,
+        "in_progress": now.in_progress,
+        "known_servers": now.known,
+        "skipped_servers": now.skipped,
     }
--- a/brackenloft/ops/station.py
+++ b/brackenloft/ops/station.py
@@ -28,7 +28,13 @@
         edge = self.edge
         fleet = edge.driver.gateway.fleet
         doors = edge.driver.doors.values()
-        figures = document(edge.driver.tallies, Standing(
-            tries=edge.servers.tries + sum(door.tries for door in doors), in_progress=edge.driver.in_progress,
-            known=len(fleet.servers), skipped=fleet.avoided()))
+        figures = document(
+            edge.driver.tallies,
+            Standing(
+                tries=edge.servers.tries + sum(door.tries for door in doors),
+                in_progress=edge.driver.in_progress,
+                known=len(fleet.servers),
+                skipped=fleet.avoided(),
+            ),
+        )
         return figures | {name: read() for name, read in self.more.items()}
--- a/brackenloft/quota/account.py
+++ b/brackenloft/quota/account.py
@@ -42,9 +42,31 @@
 class Account:
     """One customer at this gateway, as far as the counter goes."""
 
-    __slots__ = ("plan", "gateways", "width", "largest", "own", "told", "rate", "rate_at", "lease", "used_at",
-                 "excess", "excess_at", "since", "others", "read_at", "began", "came", "turned", "kept",
-                 "kept_at", "high", "given", "given_until")
+    __slots__ = (
+        "plan",
+        "gateways",
+        "width",
+        "largest",
+        "own",
+        "told",
+        "rate",
+        "rate_at",
+        "lease",
+        "used_at",
+        "excess",
+        "excess_at",
+        "since",
+        "others",
+        "read_at",
+        "began",
+        "came",
+        "turned",
+        "kept",
+        "kept_at",
+        "high",
+        "given",
+        "given_until",
+    )
 
     def __init__(self, plan: Plan, gateways: tuple[int, ...], now: float) -> None:
         self.plan, self.gateways, self.width = plan, gateways, len(gateways)
@@ -114,7 +136,12 @@
     # ---- A reading
 
     def read(
-        self, figures: Mapping[Run, Figures], own: Run, written: Figures, known: frozenset[Run], now: float,
+        self,
+        figures: Mapping[Run, Figures],
+        own: Run,
+        written: Figures,
+        known: frozenset[Run],
+        now: float,
     ) -> bool:
         """What the counter holds after our report of it. False if it can't be as it should.
 
--- a/brackenloft/quota/client.py
+++ b/brackenloft/quota/client.py
@@ -122,18 +122,29 @@
         now, core = self.now(), self.core
         trust, accounts = core.trust, core.accounts
         shares = [account.given for account in accounts.values() if now < account.given_until]
-        worst = sorted(((account.total(now) - account.plan.burst, key) for key, account in accounts.items()
-                        if account.beyond(now)), reverse=True)[:MOST_SHOWN]
+        worst = sorted(
+            (
+                (account.total(now) - account.plan.burst, key)
+                for key, account in accounts.items()
+                if account.beyond(now)
+            ),
+            reverse=True,
+        )[:MOST_SHOWN]
         return {
-            "state": core.state.value, "slices": MEANS[core.state], "at": self.where.shown(),
+            "state": core.state.value,
+            "slices": MEANS[core.state],
+            "at": self.where.shown(),
             "epoch": trust.epoch,
             "answered_ms_ago": round(now - trust.answered) if trust.answered > 0 else None,
             "unseen_gateways": sorted(trust.unseen(now)),
-            "customers": len(accounts), "waiting": len(core.turn),
+            "customers": len(accounts),
+            "waiting": len(core.turn),
             "shares": {"told": len(shares), "mean": round(sum(shares) / len(shares), 3) if shares else None},
-            "beyond_quota": [{"plan": key[0], "customer": key[1], "units": round(units, 1)}
-                             for units, key in worst],
-            "round_trips": self.trips, "counts": dict(core.counts),
+            "beyond_quota": [
+                {"plan": key[0], "customer": key[1], "units": round(units, 1)} for units, key in worst
+            ],
+            "round_trips": self.trips,
+            "counts": dict(core.counts),
         }
 
     # ---- Reports
@@ -155,8 +166,15 @@
         wait_s = self.where.timeout_ms / 1000.0
         more: dict[str, Any] = {"ssl_ca_certs": self.where.ca} if self.where.ca else {}
         client = redis.Redis.from_url(
-            self.where.url, **more, protocol=2, socket_timeout=wait_s, socket_connect_timeout=wait_s,
-            single_connection_client=True, retry_on_timeout=False, retry=None)
+            self.where.url,
+            **more,
+            protocol=2,
+            socket_timeout=wait_s,
+            socket_connect_timeout=wait_s,
+            single_connection_client=True,
+            retry_on_timeout=False,
+            retry=None,
+        )
         pause_s, again_at = TURN_S, 0.0
         try:
             while True:
@@ -232,6 +250,3 @@
 def follow(edge: Edge, where: Where, nonce: str | None = None) -> Counting:
     """Let an open edge count with others through the counter there."""
     return Counting(edge, where, nonce).start()
-
-
-
--- a/brackenloft/quota/core.py
+++ b/brackenloft/quota/core.py
@@ -128,7 +128,11 @@
         return self._follow(now)
 
     def _heard(
-        self, row: Row, figures: Mapping[Run, Figures], known: frozenset[Run], now: float,
+        self,
+        row: Row,
+        figures: Mapping[Run, Figures],
+        known: frozenset[Run],
+        now: float,
     ) -> None:
         account = self.accounts.get((row.plan, row.customer))
         if account is None:
--- a/brackenloft/quota/simulate.py
+++ b/brackenloft/quota/simulate.py
@@ -321,9 +321,13 @@
     """One to four at random, some at once."""
     draw = random.Random(seed)
     return tuple(
-        Trouble(draw.choice(list(Fault)), draw.uniform(5000.0, length_ms - 25_000.0),
-                draw.uniform(500.0, 20_000.0))
-        for _ in range(draw.randint(1, 4)))
+        Trouble(
+            draw.choice(list(Fault)),
+            draw.uniform(5000.0, length_ms - 25_000.0),
+            draw.uniform(500.0, 20_000.0),
+        )
+        for _ in range(draw.randint(1, 4))
+    )
 
 
 def allowed(play: Play) -> float:
@@ -344,8 +348,12 @@
 def customers(width: int) -> tuple[Asker, ...]:
     """Some of each kind: within the quota at one gateway, over all, moving; and far over it."""
     return (
-        Asker("one", 0.6, at=0), Asker("spread", 0.6), Asker("moving", 0.6, moves_ms=20_000.0),
-        Asker("low", 0.2), Asker("far over, spread", 5.0), Asker("far over, shifting", 5.0, moves_ms=5000.0),
+        Asker("one", 0.6, at=0),
+        Asker("spread", 0.6),
+        Asker("moving", 0.6, moves_ms=20_000.0),
+        Asker("low", 0.2),
+        Asker("far over, spread", 5.0),
+        Asker("far over, shifting", 5.0, moves_ms=5000.0),
         Asker("far over, at one", 5.0, at=width - 1),
     )
 
@@ -373,8 +381,10 @@
             for trouble in rig.play.troubles:
                 print(f"  {trouble.at_ms:6.0f} ms: {trouble.fault.value} for {trouble.for_ms:.0f}")
             for name, tried in rig.tried.items():
-                print(f"  {name:20} {tried.tries} tries, {tried.let_in:.0f} let in,"
-                      f" {max(0.0, tried.most):.1f} beyond, {tried.lost} lost of {tried.inside}")
+                print(
+                    f"  {name:20} {tried.tries} tries, {tried.let_in:.0f} let in,"
+                    f" {max(0.0, tried.most):.1f} beyond, {tried.lost} lost of {tried.inside}"
+                )
     print(f"{passed} of {numbers[-1] - numbers[0] + 1} seeds beyond their bounds")
     return 1 if passed else 0
 
--- a/brackenloft/standins/__init__.py
+++ b/brackenloft/standins/__init__.py
@@ -11,6 +11,20 @@
 from brackenloft.standins.scripted_node import ScriptedNode
 
 __all__ = [
-    "Agent", "BoardNode", "Fault", "Line", "Meter", "Peer", "Quota", "ScriptedDiscovery", "ScriptedNode",
-    "array", "at_random", "chunk", "in_order", "listing", "resp", "row",
+    "Agent",
+    "BoardNode",
+    "Fault",
+    "Line",
+    "Meter",
+    "Peer",
+    "Quota",
+    "ScriptedDiscovery",
+    "ScriptedNode",
+    "array",
+    "at_random",
+    "chunk",
+    "in_order",
+    "listing",
+    "resp",
+    "row",
 ]
--- a/brackenloft/standins/board.py
+++ b/brackenloft/standins/board.py
@@ -22,8 +22,13 @@
 MOST_KEYS = 10_000  # keys remembered: the oldest go first
 WARM_S = 16.0  # from a restart until a node has all of its cores
 COLD_SHARE = 0.2  # of its cores, at a restart
-SPOILT = (b"\xb4P\xff\r\n", b"*3\r\n$3000000000\r\n", b"*2000000000\r\n", b"-" + b"x" * 600,
-          b"*3\r\n$1\r\nvv\r\n")
+SPOILT = (
+    b"\xb4P\xff\r\n",
+    b"*3\r\n$3000000000\r\n",
+    b"*2000000000\r\n",
+    b"-" + b"x" * 600,
+    b"*3\r\n$1\r\nvv\r\n",
+)
 
 
 class BoardNode:
@@ -35,8 +40,16 @@
     """
 
     def __init__(
-        self, name: str, zone: str = "a", work_s: float = 0.01, cores: int = 3, queue: int = 100,
-        script: Script | None = None, slow_s: float = 0.5, meter: Meter | None = None, seed: int = 1,
+        self,
+        name: str,
+        zone: str = "a",
+        work_s: float = 0.01,
+        cores: int = 3,
+        queue: int = 100,
+        script: Script | None = None,
+        slow_s: float = 0.5,
+        meter: Meter | None = None,
+        seed: int = 1,
     ) -> None:
         self.name, self.zone, self.work_s, self.cores, self.room = name, zone, work_s, cores, queue
         self.script, self.slow_s, self.meter = script, slow_s, meter
@@ -135,7 +148,10 @@
             task.add_done_callback(group.discard)
 
     async def _answer(
-        self, words: Any, writer: asyncio.StreamWriter, after: asyncio.Future[None] | None,
+        self,
+        words: Any,
+        writer: asyncio.StreamWriter,
+        after: asyncio.Future[None] | None,
         turn: asyncio.Future[None],
     ) -> None:
         try:
@@ -147,7 +163,7 @@
             if fault is Fault.SILENT:
                 await asyncio.Event().wait()  # until the connection ends
             if fault is Fault.RESET:
-                writer.write(reply[:len(reply) // 2])
+                writer.write(reply[: len(reply) // 2])
                 writer.transport.abort()
             elif fault is Fault.HANG_UP:
                 writer.close()
@@ -174,8 +190,11 @@
         fields = call_fields(words)
         if fields is None:
             return b"-SYNTAX not of the protocol's form\r\n"
-        if fault in (Fault.HANG_UP, Fault.BUSY) or self.draining or (
-                self.busy >= self.warm_cores() and len(self.waiting) >= self.room):
+        if (
+            fault in (Fault.HANG_UP, Fault.BUSY)
+            or self.draining
+            or (self.busy >= self.warm_cores() and len(self.waiting) >= self.room)
+        ):
             self.turned_away += 1
             return b"-BUSY\r\n"
         plan, customer = fields["t"], words[1].decode()
--- a/brackenloft/standins/call_fields.py
+++ b/brackenloft/standins/call_fields.py
@@ -5,9 +5,14 @@
 import re
 from typing import Any
 
-NEEDED = {"c": r".+", "t": r".+", "d": r"[0-9]+(\.[0-9]+)?", "units": r"[0-9]+(\.[0-9]+)?",
-          "spread": r"[1-9][0-9]*",
-          "first": r"[0-9]+"}
+NEEDED = {
+    "c": r".+",
+    "t": r".+",
+    "d": r"[0-9]+(\.[0-9]+)?",
+    "units": r"[0-9]+(\.[0-9]+)?",
+    "spread": r"[1-9][0-9]*",
+    "first": r"[0-9]+",
+}
 
 
 def is_call(words: Any) -> bool:
@@ -25,5 +30,6 @@
         return None
     fields = {name: value for name, _, value in pairs}
     good = len(fields) == len(pairs) and all(
-        re.fullmatch(form, fields.get(name, "")) for name, form in NEEDED.items())
+        re.fullmatch(form, fields.get(name, "")) for name, form in NEEDED.items()
+    )
     return fields if good and re.fullmatch(b"[0-9A-Za-z]{1,64}", words[2]) else None
--- a/brackenloft/standins/counter.py
+++ b/brackenloft/standins/counter.py
@@ -216,8 +216,10 @@
 
 
 def _info(store: Store, words: list[bytes]) -> bytes:
-    return _bulk(b"# Server\r\nredis_version:7.2.0\r\nrun_id:%b\r\n# Replication\r\nrole:master\r\n"
-                 b"master_replid:%b\r\n" % (store.run_id.encode(), store.replid.encode()))
+    return _bulk(
+        b"# Server\r\nredis_version:7.2.0\r\nrun_id:%b\r\n# Replication\r\nrole:master\r\n"
+        b"master_replid:%b\r\n" % (store.run_id.encode(), store.replid.encode())
+    )
 
 
 def _time(store: Store, words: list[bytes]) -> bytes:
@@ -286,9 +288,22 @@
 DEAF = (Mood.LOADING, Mood.MOVED, Mood.BUSY, Mood.NOAUTH)
 WRITES = {b"SET", b"HSET", b"PEXPIRE", b"DEL", b"HDEL"}
 HANDLERS: dict[bytes, Callable[[Store, list[bytes]], bytes]] = {
-    b"MGET": _mget, b"DEL": _del, b"HDEL": _hdel, b"SCAN": _scan, b"INFO": _info, b"TIME": _time,
-    b"SET": _set, b"GET": _get, b"HSET": _hset, b"HGETALL": _hgetall, b"PEXPIRE": _pexpire, b"PING": _pong,
-    b"CLIENT": _ok, b"AUTH": _ok, b"SELECT": _ok, b"HELLO": _hello,
+    b"MGET": _mget,
+    b"DEL": _del,
+    b"HDEL": _hdel,
+    b"SCAN": _scan,
+    b"INFO": _info,
+    b"TIME": _time,
+    b"SET": _set,
+    b"GET": _get,
+    b"HSET": _hset,
+    b"HGETALL": _hgetall,
+    b"PEXPIRE": _pexpire,
+    b"PING": _pong,
+    b"CLIENT": _ok,
+    b"AUTH": _ok,
+    b"SELECT": _ok,
+    b"HELLO": _hello,
 }
 
 
--- a/brackenloft/standins/discovery.py
+++ b/brackenloft/standins/discovery.py
@@ -25,11 +25,24 @@
 
 
 def row(
-    name: str, port: int, state: str = "Ready", started: int = 0, zone: str = "a", kind: str = "m",
+    name: str,
+    port: int,
+    state: str = "Ready",
+    started: int = 0,
+    zone: str = "a",
+    kind: str = "m",
 ) -> dict[str, Any]:
     """An entry of a list, on loopback."""
-    return {"instanceId": name, "hostPort": f"127.0.0.1:{port}", "zone": zone, "machineType": kind, "cell": 0,
-            "lifecycle": state, "weight": 1.0, "startedAtMs": started}
+    return {
+        "instanceId": name,
+        "hostPort": f"127.0.0.1:{port}",
+        "zone": zone,
+        "machineType": kind,
+        "cell": 0,
+        "lifecycle": state,
+        "weight": 1.0,
+        "startedAtMs": started,
+    }
 
 
 class ScriptedDiscovery:
--- a/brackenloft/standins/eureka/documents.py
+++ b/brackenloft/standins/eureka/documents.py
@@ -13,22 +13,34 @@
     info = dict(lease.info)
     lease_info = info.get("leaseInfo", {})
     return {
-        "instanceId": name[1], "hostName": "localhost", "ipAddr": "127.0.0.1", **info, "app": name[0],
-        "status": lease.shown, "overriddenStatus": lease.override,
-        "port": _port(info.get("port"), True), "securePort": _port(info.get("securePort"), False),
+        "instanceId": name[1],
+        "hostName": "localhost",
+        "ipAddr": "127.0.0.1",
+        **info,
+        "app": name[0],
+        "status": lease.shown,
+        "overriddenStatus": lease.override,
+        "port": _port(info.get("port"), True),
+        "securePort": _port(info.get("securePort"), False),
         "countryId": 1,
-        "dataCenterInfo": info.get("dataCenterInfo", {
-            "@class": "com.netflix.appinfo.InstanceInfo$DefaultDataCenterInfo", "name": "MyOwn"}),
+        "dataCenterInfo": info.get(
+            "dataCenterInfo",
+            {"@class": "com.netflix.appinfo.InstanceInfo$DefaultDataCenterInfo", "name": "MyOwn"},
+        ),
         "leaseInfo": {
             "renewalIntervalInSecs": lease_info.get("renewalIntervalInSecs", 30),
             "durationInSecs": lease_info.get("durationInSecs", LEASE_S),
-            "registrationTimestamp": int(lease.registered_ms), "lastRenewalTimestamp": int(lease.renewed_ms),
-            "evictionTimestamp": 0, "serviceUpTimestamp": int(lease.up_since_ms)},
+            "registrationTimestamp": int(lease.registered_ms),
+            "lastRenewalTimestamp": int(lease.renewed_ms),
+            "evictionTimestamp": 0,
+            "serviceUpTimestamp": int(lease.up_since_ms),
+        },
         "metadata": info.get("metadata") or {"@class": "java.util.Collections$EmptyMap"},
         "isCoordinatingDiscoveryServer": "false",
         "lastUpdatedTimestamp": str(int(lease.updated_ms)),
         "lastDirtyTimestamp": str(info.get("lastDirtyTimestamp", int(lease.registered_ms))),
-        "actionType": lease.action}
+        "actionType": lease.action,
+    }
 
 
 def _port(value: Any, enabled: bool) -> Info:
@@ -37,35 +49,63 @@
     return {"$": int(value or (7001 if enabled else 7002)), "@enabled": str(bool(value) and enabled).lower()}
 
 
-COMPACT = ("instanceId", "hostName", "app", "ipAddr", "status", "overriddenStatus", "port", "securePort",
-           "vipAddress", "secureVipAddress", "metadata", "actionType", "dataCenterInfo")
+COMPACT = (
+    "instanceId",
+    "hostName",
+    "app",
+    "ipAddr",
+    "status",
+    "overriddenStatus",
+    "port",
+    "securePort",
+    "vipAddress",
+    "secureVipAddress",
+    "metadata",
+    "actionType",
+    "dataCenterInfo",
+)
 
 
 def compact(document: Info) -> Info:
     """The short form: no lease, no times, no links."""
-    return {**document, "application": [
-        {**app, "instance": [{key: item[key] for key in COMPACT if key in item} for item in app["instance"]]}
-        for app in document["application"]]}
+    return {
+        **document,
+        "application": [
+            {
+                **app,
+                "instance": [{key: item[key] for key in COMPACT if key in item} for item in app["instance"]],
+            }
+            for app in document["application"]
+        ],
+    }
 
 
 def single(document: Info) -> Info:
     """The older JSON form, where a list of one is that one alone."""
-    apps = [{**app, "instance": app["instance"][0] if len(app["instance"]) == 1 else app["instance"]}
-            for app in document["application"]]
+    apps = [
+        {**app, "instance": app["instance"][0] if len(app["instance"]) == 1 else app["instance"]}
+        for app in document["application"]
+    ]
     return {**document, "application": apps[0] if len(apps) == 1 else apps}
 
 
 def xml(root: str, document: Info) -> str:
     """The same as XML."""
+
     def element(name: str, value: Any) -> str:
         if isinstance(value, list):
             return "".join(element(name, item) for item in value)
         if isinstance(value, dict):
-            attributes = "".join(f" {key[1:]}={quoteattr(str(item))}" for key, item in value.items()
-                                 if key.startswith("@"))
-            inner = "".join(escape(str(item)) if key == "$" else element(key, item)
-                            for key, item in value.items() if not key.startswith("@"))
+            attributes = "".join(
+                f" {key[1:]}={quoteattr(str(item))}" for key, item in value.items() if key.startswith("@")
+            )
+            inner = "".join(
+                escape(str(item)) if key == "$" else element(key, item)
+                for key, item in value.items()
+                if not key.startswith("@")
+            )
             return f"<{name}{attributes}>{inner}</{name}>"
         name = "overriddenstatus" if name == "overriddenStatus" else name
         return f"<{name}>{escape(str(value))}</{name}>"
+
     return element(root, document)
--- a/brackenloft/standins/eureka/registry.py
+++ b/brackenloft/standins/eureka/registry.py
@@ -92,8 +92,10 @@
         now = self.now()
         while self.renewals and self.renewals[0] < now - 60_000.0:
             self.renewals.popleft()
-        expected = sum(60.0 / lease.info.get("leaseInfo", {}).get("renewalIntervalInSecs", 30)
-                       for lease in self.leases.values())
+        expected = sum(
+            60.0 / lease.info.get("leaseInfo", {}).get("renewalIntervalInSecs", 30)
+            for lease in self.leases.values()
+        )
         self.preserves = len(self.renewals) < RENEWALS_SHARE * expected
         if self.preserves:
             return
@@ -126,8 +128,9 @@
     def under(self, vip: str, secure: bool = False) -> Info | None:
         """Those under a virtual address; None if there are none."""
         key = "secureVipAddress" if secure else "vipAddress"
-        names = [name for name, lease in self.leases.items()
-                 if vip in str(lease.info.get(key, "")).split(",")]
+        names = [
+            name for name, lease in self.leases.items() if vip in str(lease.info.get(key, "")).split(",")
+        ]
         if not names:
             return None
         document = self._document(names, self.leases)
@@ -146,8 +149,11 @@
         apps: dict[str, list[Info]] = {}
         for name in names:
             apps.setdefault(name[0], []).append(show(name, leases[name]))
-        return {"versions__delta": str(self.version), "apps__hashcode": self.hashcode(),
-                "application": [{"name": name, "instance": shown} for name, shown in apps.items()]}
+        return {
+            "versions__delta": str(self.version),
+            "apps__hashcode": self.hashcode(),
+            "application": [{"name": name, "instance": shown} for name, shown in apps.items()],
+        }
 
 
 def _status(value: object) -> str:
--- a/brackenloft/standins/eureka/server.py
+++ b/brackenloft/standins/eureka/server.py
@@ -88,7 +88,7 @@
         path = unquote(url.path)
         status, document, root = 404, None, "applications"
         if path.startswith(self.base + "/"):
-            places = path[len(self.base) + 1:].strip("/").split("/")
+            places = path[len(self.base) + 1 :].strip("/").split("/")
             query = {key: values[0] for key, values in parse_qs(url.query).items()}
             try:
                 status, document, root = self._answer(method, places, query, headers, body)
@@ -103,7 +103,12 @@
     # ---- Operations
 
     def _answer(
-        self, method: str, places: list[str], query: dict[str, str], headers: dict[str, str], body: bytes,
+        self,
+        method: str,
+        places: list[str],
+        query: dict[str, str],
+        headers: dict[str, str],
+        body: bytes,
     ) -> tuple[int, Info | None, str]:
         book = self.registry
         if method == "GET":
@@ -177,7 +182,11 @@
         return "application/json", json.dumps({root: document}).encode()
 
     async def _write(
-        self, writer: asyncio.StreamWriter, status: int, document: Info | None, root: str,
+        self,
+        writer: asyncio.StreamWriter,
+        status: int,
+        document: Info | None,
+        root: str,
         headers: dict[str, str],
     ) -> None:
         kind, body = ("text/plain", b"") if document is None else self._encode(document, root, headers)
@@ -192,7 +201,7 @@
         lines = "".join(f"{key}: {value}\r\n" for key, value in more.items())
         writer.write(f"HTTP/1.1 {status} Told\r\n{lines}\r\n".encode())
         if faults.cut:
-            body = body[:int(len(body) * faults.cut)]
+            body = body[: int(len(body) * faults.cut)]
         if not faults.byte_s:
             writer.write(body)
         for byte in body if faults.byte_s else b"":
--- a/brackenloft/standins/graphql.py
+++ b/brackenloft/standins/graphql.py
@@ -58,8 +58,13 @@
     """
 
     def __init__(
-        self, schema: GraphQLSchema, work_s: float = 0.0, script: Script | None = None,
-        meter: Meter | None = None, more: int = 0, slow_s: float = 0.5,
+        self,
+        schema: GraphQLSchema,
+        work_s: float = 0.0,
+        script: Script | None = None,
+        meter: Meter | None = None,
+        more: int = 0,
+        slow_s: float = 0.5,
     ) -> None:
         self.schema, self.work_s, self.script, self.meter = schema, work_s, script, meter
         self.more, self.slow_s = more, slow_s
@@ -111,8 +116,12 @@
             return True
         headers, body = asking.headers, json.loads(asking.body)
         if self.meter:
-            self.meter.count(headers["x-request-id"].encode(), headers["x-plan"], headers["x-customer"],
-                             float(headers["x-units"]))
+            self.meter.count(
+                headers["x-request-id"].encode(),
+                headers["x-plan"],
+                headers["x-customer"],
+                float(headers["x-units"]),
+            )
         await asyncio.sleep(self.work_s + (self.slow_s if fault is Fault.SLOW else 0.0))
         answer = self._once(headers, body)
         if fault is Fault.SILENT:
@@ -161,9 +170,14 @@
             return value_of(self.schema, info.return_type, size + self.more)
 
         result: Any = execute(
-            self.schema, document, None, variable_values=body.get("variables"),
-            operation_name=body.get("operationName"), field_resolver=resolve,
-            type_resolver=lambda value, info, kind: value["__typename"])
+            self.schema,
+            document,
+            None,
+            variable_values=body.get("variables"),
+            operation_name=body.get("operationName"),
+            field_resolver=resolve,
+            type_resolver=lambda value, info, kind: value["__typename"],
+        )
         return dict(result.formatted)
 
 
@@ -190,11 +204,15 @@
 
 
 def _write(
-    writer: asyncio.StreamWriter, status: int, document: Any, body: bytes = b"",
-    kind: str = "application/graphql-response+json", cut: bool = False,
+    writer: asyncio.StreamWriter,
+    status: int,
+    document: Any,
+    body: bytes = b"",
+    kind: str = "application/graphql-response+json",
+    cut: bool = False,
 ) -> None:
     if document is not None:
         body = json.dumps(document).encode()
     head = f"HTTP/1.1 {status} Told\r\nContent-Type: {kind}\r\nContent-Length: {len(body)}\r\n\r\n"
     writer.write(head.encode())
-    writer.write(body[:len(body) // 2] if cut else body)
+    writer.write(body[: len(body) // 2] if cut else body)
--- a/brackenloft/standins/load.py
+++ b/brackenloft/standins/load.py
@@ -44,8 +44,10 @@
 def command(member: Member, kind: RequestClass, number: int, gateways: int) -> bytes:
     """A request; ``number`` makes its id and key."""
     posts, key = kind.effect is not Effect.SAFE, kind.effect is Effect.KEYED
-    listed = (f"c={kind.name},t={member.plan},d={kind.deadline_ms:.0f},{f'k={number:016x},' if key else ''}"
-              f"units=1,spread={gateways},first=0")
+    listed = (
+        f"c={kind.name},t={member.plan},d={kind.deadline_ms:.0f},{f'k={number:016x},' if key else ''}"
+        f"units=1,spread={gateways},first=0"
+    )
     words = [f"{member.customer:016x}", f"{number:016x}", listed]
     return resp("CALL.POST", *words, b"body") if posts else resp("CALL.GET", *words)
 
@@ -73,7 +75,12 @@
 
 
 async def drive(
-    port: int, members: list[Member], seconds: float, tally: Tally, seed: int = 1, gateways: int = 1,
+    port: int,
+    members: list[Member],
+    seconds: float,
+    tally: Tally,
+    seed: int = 1,
+    gateways: int = 1,
 ) -> None:
     """Ask for so many seconds and wait for the last answer."""
     draw = random.Random(seed)
--- a/brackenloft/standins/peer.py
+++ b/brackenloft/standins/peer.py
@@ -18,8 +18,9 @@
 
 def array(value: bytes, used: bytes | None = None, load: bytes | None = None) -> bytes:
     """A good answer of a server: value, figures on use, load report."""
-    parts = [b"$-1\r\n" if part is None else b"$%d\r\n%b\r\n" % (len(part), part)
-             for part in (value, used, load)]
+    parts = [
+        b"$-1\r\n" if part is None else b"$%d\r\n%b\r\n" % (len(part), part) for part in (value, used, load)
+    ]
     return b"*3\r\n" + b"".join(parts)
 
 
--- a/brackenloft/standins/platform.py
+++ b/brackenloft/standins/platform.py
@@ -36,8 +36,13 @@
     """Holds the clients' listener and starts processes beside each other."""
 
     def __init__(
-        self, directory: Path, command: str, root: Path, settings: Mapping[str, Any],
-        ports: Mapping[str, int], limits: Mapping[str, Any] | None = None,
+        self,
+        directory: Path,
+        command: str,
+        root: Path,
+        settings: Mapping[str, Any],
+        ports: Mapping[str, int],
+        limits: Mapping[str, Any] | None = None,
     ) -> None:
         self.directory, self.command, self.root, self.settings = directory, command, root, settings
         self.ports = ports  # of the servers, by name
@@ -81,15 +86,35 @@
         """Start it; it is ready later."""
         platform, fd = self.platform, self.platform.held.fileno()
         listen, path = f"127.0.0.1:{platform.port}", platform.directory / f"config-{self.number}.json"
-        path.write_text(json.dumps({
-            "name": "n0", "listen": listen, "discovery": "127.0.0.1:1", "seed": "8c1f30d27a5be964",
-            "limits": platform.limits, "settings": platform.settings,
-            "known": {"generation": 1, "reset": True,
-                      "instances": [row(name, port) for name, port in platform.ports.items()]}}))
-        env = {**os.environ, "EDGE_CONFIG": str(path), "EDGE_LISTEN": listen, "EDGE_ACCEPT_FD": str(fd),
-               "TMPDIR": str(platform.directory), "EDGE_ADMIN": f"127.0.0.1:{self.admin}", **environment}
+        path.write_text(
+            json.dumps(
+                {
+                    "name": "n0",
+                    "listen": listen,
+                    "discovery": "127.0.0.1:1",
+                    "seed": "8c1f30d27a5be964",
+                    "limits": platform.limits,
+                    "settings": platform.settings,
+                    "known": {
+                        "generation": 1,
+                        "reset": True,
+                        "instances": [row(name, port) for name, port in platform.ports.items()],
+                    },
+                }
+            )
+        )
+        env = {
+            **os.environ,
+            "EDGE_CONFIG": str(path),
+            "EDGE_LISTEN": listen,
+            "EDGE_ACCEPT_FD": str(fd),
+            "TMPDIR": str(platform.directory),
+            "EDGE_ADMIN": f"127.0.0.1:{self.admin}",
+            **environment,
+        }
         self.process = await asyncio.create_subprocess_shell(
-            platform.command, cwd=platform.root, env=env, pass_fds=(fd,))
+            platform.command, cwd=platform.root, env=env, pass_fds=(fd,)
+        )
 
     async def call(self, method: str, path: str) -> Answer:
         """A call of the second address; status 0 where nobody answers."""
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -46,10 +46,16 @@
     Plan("capped-wide", max_in_flight=60),
 )
 SETTINGS = Settings(
-    gateways=2, index=0, zone="a", classes=CLASSES, plans=PLANS,
+    gateways=2,
+    index=0,
+    zone="a",
+    classes=CLASSES,
+    plans=PLANS,
     limits=Limits(max_attempts=3, can_cancel=True),
     contract=Contract(8.0, 500.0, 0.2, 10_000.0, 3.0, 2000.0, 10_000.0),
-    meter_period_ms=1000.0, largest_units=4, tick_ms=2.0,
+    meter_period_ms=1000.0,
+    largest_units=4,
+    tick_ms=2.0,
 )
 
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -30,15 +30,32 @@
 from brackenloft.standins import ScriptedNode as FakeServer
 
 __all__ = [
-    "HOUSINGS", "SETTINGS", "FakeDiscovery", "FakeServer", "Line", "Node", "Peer", "array", "call", "chunk",
-    "housing", "listing", "node", "resp", "row", "run", "until",
+    "HOUSINGS",
+    "SETTINGS",
+    "FakeDiscovery",
+    "FakeServer",
+    "Line",
+    "Node",
+    "Peer",
+    "array",
+    "call",
+    "chunk",
+    "housing",
+    "listing",
+    "node",
+    "resp",
+    "row",
+    "run",
+    "until",
 ]
 HOUSINGS = ("daemon", "library-uvloop", "library-asyncio")  # a gateway of its own, or within a host's program
 housing = {"now": "daemon"}  # set for each test by conftest.py
 MOST_HELD = 32 * 1024 * 1024
 LIMIT_S = 60.0  # generous: a test that takes so long hangs
 SETTINGS = Settings(
-    gateways=2, index=0, zone="a",
+    gateways=2,
+    index=0,
+    zone="a",
     classes=(
         RequestClass("read", 2000.0, 4000.0, Effect.SAFE),
         RequestClass("post", 2000.0, 4000.0, Effect.KEYED, key_scope=KeyScope.ZONE, key_memory_ms=6000.0),
@@ -47,7 +64,9 @@
     plans=(Plan("free"), Plan("tiny", rate=0.001, burst=2.0)),
     limits=Limits(max_attempts=3, can_cancel=True, connect_timeout_ms=2000.0),
     contract=Contract(8.0, 1000.0, 0.2, 10_000.0, 3.0, 2000.0, 10_000.0),
-    load_fields=("utilisation", "queue"), meter_period_ms=1000.0, tick_ms=2.0,
+    load_fields=("utilisation", "queue"),
+    meter_period_ms=1000.0,
+    tick_ms=2.0,
 )
 
 
--- a/tests/host.py
+++ b/tests/host.py
@@ -34,6 +34,7 @@
 
 def application(edge: Edge, opened, within_s: float = 0.0, accept_s: float = 0.0) -> FastAPI:
     """An application that owns a gateway for as long as it runs."""
+
     @asynccontextmanager
     async def lifespan(app: FastAPI) -> AsyncIterator[None]:
         opened(edge.open())
--- a/tests/leasing.py
+++ b/tests/leasing.py
@@ -30,10 +30,13 @@
     clock, open_ = Clock(), []
 
     def registers(who):
-        stores = {f"s{number}": Store(f"redis://127.0.0.1:{counter.port}", "fleet", 1.0)
-                  for number, counter in enumerate(counters)}
+        stores = {
+            f"s{number}": Store(f"redis://127.0.0.1:{counter.port}", "fleet", 1.0)
+            for number, counter in enumerate(counters)
+        }
         open_.append(Registers(stores, places.first(stores, 1000, "a"), who, seed=1))
         return open_[-1]
+
     await enrol.found(registers("operator"), open_[0].members)
     try:
         yield [Leases(registers(me.who), me, Terms(length_ms, 0.01), clock) for me in mes], clock, counters
--- a/tests/other_client.py
+++ b/tests/other_client.py
@@ -15,21 +15,35 @@
 
 def seen(applications) -> dict:
     """Instances by id: port, cell, and the list's count."""
-    return {"count": applications.apps__hashcode, "instances": {
-        item.instanceId: [item.port.port, item.port.enabled, item.metadata.get("cell")]
-        for app in applications.applications for item in app.instances}}
+    return {
+        "count": applications.apps__hashcode,
+        "instances": {
+            item.instanceId: [item.port.port, item.port.enabled, item.metadata.get("cell")]
+            for app in applications.applications
+            for item in app.instances
+        },
+    }
 
 
 async def main(url: str, port: int) -> None:
     client = other.EurekaClient(
-        eureka_server=url, app_name="board", instance_id=NAME, instance_host="localhost",
-        instance_ip="127.0.0.1", instance_port=port, renewal_interval_in_secs=1, duration_in_secs=30,
-        metadata={"zone": "a", "cell": "7"})
+        eureka_server=url,
+        app_name="board",
+        instance_id=NAME,
+        instance_host="localhost",
+        instance_ip="127.0.0.1",
+        instance_port=port,
+        renewal_interval_in_secs=1,
+        duration_in_secs=30,
+        metadata={"zone": "a", "cell": "7"},
+    )
     loop = asyncio.get_running_loop()
     while line := (await loop.run_in_executor(None, sys.stdin.readline)).split():
         work = {
-            "start": lambda: client.start(), "stop": lambda: client.stop(),
-            "apps": lambda: other.get_applications(url), "vip": lambda: other.get_vip(url, "board"),
+            "start": lambda: client.start(),
+            "stop": lambda: client.stop(),
+            "apps": lambda: other.get_applications(url),
+            "vip": lambda: other.get_vip(url, "board"),
             "delta": lambda: other.get_delta(url),
             "out": lambda: other.status_update(url, "board", NAME, line[1], "OUT_OF_SERVICE"),
             "in": lambda: other.delete_status_override(url, "board", NAME, line[1]),
--- a/tests/registry.py
+++ b/tests/registry.py
@@ -30,9 +30,16 @@
 
 def info(name: str, port: int, **more: Any) -> dict[str, Any]:
     """What an instance says when it registers."""
-    return {"instanceId": name, "hostName": "localhost", "ipAddr": "127.0.0.1", "status": "UP",
-            "vipAddress": "board", "port": {"$": port, "@enabled": "true"},
-            "securePort": {"$": 443, "@enabled": "false"}, **more}
+    return {
+        "instanceId": name,
+        "hostName": "localhost",
+        "ipAddr": "127.0.0.1",
+        "status": "UP",
+        "vipAddress": "board",
+        "port": {"$": port, "@enabled": "true"},
+        "securePort": {"$": 443, "@enabled": "false"},
+        **more,
+    }
 
 
 class Fleet:
@@ -58,8 +65,13 @@
 
 
 def document(urls: list[str], **more: Any) -> dict[str, Any]:
-    table = {"name": "registry", "servers": [{"url": url} for url in urls], "apps": [APP],
-             "interval_s": INTERVAL_S, **more}
+    table = {
+        "name": "registry",
+        "servers": [{"url": url} for url in urls],
+        "apps": [APP],
+        "interval_s": INTERVAL_S,
+        **more,
+    }
     return {"eureka": [table]}
 
 
@@ -70,7 +82,10 @@
 
 @asynccontextmanager
 async def fleet(
-    *names: str, table: dict[str, Any] | None = None, book: Registry | None = None, **more: Any,
+    *names: str,
+    table: dict[str, Any] | None = None,
+    book: Registry | None = None,
+    **more: Any,
 ) -> AsyncIterator[Fleet]:
     """An edge that follows a registry with these nodes, ready. ``more``: keys of the registry's table."""
     book = book or Registry(unix_ms)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -18,8 +18,13 @@
 
 
 @settings(derandomize=True, max_examples=300, deadline=None)
-@given(st.integers(1, 12), st.integers(1, 12), st.integers(0, 12), st.integers(0, 4),
-       st.lists(st.tuples(SIDES, st.booleans()), max_size=120))
+@given(
+    st.integers(1, 12),
+    st.integers(1, 12),
+    st.integers(0, 12),
+    st.integers(0, 4),
+    st.lists(st.tuples(SIDES, st.booleans()), max_size=120),
+)
 def test_budget_is_never_passed_and_a_floor_is_always_there(clients, servers, lent, spare, steps):
     total = clients + servers + lent
     floors = {Side.CLIENTS: clients, Side.SERVERS: servers}
@@ -117,8 +122,14 @@
 
 
 FRESH_S, IDLE_S, PEERS = 1.0, 8.0, 12
-EVENTS = st.lists(st.tuples(st.sampled_from(("rest", "stir", "room", "wait")), st.integers(0, PEERS - 1),
-                            st.sampled_from(list(Standing))), max_size=150)
+EVENTS = st.lists(
+    st.tuples(
+        st.sampled_from(("rest", "stir", "room", "wait")),
+        st.integers(0, PEERS - 1),
+        st.sampled_from(list(Standing)),
+    ),
+    max_size=150,
+)
 
 
 @settings(derandomize=True, max_examples=300, deadline=None)
@@ -160,8 +171,12 @@
 
 
 @settings(derandomize=True, max_examples=200, deadline=None)
-@given(st.lists(st.integers(1, 6), min_size=3, max_size=3), st.integers(0, 12), st.integers(0, 3),
-       st.lists(st.tuples(st.integers(0, 2), st.booleans()), max_size=80))
+@given(
+    st.lists(st.integers(1, 6), min_size=3, max_size=3),
+    st.integers(0, 12),
+    st.integers(0, 3),
+    st.lists(st.tuples(st.integers(0, 2), st.booleans()), max_size=80),
+)
 def test_every_front_keeps_its_floor_beside_the_others(floors, lent, spare, steps):
     budget = Budget(sum(floors) + lent, dict(enumerate(floors)), spare)
     for side, takes in steps:
@@ -174,8 +189,9 @@
 
 
 @settings(derandomize=True, max_examples=200, deadline=None)
-@given(st.dictionaries(st.integers(), st.integers(1, 50), max_size=8), st.integers(0, 100),
-       st.integers(0, 50))
+@given(
+    st.dictionaries(st.integers(), st.integers(1, 50), max_size=8), st.integers(0, 100), st.integers(0, 50)
+)
 def test_room_is_made_by_the_largest_and_by_no_more_than_needed(holders, most, owed):
     held = owed + sum(holders.values())
     gone = relief(held, most, holders)
--- a/tests/test_asgi.py
+++ b/tests/test_asgi.py
@@ -25,7 +25,7 @@
 from brackenloft.net.resp import LONGEST_VALUE
 
 WHO = {"x-customer": f"{5:016x}", "x-plan": "free"}
-MANY = (*PLANS, Plan("two", rate=0.5, burst=2.0), Plan("bad\"name", rate=1.0, burst=3.0))
+MANY = (*PLANS, Plan("two", rate=0.5, burst=2.0), Plan('bad"name', rate=1.0, burst=3.0))
 LIMITS = Limits(max_attempts=2, can_cancel=True, can_advise_retry=True, max_retry_after_ms=9000.0)
 
 
@@ -63,6 +63,7 @@
             for number in range(3):
                 yield f"{number}\n"
                 await asyncio.sleep(0)
+
         return StreamingResponse(parts())
 
     @app.get("/broken")
@@ -115,12 +116,19 @@
     run(test())
 
 
-@pytest.mark.parametrize("headers, field", [
-    ({}, "x-customer"), ({"x-customer": "c"}, "x-plan"), (WHO | {"x-plan": "none"}, "plan"),
-    (WHO | {"x-units": "nan"}, "x-units"), (WHO | {"x-units": "9"}, "units"),
-    (WHO | {"x-customer": "c" * 200}, "customer"), (WHO | {"prefer": "wait=0"}, "patience_ms"),
-    ([("x-customer", "a"), ("x-customer", "b"), ("x-plan", "free")], "x-customer"),
-])
+@pytest.mark.parametrize(
+    "headers, field",
+    [
+        ({}, "x-customer"),
+        ({"x-customer": "c"}, "x-plan"),
+        (WHO | {"x-plan": "none"}, "plan"),
+        (WHO | {"x-units": "nan"}, "x-units"),
+        (WHO | {"x-units": "9"}, "units"),
+        (WHO | {"x-customer": "c" * 200}, "customer"),
+        (WHO | {"prefer": "wait=0"}, "patience_ms"),
+        ([("x-customer", "a"), ("x-customer", "b"), ("x-plan", "free")], "x-customer"),
+    ],
+)
 def test_what_can_not_be_mapped_is_a_problem_that_names_the_field(headers, field):
     async def test():
         app, edge = made()
@@ -147,8 +155,12 @@
     assert mapped("DELETE").call == Call("buy", "free", "c")
     assert mapped("HEAD", (b"prefer", b"respond-async, wait=3")).call.patience_ms == 3000.0
     assert HeaderMapper(settings, prefix="/api")({"path": "/a", "method": "GET", "headers": []}) is None
-    assert isinstance(HeaderMapper(settings, forward=True)(
-        {"path": "/", "method": "GET", "headers": [(b"x-customer", b"c"), (b"x-plan", b"p")]}), Forward)
+    assert isinstance(
+        HeaderMapper(settings, forward=True)(
+            {"path": "/", "method": "GET", "headers": [(b"x-customer", b"c"), (b"x-plan", b"p")]}
+        ),
+        Forward,
+    )
 
 
 def test_lifespan_websockets_and_free_paths_pass_untouched():
@@ -167,8 +179,17 @@
             async def send(message):
                 sent.append(message["type"])
 
-            scope = {"type": "websocket", "path": "/ws", "headers": [], "query_string": b"",
-                     "subprotocols": [], "root_path": "", "scheme": "ws", "client": None, "server": None}
+            scope = {
+                "type": "websocket",
+                "path": "/ws",
+                "headers": [],
+                "query_string": b"",
+                "subprotocols": [],
+                "root_path": "",
+                "scheme": "ws",
+                "client": None,
+                "server": None,
+            }
             await QuotaMiddleware(app.router, edge, HeaderMapper(edge.settings))(scope, receive, send)
             assert sent[:2] == ["websocket.accept", "websocket.send"]
 
@@ -271,7 +292,8 @@
     async def test():
         silent = []
         server = await FakeServer(
-            lambda words: None if silent else array(words[4] if len(words) > 4 else b"board")).start()
+            lambda words: None if silent else array(words[4] if len(words) > 4 else b"board")
+        ).start()
         app, edge = made(mapper=lambda scope: HeaderMapper(SETTINGS, forward=True)(scope))
         async with serving(app) as client:
             busy = await client.get("/x", headers=WHO | {"prefer": "wait=1"})
--- a/tests/test_conformance.py
+++ b/tests/test_conformance.py
@@ -25,6 +25,7 @@
 def test_the_driver_plays_the_script(name):
     async def scenario():
         return await wire.play(NAMES[name])
+
     assert uvloop.run(scenario()).differences() == []
 
 
@@ -64,30 +65,47 @@
         def later(world, seat, ask, *rest):
             ask.ended = True
             world.later(0.0, lambda _: settle(world, seat, ask, *rest), None)
+
         monkeypatch.setattr(virtual.Scripted, "settle", later)
     elif wrong == "twice":
         ended = World._ended
-        monkeypatch.setattr(World, "_ended", lambda world, which: (
-            ended(world, which), world._tell(which[0], api.Outcome(
-                which[1].name, which[2], 0, which[3], 0.0, which[1].ended))))
+        monkeypatch.setattr(
+            World,
+            "_ended",
+            lambda world, which: (
+                ended(world, which),
+                world._tell(which[0], api.Outcome(which[1].name, which[2], 0, which[3], 0.0, which[1].ended)),
+            ),
+        )
     elif wrong == "not_sent":
         monkeypatch.setattr(World, "_not_sent", lambda world, which: None)
     elif wrong == "cancel":
         monkeypatch.setattr(virtual.ByHeart, "cancel", lambda node, job: None)
     else:
         timer = World._timer
-        monkeypatch.setattr(World, "_timer", lambda world, which: world.later(200.0, lambda w: timer(
-            world, w), which) if which[1] == 2 else timer(world, which))
+        monkeypatch.setattr(
+            World,
+            "_timer",
+            lambda world, which: (
+                world.later(200.0, lambda w: timer(world, w), which) if which[1] == 2 else timer(world, which)
+            ),
+        )
     assert len(conforming()) < len(SCRIPTS)
 
 
 def test_a_driver_that_answers_after_the_decisions_have_heard_does_not_conform(monkeypatch):
     answer = Driver._answer
-    monkeypatch.setattr(Driver, "_answer", lambda driver, call, what: driver.loop.call_soon(
-        answer, driver, call, what) and setattr(call, "answered", True))
+    monkeypatch.setattr(
+        Driver,
+        "_answer",
+        lambda driver, call, what: (
+            driver.loop.call_soon(answer, driver, call, what) and setattr(call, "answered", True)
+        ),
+    )
 
     async def scenario():
         return await wire.play(NAMES["served"])
+
     assert uvloop.run(scenario()).differences()
 
 
--- a/tests/test_crossings_descriptors.py
+++ b/tests/test_crossings_descriptors.py
@@ -53,19 +53,29 @@
 
 def test_watch_and_a_server_get_their_descriptors_while_clients_hold_all_of_theirs(tmp_path):
     """Discovery is down while the clients come, so that the watch connects after them."""
+
     async def test():
         server = await FakeServer(lambda words: array(b"v")).start()
         port, held = free_port(), socket.socket()
         held.bind(("127.0.0.1", 0))  # nobody listens: connects are refused
         agent_port = held.getsockname()[1]
         path = tmp_path / "config.json"
-        path.write_text(json.dumps({
-            "name": "n0", "listen": f"127.0.0.1:{port}", "discovery": f"127.0.0.1:{agent_port}",
-            "seed": "8c1f30d27a5be964",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": DESCRIPTORS},
-            "known": {"generation": 1, "reset": True, "instances": []}, "settings": SETTINGS}))
+        path.write_text(
+            json.dumps(
+                {
+                    "name": "n0",
+                    "listen": f"127.0.0.1:{port}",
+                    "discovery": f"127.0.0.1:{agent_port}",
+                    "seed": "8c1f30d27a5be964",
+                    "limits": {"cores": 1.0, "memory_mb": 192, "sockets": DESCRIPTORS},
+                    "known": {"generation": 1, "reset": True, "instances": []},
+                    "settings": SETTINGS,
+                }
+            )
+        )
         process = await asyncio.create_subprocess_exec(
-            sys.executable, "-c", PROGRAM, cwd=ROOT, env={**os.environ, "EDGE_CONFIG": str(path)})
+            sys.executable, "-c", PROGRAM, cwd=ROOT, env={**os.environ, "EDGE_CONFIG": str(path)}
+        )
         crowd = Crowd()
         clients = [asyncio.ensure_future(crowd.hold(port)) for _ in range(CROWD)]
         try:
--- a/tests/test_crossings_held_up.py
+++ b/tests/test_crossings_held_up.py
@@ -56,6 +56,7 @@
 
 def test_answer_that_is_read_behind_a_block_of_the_loop_makes_room_for_nobody_who_has_gone():
     """The block is noted by an outcome or by the beat before the parked request is sent."""
+
     async def test():
         server = FakeServer(lambda words: None)
         async with node(server, plans=ONE_AT_A_TIME) as gateway:
@@ -83,7 +84,8 @@
 
 
 def test_connection_that_comes_up_in_a_turn_in_which_its_clients_end_is_to_be_read_is_not_written_to(
-        monkeypatch):
+    monkeypatch,
+):
     async def test():
         server, up = FakeServer(), asyncio.Event()
         async with node(server) as gateway:
@@ -100,7 +102,8 @@
 
 
 def test_attempt_that_waits_for_a_connection_to_have_rested_is_not_written_when_its_clients_end_is_to_be_read(
-        monkeypatch):
+    monkeypatch,
+):
     async def test():
         server = FakeServer()
         async with node(server) as gateway:
@@ -111,7 +114,7 @@
             await leave_unread(gateway, 2)
             monkeypatch.setattr(gateway.driver.lag, "held_up", lambda: True)
             monkeypatch.setattr(net_servers, "REST_S", 0.0)
-            host, = gateway.servers.hosts.values()
+            (host,) = gateway.servers.hosts.values()
             host.timer.cancel()
             gateway.servers._have_rested(host)
             await until(lambda: not gateway.driver.calls)
--- a/tests/test_crossings_processes.py
+++ b/tests/test_crossings_processes.py
@@ -65,8 +65,12 @@
 
 def code(before="bool", after="bool", step_s=1.0, first_list_s=1.0):
     """The program, with what it does before and after it says something at ``STEP`` of the handover."""
-    return (PROGRAM.replace("BEFORE()", f"{before}()").replace("AFTER()", f"{after}()")
-            .replace("= STEP_S", f"= {step_s}").replace("= FIRST_LIST_S", f"= {first_list_s}"))
+    return (
+        PROGRAM.replace("BEFORE()", f"{before}()")
+        .replace("AFTER()", f"{after}()")
+        .replace("= STEP_S", f"= {step_s}")
+        .replace("= FIRST_LIST_S", f"= {first_list_s}")
+    )
 
 
 COMMAND = f'exec {sys.executable} -c "$CODE"'
@@ -89,12 +93,22 @@
     """One process with a listener of its own that knows no server, and a discovery that says nothing."""
     discovery, port = await FakeDiscovery().start(), free_port()
     path = tmp_path / "config.json"
-    path.write_text(json.dumps({
-        "name": "n0", "listen": f"127.0.0.1:{port}", "discovery": f"127.0.0.1:{discovery.port}",
-        "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-        "known": {"generation": 1, "reset": True, "instances": []}, "settings": SETTINGS}))
+    path.write_text(
+        json.dumps(
+            {
+                "name": "n0",
+                "listen": f"127.0.0.1:{port}",
+                "discovery": f"127.0.0.1:{discovery.port}",
+                "seed": "8c1f30d27a5be964",
+                "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+                "known": {"generation": 1, "reset": True, "instances": []},
+                "settings": SETTINGS,
+            }
+        )
+    )
     process = await asyncio.create_subprocess_shell(
-        COMMAND, cwd=ROOT, env={**os.environ, "EDGE_CONFIG": str(path), "CODE": program})
+        COMMAND, cwd=ROOT, env={**os.environ, "EDGE_CONFIG": str(path), "CODE": program}
+    )
     try:
         yield process, port, discovery
     finally:
@@ -154,13 +168,17 @@
 @pytest.mark.parametrize("step", ["hello", "took"])
 def test_sigterm_to_a_successor_in_the_middle_of_the_handover_ends_it_and_the_other_serves_on(tmp_path, step):
     """The one that serves is stopped, so that its next word does not come before the signal."""
+
     async def test():
         server = await FakeServer(lambda words: array(b"v")).start()
         async with platform(tmp_path, server) as made:
             old = await made.start(CODE=code())
             heir = await made.start(
-                ready=False, STEP=step, PREDECESSOR=str(old.process.pid),
-                CODE=code(before="stop_predecessor", after="end_here", step_s=NEVER_S))
+                ready=False,
+                STEP=step,
+                PREDECESSOR=str(old.process.pid),
+                CODE=code(before="stop_predecessor", after="end_here", step_s=NEVER_S),
+            )
             assert await heir.process.wait() == 0
             old.process.send_signal(signal.SIGCONT)
             answer, *_ = await ask_on(made, call(1), None)
@@ -178,7 +196,8 @@
 
 @pytest.mark.parametrize("step", ["start", "hello", "took"])
 def test_sigterm_between_a_successors_start_and_its_yes_answers_what_is_in_hand_and_loses_nobody(
-        tmp_path, step):
+    tmp_path, step
+):
     async def test():
         server = await FakeServer(lambda words: None if words[2].endswith(b"1") else array(b"v")).start()
         async with platform(tmp_path, server) as made:
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -35,8 +35,12 @@
 READ, POST = Call("read", "free", WHO), Call("post", "free", WHO, b"body", "k1")
 BUY = Call("buy", "free", WHO)
 CALLS = {"safe": READ, "keyed": POST, "unsafe": BUY}
-PLANS = (Plan("free"), Plan("tiny", rate=0.001, burst=2.0), Plan("one", max_in_flight=1),
-         Plan("held", rate=10.0, burst=1.0))
+PLANS = (
+    Plan("free"),
+    Plan("tiny", rate=0.001, burst=2.0),
+    Plan("one", max_in_flight=1),
+    Plan("held", rate=10.0, burst=1.0),
+)
 
 
 def clean(edge: Edge) -> None:
@@ -74,8 +78,9 @@
 def test_refused_and_failed_are_typed_and_say_why():
     async def test():
         server = FakeServer(lambda words: b"-ERR failed\r\n" if b"c=buy" in words[3] else array(b"v"))
-        async with node(server, plans=PLANS,
-                        limits=Limits(can_advise_retry=True, max_retry_after_ms=3000.0)) as gateway:
+        async with node(
+            server, plans=PLANS, limits=Limits(can_advise_retry=True, max_retry_after_ms=3000.0)
+        ) as gateway:
             edge = gateway.edge
             assert await edge.call(BUY) == Failed()
             tiny = replace(READ, plan="tiny", width=2)
@@ -90,19 +95,36 @@
     run(test())
 
 
-@pytest.mark.parametrize("field, changes", [
-    ("class_name", {"class_name": "none"}), ("class_name", {"class_name": None}), ("plan", {"plan": "none"}),
-    ("customer", {"customer": "zz"}), ("customer", {"customer": "00000003b4d65521"}),
-    ("customer", {"customer": 7}),
-    ("units", {"units": 0.0}), ("units", {"units": 2.0}), ("units", {"units": float("nan")}),
-    ("units", {"units": "1"}), ("units", {"units": True}), ("patience_ms", {"patience_ms": -1.0}),
-    ("patience_ms", {"patience_ms": float("inf")}), ("width", {"width": 0}), ("width", {"width": 3}),
-    ("first_gateway", {"first_gateway": 2}), ("first_gateway", {"first_gateway": 0.5}),
-    ("key", {"key": None}),
-    ("key", {"key": "a b"}), ("key", {"class_name": "buy"}), ("body", {"body": "text"}),
-    ("body", {"body": b"x" * (1 << 23)}), ("body", {"class_name": "read", "key": None}),
-    ("request_id", {"request_id": "a b"}), ("request_id", {"request_id": ""}),
-])
+@pytest.mark.parametrize(
+    "field, changes",
+    [
+        ("class_name", {"class_name": "none"}),
+        ("class_name", {"class_name": None}),
+        ("plan", {"plan": "none"}),
+        ("customer", {"customer": "zz"}),
+        ("customer", {"customer": "00000003b4d65521"}),
+        ("customer", {"customer": 7}),
+        ("units", {"units": 0.0}),
+        ("units", {"units": 2.0}),
+        ("units", {"units": float("nan")}),
+        ("units", {"units": "1"}),
+        ("units", {"units": True}),
+        ("patience_ms", {"patience_ms": -1.0}),
+        ("patience_ms", {"patience_ms": float("inf")}),
+        ("width", {"width": 0}),
+        ("width", {"width": 3}),
+        ("first_gateway", {"first_gateway": 2}),
+        ("first_gateway", {"first_gateway": 0.5}),
+        ("key", {"key": None}),
+        ("key", {"key": "a b"}),
+        ("key", {"class_name": "buy"}),
+        ("body", {"body": "text"}),
+        ("body", {"body": b"x" * (1 << 23)}),
+        ("body", {"class_name": "read", "key": None}),
+        ("request_id", {"request_id": "a b"}),
+        ("request_id", {"request_id": ""}),
+    ],
+)
 def test_bad_input_names_the_field_before_anything_is_charged(field, changes):
     async def test():
         server = FakeServer()
@@ -368,6 +390,7 @@
 
 def test_answer_that_came_while_a_reader_of_the_host_held_the_loop_up_is_read_before_its_time_is_called():
     """On uvloop timers come right behind what sockets called, and before sockets are looked at again."""
+
     async def test():
         server = FakeServer(lambda words: None)
         async with node(server, classes=(RequestClass("read", 200.0, 250.0, Effect.SAFE),)) as gateway:
@@ -564,9 +587,14 @@
         Room(**{name: value})
 
 
-@pytest.mark.parametrize("field, changes", [
-    ("name", {"name": ""}), ("host", {"host": ""}), ("port", {"port": 0}),
-])
+@pytest.mark.parametrize(
+    "field, changes",
+    [
+        ("name", {"name": ""}),
+        ("host", {"host": ""}),
+        ("port", {"port": 0}),
+    ],
+)
 def test_node_that_can_not_be_names_the_field(field, changes):
     with pytest.raises(FieldError, match=field):
         replace(Node("n", "127.0.0.1", 1), **changes)
--- a/tests/test_edge_scripts.py
+++ b/tests/test_edge_scripts.py
@@ -12,19 +12,28 @@
 from brackenloft.edge import Call, Edge, Failed, Granted, Node, Refused, Served
 from brackenloft.standins import BoardNode, Fault
 
-CLASSES = (RequestClass("read", 150.0, 250.0, Effect.SAFE), RequestClass("buy", 150.0, 250.0, Effect.UNSAFE),
-           RequestClass("post", 150.0, 250.0, Effect.KEYED, key_memory_ms=6000.0))
+CLASSES = (
+    RequestClass("read", 150.0, 250.0, Effect.SAFE),
+    RequestClass("buy", 150.0, 250.0, Effect.UNSAFE),
+    RequestClass("post", 150.0, 250.0, Effect.KEYED, key_memory_ms=6000.0),
+)
 NODES = 2
 NAMES = st.sampled_from([plan.name for plan in PLANS])
-STEPS = st.lists(st.one_of(
-    st.tuples(st.just("call"), st.sampled_from(("read", "buy", "post")), NAMES),
-    st.tuples(st.just("admit"), st.sampled_from(("read", "buy")), NAMES),
-    st.tuples(st.just("cancel"), st.integers(0, 20), st.none()),
-    st.tuples(st.just("fault"), st.integers(0, NODES - 1), st.sampled_from((None, *Fault))),
-    st.tuples(st.just("node"), st.integers(0, NODES - 1), st.sampled_from(("refuse", "restart", "drain"))),
-    st.tuples(st.just("stall"), st.sampled_from((30, 120, 300)), st.none()),
-    st.tuples(st.just("sleep"), st.sampled_from((0, 1, 20)), st.none()),
-), min_size=4, max_size=25)
+STEPS = st.lists(
+    st.one_of(
+        st.tuples(st.just("call"), st.sampled_from(("read", "buy", "post")), NAMES),
+        st.tuples(st.just("admit"), st.sampled_from(("read", "buy")), NAMES),
+        st.tuples(st.just("cancel"), st.integers(0, 20), st.none()),
+        st.tuples(st.just("fault"), st.integers(0, NODES - 1), st.sampled_from((None, *Fault))),
+        st.tuples(
+            st.just("node"), st.integers(0, NODES - 1), st.sampled_from(("refuse", "restart", "drain"))
+        ),
+        st.tuples(st.just("stall"), st.sampled_from((30, 120, 300)), st.none()),
+        st.tuples(st.just("sleep"), st.sampled_from((0, 1, 20)), st.none()),
+    ),
+    min_size=4,
+    max_size=25,
+)
 
 
 class Run:
--- a/tests/test_eureka.py
+++ b/tests/test_eureka.py
@@ -75,11 +75,16 @@
 
 
 FAULTS = {
-    "an error": {"status": 503}, "half a document": {"cut": 0.5}, "no document": {"body": b"<html>"},
-    "something else": {"body": b'{"error": "no"}'}, "another coding": {"encoding": "br"},
+    "an error": {"status": 503},
+    "half a document": {"cut": 0.5},
+    "no document": {"body": b"<html>"},
+    "something else": {"body": b'{"error": "no"}'},
+    "another coding": {"encoding": "br"},
     "another coding said": {"encoding": "br", "no_gzip": True},
-    "a coding that it is not": {"encoding": "gzip", "no_gzip": True}, "a byte at a time": {"byte_s": 0.05},
-    "a redirect": {"status": 302}, "another type": {"headers": {"Content-Type": "text/html"}},
+    "a coding that it is not": {"encoding": "gzip", "no_gzip": True},
+    "a byte at a time": {"byte_s": 0.05},
+    "a redirect": {"status": 302},
+    "another type": {"headers": {"Content-Type": "text/html"}},
 }
 
 
@@ -183,8 +188,16 @@
     run(test())
 
 
-@pytest.mark.parametrize("more", [{"xml": True}, {"compact": True}, {"vip": "board"}, {"vips": ["board"]},
-                                  {"xml": True, "compact": True, "deltas": False}])
+@pytest.mark.parametrize(
+    "more",
+    [
+        {"xml": True},
+        {"compact": True},
+        {"vip": "board"},
+        {"vips": ["board"]},
+        {"xml": True, "compact": True, "deltas": False},
+    ],
+)
 def test_each_form_that_can_be_asked_for(more):
     async def test():
         async with fleet("a", "b", **more) as world:
@@ -207,7 +220,8 @@
         skins = [await RegistryServer(book).start() for _ in range(3)]
         table = document([])
         table["eureka"][0]["servers"] = [
-            {"url": skin.url, "zone": zone} for skin, zone in zip(skins, ["z", "a", ""], strict=True)]
+            {"url": skin.url, "zone": zone} for skin, zone in zip(skins, ["z", "a", ""], strict=True)
+        ]
         async with fleet("a", table=table, book=book) as world:
             assert not skins[0].asked and skins[1].asked
             await skins[1].close()
@@ -270,21 +284,36 @@
         book = Registry(unix_ms)
         skin = await RegistryServer(book).start()
         table = document([skin.url], stale_after_s=0.4) | {
-            "combine": combine, "order": ["agent", "registry", "file"],
+            "combine": combine,
+            "order": ["agent", "registry", "file"],
             "discovery": [{"name": "agent", "address": f"127.0.0.1:{agent.port}"}],
-            "listed": [{"name": "file", "nodes": [{"name": "f", "host": "127.0.0.1", "port": 9}]}]}
+            "listed": [{"name": "file", "nodes": [{"name": "f", "host": "127.0.0.1", "port": 9}]}],
+        }
         async with fleet("a", table=table, book=book) as world:
             union = combine == "union"
             names = {name for name, _, _ in world.members.merge.nodes}
-            await until(lambda: {n for n, *_ in world.members.merge.nodes} == (
-                {"d", "BOARD/a", "f"} if union else {"d"}))
+            await until(
+                lambda: (
+                    {n for n, *_ in world.members.merge.nodes} == ({"d", "BOARD/a", "f"} if union else {"d"})
+                )
+            )
             board.draining = True
             await agent.put(board.row())
-            await until(lambda: not any(node.entry.state is ServerState.READY for key, node in
-                                        world.members.merge.nodes.items() if key[0] == "d"))
+            await until(
+                lambda: (
+                    not any(
+                        node.entry.state is ServerState.READY
+                        for key, node in world.members.merge.nodes.items()
+                        if key[0] == "d"
+                    )
+                )
+            )
             await agent.gone("d")
-            await until(lambda: {n for n, *_ in world.members.merge.nodes} == (
-                {"BOARD/a", "f"} if union else {"BOARD/a"}))
+            await until(
+                lambda: (
+                    {n for n, *_ in world.members.merge.nodes} == ({"BOARD/a", "f"} if union else {"BOARD/a"})
+                )
+            )
             assert names
         agent.close()
         board.close()
@@ -348,9 +377,16 @@
 
 
 @settings(max_examples=300, deadline=None)
-@given(st.lists(st.tuples(
-    st.sampled_from([200, 204, 404, 500, None]), st.floats(0.0, 60_000.0),
-    st.none() | st.sampled_from(list(State))), max_size=40))
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from([200, 204, 404, 500, None]),
+            st.floats(0.0, 60_000.0),
+            st.none() | st.sampled_from(list(State)),
+        ),
+        max_size=40,
+    )
+)
 def test_the_lease_is_never_told_too_often_and_ends(answers):
     lease, now, registered = Lease(3, 30_000.0), 0.0, -1e9
     for code, wait, state in answers:
@@ -376,6 +412,7 @@
 
 def test_no_new_work_reaches_a_withdrawn_node_after_it_was_learned():
     """A few of the flips of ``benchmarks.membership``, which plays thousands."""
+
     async def test():
         verdict = await flips(300, seed=2, pause_s=0.01)
         print(verdict)
--- a/tests/test_eureka_copy.py
+++ b/tests/test_eureka_copy.py
@@ -45,7 +45,7 @@
 def read(form, data: bytes, size: int) -> list[dict]:
     found = []
     for start in range(0, len(data), size):
-        found += list(form.feed(data[start:start + size]))
+        found += list(form.feed(data[start : start + size]))
     return found + form.end()
 
 
@@ -91,19 +91,36 @@
             read(form_of(f"text/{kind}; charset=utf-8"), data[:end], 4096)
 
 
-@pytest.mark.parametrize("kind, data", [
-    ("json", b""), ("json", b"[]"), ("json", b"{}"), ("json", b"7"), ("json", b'"x"'), ("json", b"null"),
-    ("json", b'{"applications": null}'), ("json", b'{"applications": {} ]'), ("json", b"\xff\xfe{}"),
-    ("json", b'{"applications" {}}'), ("json", b'{"applications": {,}}'), ("json", b"<applications/>"),
-    ("json", b'{"applications": {"application": [[[[[[[[[[]]]]]]]]]]}}'), ("json", b'{"a": 1 "b": 2}'),
-    ("json", b'{"applications": {"application": [{"instance": [{"a": ' + b"[" * 3000),
-    ("json", b'{"applications": {"application": [{"instance": [{"a": "' + b"x" * 300_000),
-    ("json", b'{"applications": {"x": tru}}' + b" " * 300_000),
-    ("xml", b""), ("xml", b"<html></html>"), ("xml", b"<applications>"), ("xml", b"{}"),
-    ("xml", b'<!DOCTYPE a [<!ENTITY b "x">]><applications>&b;</applications>'),
-    ("xml", b"<a>" * 20), ("xml", b"<applications><instance>" + b"<a/>" * 3000),
-    ("xml", b"<applications><instance>" + b"x" * 300_000),
-])
+@pytest.mark.parametrize(
+    "kind, data",
+    [
+        ("json", b""),
+        ("json", b"[]"),
+        ("json", b"{}"),
+        ("json", b"7"),
+        ("json", b'"x"'),
+        ("json", b"null"),
+        ("json", b'{"applications": null}'),
+        ("json", b'{"applications": {} ]'),
+        ("json", b"\xff\xfe{}"),
+        ("json", b'{"applications" {}}'),
+        ("json", b'{"applications": {,}}'),
+        ("json", b"<applications/>"),
+        ("json", b'{"applications": {"application": [[[[[[[[[[]]]]]]]]]]}}'),
+        ("json", b'{"a": 1 "b": 2}'),
+        ("json", b'{"applications": {"application": [{"instance": [{"a": ' + b"[" * 3000),
+        ("json", b'{"applications": {"application": [{"instance": [{"a": "' + b"x" * 300_000),
+        ("json", b'{"applications": {"x": tru}}' + b" " * 300_000),
+        ("xml", b""),
+        ("xml", b"<html></html>"),
+        ("xml", b"<applications>"),
+        ("xml", b"{}"),
+        ("xml", b'<!DOCTYPE a [<!ENTITY b "x">]><applications>&b;</applications>'),
+        ("xml", b"<a>" * 20),
+        ("xml", b"<applications><instance>" + b"<a/>" * 3000),
+        ("xml", b"<applications><instance>" + b"x" * 300_000),
+    ],
+)
 def test_what_is_no_list_is_said_to_be_none_within_bounds(kind, data):
     with pytest.raises(FormError):
         read(form_of(f"application/{kind}"), data, 4096)
@@ -142,14 +159,25 @@
 # ---- Instances
 
 
-@pytest.mark.parametrize("change, words", [
-    ({"ipAddr": "::1"}, "no IPv4"), ({"ipAddr": "no"}, "no IPv4"), ({"port": {"$": 70_000}}, "no port"),
-    ({"port": 1.5}, "no port"), ({"vipAddress": "x" * 300}, "300 characters"),
-    ({"port": {"$": 7001, "@enabled": "false"}}, "no plain port"),
-    ({"port": {"$": 7001, "@enabled": False}, "securePort": {"$": 7002, "@enabled": True}}, "no plain port"),
-    ({"metadata": {"cell": "many"}}, "metadata cell"), ({"metadata": {"weight": "-1"}}, "metadata weight"),
-    ({"metadata": {"startedAtMs": "nan"}}, "metadata startedAtMs"), ({"port": None}, "no plain port"),
-])
+@pytest.mark.parametrize(
+    "change, words",
+    [
+        ({"ipAddr": "::1"}, "no IPv4"),
+        ({"ipAddr": "no"}, "no IPv4"),
+        ({"port": {"$": 70_000}}, "no port"),
+        ({"port": 1.5}, "no port"),
+        ({"vipAddress": "x" * 300}, "300 characters"),
+        ({"port": {"$": 7001, "@enabled": "false"}}, "no plain port"),
+        (
+            {"port": {"$": 7001, "@enabled": False}, "securePort": {"$": 7002, "@enabled": True}},
+            "no plain port",
+        ),
+        ({"metadata": {"cell": "many"}}, "metadata cell"),
+        ({"metadata": {"weight": "-1"}}, "metadata weight"),
+        ({"metadata": {"startedAtMs": "nan"}}, "metadata startedAtMs"),
+        ({"port": None}, "no plain port"),
+    ],
+)
 def test_an_instance_that_cannot_be_used_costs_itself_alone_and_is_named(change, words):
     book, clock = book_of("a", "b")
     document = book.whole()
@@ -160,8 +188,16 @@
     assert change.unread == 1 and words in change.told[0] and copy.hashcode() == "UP_2_"
 
 
-@pytest.mark.parametrize("raw", [{}, {"app": "A"}, {"instanceId": "x"}, {"app": 7, "instanceId": []},
-                                 {"app": "A" * 300, "instanceId": "x"}])
+@pytest.mark.parametrize(
+    "raw",
+    [
+        {},
+        {"app": "A"},
+        {"instanceId": "x"},
+        {"app": 7, "instanceId": []},
+        {"app": "A" * 300, "instanceId": "x"},
+    ],
+)
 def test_an_instance_without_identity_is_none(raw):
     with pytest.raises(RowError):
         status_of(raw)
@@ -179,20 +215,36 @@
 
 
 def test_forms_of_older_servers_are_read():
-    raw = {"app": "board", "hostName": "10.0.0.7", "status": "up", "port": "7001", "metadata": "",
-           "overriddenstatus": "OUT_OF_SERVICE", "leaseInfo": None, "lastUpdatedTimestamp": "17",
-           "dataCenterInfo": {"name": "Amazon", "metadata": {
-               "instance-id": "i-1", "availability-zone": "z"}}}
+    raw = {
+        "app": "board",
+        "hostName": "10.0.0.7",
+        "status": "up",
+        "port": "7001",
+        "metadata": "",
+        "overriddenstatus": "OUT_OF_SERVICE",
+        "leaseInfo": None,
+        "lastUpdatedTimestamp": "17",
+        "dataCenterInfo": {"name": "Amazon", "metadata": {"instance-id": "i-1", "availability-zone": "z"}},
+    }
     found = row(raw)
     assert found.id == ("BOARD", "i-1") and found.port == 7001
     assert found.zone == "z" and ipv4(found) == "10.0.0.7"
     assert found.status == "UP" and not found.in_service and found.updated_ms == 17.0
 
 
-@pytest.mark.parametrize("status, override, ready", [
-    ("UP", "UNKNOWN", True), ("UP", "UP", True), ("UP", "OUT_OF_SERVICE", False), ("DOWN", "UP", False),
-    ("STARTING", "UNKNOWN", False), ("UNKNOWN", "UP", False), ("UP", "", True), ("up", None, True),
-])
+@pytest.mark.parametrize(
+    "status, override, ready",
+    [
+        ("UP", "UNKNOWN", True),
+        ("UP", "UP", True),
+        ("UP", "OUT_OF_SERVICE", False),
+        ("DOWN", "UP", False),
+        ("STARTING", "UNKNOWN", False),
+        ("UNKNOWN", "UP", False),
+        ("UP", "", True),
+        ("up", None, True),
+    ],
+)
 def test_in_service_is_what_both_the_status_and_the_override_say(status, override, ready):
     raw = {"app": "A", "instanceId": "x", "status": status, "overriddenStatus": override, "port": 1}
     assert row(raw).in_service is ready
@@ -200,8 +252,15 @@
 
 @pytest.mark.parametrize("port, expected", [("plain", 7001), ("secure", 7443), ("either", 7001)])
 def test_the_port_that_is_chosen(port, expected):
-    raw = {"app": "A", "instanceId": "x", "status": "UP", "ipAddr": "127.0.0.1", "port": 7001,
-           "securePort": {"$": "7443", "@enabled": "TRUE"}, "vipAddress": "p,q"}
+    raw = {
+        "app": "A",
+        "instanceId": "x",
+        "status": "UP",
+        "ipAddr": "127.0.0.1",
+        "port": 7001,
+        "securePort": {"$": "7443", "@enabled": "TRUE"},
+        "vipAddress": "p,q",
+    }
     reader = ServerReader(Choice(vips=("q",), port=port), Skew())
     assert reader(row(raw), None, Moment(1.0, True)).port == expected
     assert ServerReader(Choice(vips=("z",)), Skew())(row(raw), None, Moment(1.0, True)) is None
@@ -220,13 +279,17 @@
 # ---- The copy against the book
 
 
-STEPS = st.lists(st.one_of(
-    st.tuples(st.just("register"), st.integers(0, 5)), st.tuples(st.just("cancel"), st.integers(0, 5)),
-    st.tuples(st.just("status"), st.integers(0, 5), st.sampled_from(["UP", "DOWN", "STARTING"])),
-    st.tuples(st.just("override"), st.integers(0, 5), st.sampled_from(["OUT_OF_SERVICE", "UP", None])),
-    st.tuples(st.just("time"), st.sampled_from([1.0, 50_000.0, 200_000.0])),
-    st.tuples(st.sampled_from(["delta", "lost", "older", "whole", "restart"]), st.integers(0, 3)),
-), max_size=40)
+STEPS = st.lists(
+    st.one_of(
+        st.tuples(st.just("register"), st.integers(0, 5)),
+        st.tuples(st.just("cancel"), st.integers(0, 5)),
+        st.tuples(st.just("status"), st.integers(0, 5), st.sampled_from(["UP", "DOWN", "STARTING"])),
+        st.tuples(st.just("override"), st.integers(0, 5), st.sampled_from(["OUT_OF_SERVICE", "UP", None])),
+        st.tuples(st.just("time"), st.sampled_from([1.0, 50_000.0, 200_000.0])),
+        st.tuples(st.sampled_from(["delta", "lost", "older", "whole", "restart"]), st.integers(0, 3)),
+    ),
+    max_size=40,
+)
 
 
 class Pair:
@@ -244,9 +307,13 @@
 
     def change(self, kind: str, name: str, more: str | None = None) -> None:
         book = self.book
-        {"register": lambda: book.register(APP, info(name, 7001 + int(name))),
-         "cancel": lambda: book.cancel(APP, name), "status": lambda: book.renew(APP, name, more),
-         "override": lambda: book.override(APP, name, more), "restart": book.restart}[kind]()
+        {
+            "register": lambda: book.register(APP, info(name, 7001 + int(name))),
+            "cancel": lambda: book.cancel(APP, name),
+            "status": lambda: book.renew(APP, name, more),
+            "override": lambda: book.override(APP, name, more),
+            "restart": book.restart,
+        }[kind]()
 
     def ask(self, kind: str, back: int) -> None:
         if kind == "whole":
@@ -269,7 +336,8 @@
     def check_book(self) -> None:
         assert {name: item.ready for name, item in self.view.items()} == {
             f"{app}/{name}": lease.shown == "UP" and lease.override in ("UNKNOWN", "UP")
-            for (app, name), lease in self.book.leases.items()}
+            for (app, name), lease in self.book.leases.items()
+        }
 
 
 @settings(max_examples=300, deadline=None)
@@ -405,8 +473,9 @@
         change = whole(copy, book.whole(), clock.now)
     else:
         change = copy.delta(rows_of(book.delta()), clock.now)
-    assert started(copy) == before and all(item.started_ms == clock.now - HOUR - 30_000.0
-                                           for item in change.changed)
+    assert started(copy) == before and all(
+        item.started_ms == clock.now - HOUR - 30_000.0 for item in change.changed
+    )
     clock.now += copies.AFTERMATH_MS
     book.cancel(APP, "3")
     book.register(APP, info("3", 7004))
@@ -415,8 +484,9 @@
     assert not copy.forgotten
 
 
-@given(ahead=st.floats(-1e9, 1e9),
-       answers=st.lists(st.tuples(st.floats(0, 5000), st.floats(0, 900)), max_size=9))
+@given(
+    ahead=st.floats(-1e9, 1e9), answers=st.lists(st.tuples(st.floats(0, 5000), st.floats(0, 900)), max_size=9)
+)
 def test_a_start_by_our_clock_is_never_too_early_and_never_in_the_future(ahead, answers):
     skew, now = Skew(), 1e12
     for wait, way in answers:
@@ -453,8 +523,17 @@
         now = max(now, plan.at)
         asked.append((plan.server, waits))
         rounds.failed_once(now, 0.5)
-    assert asked == [(1, False), (3, False), (0, False), (2, False), (1, True), (3, False), (0, False),
-                     (2, False), (1, True)]
+    assert asked == [
+        (1, False),
+        (3, False),
+        (0, False),
+        (2, False),
+        (1, True),
+        (3, False),
+        (0, False),
+        (2, False),
+        (1, True),
+    ]
     assert rounds.at == now  # the second of the next round is asked at once
 
 
--- a/tests/test_eureka_others.py
+++ b/tests/test_eureka_others.py
@@ -18,8 +18,14 @@
 
     async def start(self, url: str, port: int) -> "Theirs":
         self.process = await asyncio.create_subprocess_exec(
-            sys.executable, str(Path(__file__).parent / "other_client.py"), url, str(port),
-            stdin=subprocess.PIPE, stdout=subprocess.PIPE, stderr=subprocess.DEVNULL)
+            sys.executable,
+            str(Path(__file__).parent / "other_client.py"),
+            url,
+            str(port),
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.DEVNULL,
+        )
         return self
 
     async def do(self, *words: str):
@@ -46,7 +52,9 @@
             await until(lambda: len(world.book.renewals) > renewed)
 
             assert await theirs.do("apps") == {
-                "count": world.book.hashcode(), "instances": {NAME: [port, True, "7"]}}
+                "count": world.book.hashcode(),
+                "instances": {NAME: [port, True, "7"]},
+            }
             assert (await theirs.do("vip"))["instances"] == {NAME: [port, True, "7"]}
             assert (await theirs.do("delta"))["instances"][NAME] == [port, True, "7"]
             dirty = str(world.book.leases[APP, NAME].info["lastDirtyTimestamp"])
--- a/tests/test_fleet_cli.py
+++ b/tests/test_fleet_cli.py
@@ -23,9 +23,11 @@
 @contextmanager
 def stores(count=3):
     """So many store processes; their ports."""
+
     async def start():
         helpers = [Helper("brackenloft.lab.fleet.store") for _ in range(count)]
         return helpers, [(await helper.start())["port"] for helper in helpers]
+
     loop = asyncio.new_event_loop()
     helpers, ports = loop.run_until_complete(start())
     try:
@@ -92,7 +94,8 @@
     example["site"] |= {"gateways": 2, "index": index}
     path.write_text(json.dumps(example | {"listen": "127.0.0.1:0", "admin": "127.0.0.1:0", "fleet": fleet}))
     return subprocess.Popen(
-        [sys.executable, "-m", "brackenloft.lab.fleet.gateway", "serve", "--config", str(path)])
+        [sys.executable, "-m", "brackenloft.lab.fleet.gateway", "serve", "--config", str(path)]
+    )
 
 
 def wait_for(capsys, path, fits):
@@ -130,16 +133,23 @@
                 process.wait()
 
 
-@pytest.mark.parametrize("change, words", [
-    ({"stores": []}, "stores"), ({"lease_ms": 500.0}, "lease_ms"), ({"drift": 0.5}, "drift"),
-    ({"prefix": "a b"}, "prefix"), ({"log": "xml"}, "log"),
-    ({"tasks": [{"name": "X", "kind": "probe"}]}, "tasks[0]"),
-    ({"tasks": [{"name": "x", "kind": "odd"}]}, "kind"),
-    ({"tasks": [{"name": "x", "kind": "probe"}] * 2}, "twice"),
-    ({"tasks": [{"name": "x", "kind": "probe", "every_ms": 1.0}]}, "every_ms"), ({"nonsense": 1}, "nonsense"),
-    ({"stores": [{"name": "s0", "url": "http://x:secret@y"}] * 3}, "url"),
-    ({"trial": {"clock_rate": 9.0}}, "clock_rate"),
-])
+@pytest.mark.parametrize(
+    "change, words",
+    [
+        ({"stores": []}, "stores"),
+        ({"lease_ms": 500.0}, "lease_ms"),
+        ({"drift": 0.5}, "drift"),
+        ({"prefix": "a b"}, "prefix"),
+        ({"log": "xml"}, "log"),
+        ({"tasks": [{"name": "X", "kind": "probe"}]}, "tasks[0]"),
+        ({"tasks": [{"name": "x", "kind": "odd"}]}, "kind"),
+        ({"tasks": [{"name": "x", "kind": "probe"}] * 2}, "twice"),
+        ({"tasks": [{"name": "x", "kind": "probe", "every_ms": 1.0}]}, "every_ms"),
+        ({"nonsense": 1}, "nonsense"),
+        ({"stores": [{"name": "s0", "url": "http://x:secret@y"}] * 3}, "url"),
+        ({"trial": {"clock_rate": 9.0}}, "clock_rate"),
+    ],
+)
 def test_a_file_that_can_not_be_used_is_told_with_its_key(tmp_path, change, words):
     path = Path(write(tmp_path, [1, 2, 3], **change))
     with pytest.raises(ConfigError, match=words.replace("[", r"\[")) as caught:
@@ -162,28 +172,36 @@
 
 
 def test_bare_run_imports_nothing_of_it():
-    code = ("import sys, brackenloft.__main__; packages = ('redis', 'msgspec', 'typer', 'clandestined'); "
-            "print([name for name in sys.modules if name.split('.')[0] in packages"
-            " or name.startswith('brackenloft.fleet')])")
+    code = (
+        "import sys, brackenloft.__main__; packages = ('redis', 'msgspec', 'typer', 'clandestined'); "
+        "print([name for name in sys.modules if name.split('.')[0] in packages"
+        " or name.startswith('brackenloft.fleet')])"
+    )
     done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
     assert done.stdout.strip() == "[]"
 
 
 def lines_of(formats, events):
     """What a program with this format writes of some events, each a call of the logger."""
-    code = ("import logging, sys; from brackenloft.fleet.logs import as_json, logger;"
-            "logging.basicConfig(stream=sys.stdout, level=logging.INFO, format='%(message)s');"
-            + ("as_json();" if formats == "json" else "") + "log = logger('x');" + events)
+    code = (
+        "import logging, sys; from brackenloft.fleet.logs import as_json, logger;"
+        "logging.basicConfig(stream=sys.stdout, level=logging.INFO, format='%(message)s');"
+        + ("as_json();" if formats == "json" else "")
+        + "log = logger('x');"
+        + events
+    )
     done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
     return done.stdout.splitlines()
 
 
 @pytest.mark.trials
 def test_lines_of_the_log_carry_their_fields_and_odd_ones_do_no_harm():
-    events = ("log.info('task taken', task='t%s', token=7, why='');"
-              "log.info('odd', text='\\ud800\\n' + 'x' * 9999); log.debug('not shown');"
-              "logging.getLogger('y').warning('plain %d', 5);"
-              "\ntry: 1 / 0\nexcept ZeroDivisionError: log.exception('run failed', task='t')")
+    events = (
+        "log.info('task taken', task='t%s', token=7, why='');"
+        "log.info('odd', text='\\ud800\\n' + 'x' * 9999); log.debug('not shown');"
+        "logging.getLogger('y').warning('plain %d', 5);"
+        "\ntry: 1 / 0\nexcept ZeroDivisionError: log.exception('run failed', task='t')"
+    )
     text = lines_of("text", events)
     assert text[0] == "task taken task=t%s token=7" and len(text[1]) < 400 and text[2] == "plain 5"
     rows = [json.loads(line) for line in lines_of("json", events)]
--- a/tests/test_fleet_leases.py
+++ b/tests/test_fleet_leases.py
@@ -20,10 +20,18 @@
 
 # ---- Pure: leases
 
-@given(st.floats(0.0, 0.05), st.floats(-1.0, 1.0), st.floats(-1.0, 1.0), st.floats(0.0, 1e4),
-       st.floats(0.0, 1e4), st.floats(100.0, 1e5))
+
+@given(
+    st.floats(0.0, 0.05),
+    st.floats(-1.0, 1.0),
+    st.floats(-1.0, 1.0),
+    st.floats(0.0, 1e4),
+    st.floats(0.0, 1e4),
+    st.floats(100.0, 1e5),
+)
 def test_a_holder_stops_before_another_begins_whatever_its_messages_took(
-        drift, mine, theirs, took_ms, seen_ms, length):
+    drift, mine, theirs, took_ms, seen_ms, length
+):
     """Asked at true time 0, chosen after ``took_ms``, seen by another ``seen_ms`` after that.
 
     ``mine`` and ``theirs``: how the clocks run, as parts of what they may run apart by.
@@ -64,8 +72,18 @@
             lease = after
 
 
-@pytest.mark.parametrize("data", [b"{}", b"[]", b"\xff", b'{"token":-1}', b'{"token":1,"form":2}',
-                                  b'{"token":1,"length_ms":0}', b'{"token":1e400}'])
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"{}",
+        b"[]",
+        b"\xff",
+        b'{"token":-1}',
+        b'{"token":1,"form":2}',
+        b'{"token":1,"length_ms":0}',
+        b'{"token":1e400}',
+    ],
+)
 def test_what_no_gateway_writes_is_no_lease(data):
     with pytest.raises(NonsenseError):
         model.read(Held(1, "x", data))
@@ -126,6 +144,7 @@
 
 # ---- On loopback
 
+
 def test_one_holds_and_another_only_once_it_was_not_renewed():
     async def test():
         async with fleet(ME, OTHER) as ((mine, theirs), clock, _):
@@ -164,6 +183,7 @@
             async def slow(*words):
                 clock.ms += 5000.0  # its answer takes so long
                 return await plain(*words)
+
             mine.registers.change = slow
             asked = clock.ms
             assert await held.renew()
@@ -214,7 +234,12 @@
 @given(st.integers(0, 1 << 30))
 def test_leases_of_any_content_are_written_and_read_alike(seed):
     dice = random.Random(seed)
-    lease = Lease(dice.randrange(1 << 50), beat=dice.randrange(99), holder=dice.choice(["", "0-a"]),
-                  lost=tuple(f"{n}-x" for n in range(dice.randrange(4))), paused=dice.choice(["", "weil ☂"]),
-                  checkpoint="x" * dice.randrange(model.MOST_CHECKPOINT))
+    lease = Lease(
+        dice.randrange(1 << 50),
+        beat=dice.randrange(99),
+        holder=dice.choice(["", "0-a"]),
+        lost=tuple(f"{n}-x" for n in range(dice.randrange(4))),
+        paused=dice.choice(["", "weil ☂"]),
+        checkpoint="x" * dice.randrange(model.MOST_CHECKPOINT),
+    )
     assert model.read(Held(1, "x", model.write(lease))) == lease
--- a/tests/test_fleet_registers.py
+++ b/tests/test_fleet_registers.py
@@ -35,7 +35,8 @@
 MEMBERS = Members(1, 0, STORES)
 BALLOTS = st.builds(Ballot, st.integers(1, 50), st.sampled_from(["a", "b.1", "c-2"]))
 HELD = st.none() | st.builds(
-    Held, st.integers(1, 99), st.sampled_from(["a.1", "b-2"]), st.binary(max_size=40))
+    Held, st.integers(1, 99), st.sampled_from(["a.1", "b-2"]), st.binary(max_size=40)
+)
 
 
 @given(BALLOTS, BALLOTS, HELD)
@@ -44,10 +45,19 @@
     assert model.read(model.write(slot)) == slot
 
 
-@pytest.mark.parametrize("text", [
-    b"", b"x", b"1 1 a 2 b 0 -\n", b"2 1 a 1 a 0 -\n", b"1 1 a 1 a 1 -\nx", b"1 1 a 1 a 0 -\nx",
-    b"1 1 a 0 - 0 -\n" + b"x" * model.MOST_SLOT, b"1 1 \xff 0 - 0 -\n",
-])
+@pytest.mark.parametrize(
+    "text",
+    [
+        b"",
+        b"x",
+        b"1 1 a 2 b 0 -\n",
+        b"2 1 a 1 a 0 -\n",
+        b"1 1 a 1 a 1 -\nx",
+        b"1 1 a 1 a 0 -\nx",
+        b"1 1 a 0 - 0 -\n" + b"x" * model.MOST_SLOT,
+        b"1 1 \xff 0 - 0 -\n",
+    ],
+)
 def test_what_no_gateway_writes_is_no_slot(text):
     with pytest.raises(NonsenseError):
         model.read(text)
@@ -73,8 +83,10 @@
     chosen: list[Held] = []
     rounds: list[Round] = []
     for number in range(6):
+
         def append(held, number=number):
             return (held.data if held else b"") + bytes([number])
+
         rounds.append(Round(MEMBERS, Ballot(dice.randint(1, 6), f"g{number}"), f"g{number}", append))
     asked = {number: set() for number in range(6)}
     for _ in range(200):
@@ -142,13 +154,33 @@
 def test_a_store_that_is_not_the_process_that_was_enrolled_has_no_vote():
     member, running = STORES[0], Running("r1", "d1")
     own, known = places.write_self(member, running), places.write(MEMBERS)
-    judged = [places.judge(member, *rest, MEMBERS)[0] for rest in (
-        (running, own, known), (Running("r2", "d1"), own, known), (Running("r1", "d2"), own, known),
-        (running, None, known), (running, own, None), (running, b"x", known), (running, own, b"{}"),
-        (running, places.write_self(STORES[1], running), known), (None, own, known),
-        (running, own, places.write(Members(2, 0, STORES))))]
-    assert judged == [None, Why.RESTARTED, Why.RESTARTED, Why.BLANK, Why.BLANK, Why.NONSENSE, Why.NONSENSE,
-                      Why.FOREIGN, None, Why.NEWER]
+    judged = [
+        places.judge(member, *rest, MEMBERS)[0]
+        for rest in (
+            (running, own, known),
+            (Running("r2", "d1"), own, known),
+            (Running("r1", "d2"), own, known),
+            (running, None, known),
+            (running, own, None),
+            (running, b"x", known),
+            (running, own, b"{}"),
+            (running, places.write_self(STORES[1], running), known),
+            (None, own, known),
+            (running, own, places.write(Members(2, 0, STORES))),
+        )
+    ]
+    assert judged == [
+        None,
+        Why.RESTARTED,
+        Why.RESTARTED,
+        Why.BLANK,
+        Why.BLANK,
+        Why.NONSENSE,
+        Why.NONSENSE,
+        Why.FOREIGN,
+        None,
+        Why.NEWER,
+    ]
     marks = Marks()
     assert marks.seen(member, "x", Slot(Ballot(5, "a")))
     assert not marks.seen(member, "x", Slot(Ballot(4, "a")))
@@ -166,6 +198,7 @@
 
 # ---- On loopback
 
+
 class Rig:
     """Stores, and processes' views of them."""
 
@@ -173,8 +206,10 @@
         self.counters, self.extra, self.open = counters, extra, []
 
     def registers(self, who):
-        stores = {f"s{number}": Store(f"redis://127.0.0.1:{counter.port}", "fleet", 0.4)
-                  for number, counter in enumerate([*self.counters, *self.extra])}
+        stores = {
+            f"s{number}": Store(f"redis://127.0.0.1:{counter.port}", "fleet", 0.4)
+            for number, counter in enumerate([*self.counters, *self.extra])
+        }
         made = Registers(stores, places.first(["s0", "s1", "s2"], 1000, "a"), who, seed=1)
         self.open.append(made)
         return made
@@ -215,8 +250,9 @@
     run(test())
 
 
-@pytest.mark.parametrize("mood", [
-    Mood.READONLY, Mood.LOADING, Mood.NOAUTH, Mood.MOVED, Mood.GARBLED, Mood.HUGE, Mood.SILENT])
+@pytest.mark.parametrize(
+    "mood", [Mood.READONLY, Mood.LOADING, Mood.NOAUTH, Mood.MOVED, Mood.GARBLED, Mood.HUGE, Mood.SILENT]
+)
 def test_a_store_in_a_bad_mood_has_no_vote_and_does_no_harm(mood):
     async def test():
         async with rig() as (made, _):
@@ -294,6 +330,7 @@
 @pytest.mark.parametrize("after", ["decided", "told", "settled"])
 def test_a_replacement_that_is_cut_short_goes_on_where_it_stopped(after):
     """The command is given again after each of its steps was done and the next one was not."""
+
     async def test():
         async with rig(extra=1) as (made, operator):
             one = made.registers("g0.a")
--- a/tests/test_fleet_tasks.py
+++ b/tests/test_fleet_tasks.py
@@ -35,8 +35,14 @@
 
 def book(index=0, rank=0, gateways=10, **more):
     view = View()
-    made = Book.of(Me(f"{index}-x", index), Terms(1000.0, 0.01), [Spec("t", **more)], {"t": rank},
-                   {"t": view}.__getitem__, gateways)
+    made = Book.of(
+        Me(f"{index}-x", index),
+        Terms(1000.0, 0.01),
+        [Spec("t", **more)],
+        {"t": rank},
+        {"t": view}.__getitem__,
+        gateways,
+    )
     return made, view
 
 
@@ -122,23 +128,43 @@
 @pytest.mark.trials
 @pytest.mark.parametrize("seed", range(6))
 def test_in_virtual_time_no_two_hold_and_all_tasks_go_on(seed):
-    plan = Plan(gateways=12, tasks=4, length_ms=1000.0, every_ms=300.0, seconds=25.0, lost=0.03, cut=0.03,
-                stopped=0.03)
+    plan = Plan(
+        gateways=12,
+        tasks=4,
+        length_ms=1000.0,
+        every_ms=300.0,
+        seconds=25.0,
+        lost=0.03,
+        cut=0.03,
+        stopped=0.03,
+    )
     shown = figures(Fleet(plan, seed).run())
     assert shown["two_holders"] == 0 and shown["taken"] >= 4
 
 
 @pytest.mark.trials
 def test_in_virtual_time_a_guard_that_is_too_short_is_found():
-    plan = Plan(gateways=12, tasks=4, length_ms=1000.0, every_ms=300.0, seconds=25.0, lost=0.03, cut=0.03,
-                stopped=0.03, short_guard=True)
+    plan = Plan(
+        gateways=12,
+        tasks=4,
+        length_ms=1000.0,
+        every_ms=300.0,
+        seconds=25.0,
+        lost=0.03,
+        cut=0.03,
+        stopped=0.03,
+        short_guard=True,
+    )
     assert sum(figures(Fleet(plan, seed).run())["two_holders"] for seed in range(3)) > 0
 
 
 # ---- Sweeping
 
-@given(st.lists(st.dictionaries(st.sampled_from(["0.a", "1.b", "2.c"]), st.integers(0, 5)), max_size=12),
-       st.integers(0, 11))
+
+@given(
+    st.lists(st.dictionaries(st.sampled_from(["0.a", "1.b", "2.c"]), st.integers(0, 5)), max_size=12),
+    st.integers(0, 11),
+)
 def test_who_stands_still_is_told_by_its_beat_also_over_a_change_of_holders(beats, change):
     ages = Ages(300.0)
     for at, seen in enumerate(beats):
@@ -147,7 +173,7 @@
             ages = Ages.of(300.0, ages.standing(0), now)
         ages.saw(seen, now)
         for name in ages.ended():
-            still = [row.get(name) for row in beats[max(0, at - 3):at + 1]]
+            still = [row.get(name) for row in beats[max(0, at - 3) : at + 1]]
             assert len(set(still)) == 1 and still[0] is not None
     assert len(Ages.of(1.0, Standing(), 0.0).ended()) == 0
 
@@ -158,6 +184,7 @@
 
 # ---- On loopback
 
+
 class Recorder:
     """A job that says what it was given."""
 
@@ -235,6 +262,7 @@
 
                 async def save(self, checkpoint):
                     self.checkpoint = checkpoint
+
             given_ = Given()
             async with held.act() as given_.act:
                 for step in range(5):
--- a/tests/test_fleet_trials.py
+++ b/tests/test_fleet_trials.py
@@ -63,9 +63,10 @@
 
 
 @trials
-@pytest.mark.parametrize("mutant, name, kind", [
-    ("no_check", "stopped_holder", "two_holders"),
-    ("token_not_compared", "late_effects", "stale_effects")])
+@pytest.mark.parametrize(
+    "mutant, name, kind",
+    [("no_check", "stopped_holder", "two_holders"), ("token_not_compared", "late_effects", "stale_effects")],
+)
 def test_a_guard_that_is_taken_out_of_the_processes_is_found(mutant, name, kind):
     plan = shelf(name, mutant=mutant)
     assert any(play(plan).counts[kind] for _ in range(3)), mutant  # a stop may fall between acts
@@ -73,6 +74,7 @@
 
 # ---- The checkers themselves
 
+
 def acts(task, who, token, *moments, run=1):
     row = {"kind": "acts", "task": task, "who": who, "token": token, "run": run}
     return [row | {"at": at} for at in moments]
@@ -89,8 +91,9 @@
 
 def test_an_effect_with_a_smaller_token_is_found_at_its_place():
     rows = [("p", 1), ("q", 9), ("p", 2), ("p", 2), ("q", 8), ("p", 1)]
-    events = [{"kind": "effect", "at": at, "place": place, "token": token}
-              for at, (place, token) in enumerate(rows)]
+    events = [
+        {"kind": "effect", "at": at, "place": place, "token": token} for at, (place, token) in enumerate(rows)
+    ]
     assert [line.partition(":")[0] for line in check.tokens(events)] == ["q", "p"]
 
 
@@ -101,12 +104,25 @@
     assert check.goes_on(events, [(0.0, 500.0)], ["t"], 700.0) == []
 
 
-OPS = st.lists(st.builds(
-    lambda begin, long, kind, version, data, took: Op(
-        begin, CUT_MS if took is None and kind == "cas" else begin + long, kind, version, data,
-        True if kind == "read" else took),
-    st.integers(0, 12), st.integers(1, 8), st.sampled_from(["read", "cas"]), st.integers(0, 2),
-    st.sampled_from(["", "a", "b"]), st.sampled_from([True, True, False, None])), max_size=5)
+OPS = st.lists(
+    st.builds(
+        lambda begin, long, kind, version, data, took: Op(
+            begin,
+            CUT_MS if took is None and kind == "cas" else begin + long,
+            kind,
+            version,
+            data,
+            True if kind == "read" else took,
+        ),
+        st.integers(0, 12),
+        st.integers(1, 8),
+        st.sampled_from(["read", "cas"]),
+        st.integers(0, 2),
+        st.sampled_from(["", "a", "b"]),
+        st.sampled_from([True, True, False, None]),
+    ),
+    max_size=5,
+)
 
 
 def by_hand(ops):
@@ -159,8 +175,13 @@
 def test_nothing_is_promised_where_two_stores_are_in_trouble_or_all_gateways():
     plan = Schedule(length_ms=10_000.0)
     assert schedule.promised(plan) == [(0.0, 10_000.0)] * plan.gateways
-    two = msgspec.structs.replace(plan, faults=(
-        schedule.Fault(1000.0, "stop", ("s0",), 1000.0), schedule.Fault(1500.0, "kill", ("s1",), 100.0)))
+    two = msgspec.structs.replace(
+        plan,
+        faults=(
+            schedule.Fault(1000.0, "stop", ("s0",), 1000.0),
+            schedule.Fault(1500.0, "kill", ("s1",), 100.0),
+        ),
+    )
     assert schedule.promised(two) == [(2000.0 + schedule.AGAIN_MS, 10_000.0)]
     one = msgspec.structs.replace(plan, gateways=1, faults=(schedule.Fault(1000.0, "stop", ("0",), 500.0),))
     assert schedule.promised(one) == [(0.0, 1000.0), (1500.0 + schedule.AGAIN_MS, 10_000.0)]
@@ -169,8 +190,12 @@
 @trials
 def test_the_benchmark_runs_in_small():
     done = subprocess.run(
-        [sys.executable, "-m", "benchmarks.leases", "--smoke"], cwd=Path(__file__).parent.parent,
-        capture_output=True, text=True, check=True)
+        [sys.executable, "-m", "benchmarks.leases", "--smoke"],
+        cwd=Path(__file__).parent.parent,
+        capture_output=True,
+        text=True,
+        check=True,
+    )
     shown = json.loads(done.stdout.splitlines()[-1])
     assert all(shown[name] == 0 for name in NEVER) and shown["mutants_found"] >= 4
     assert shown["takeover_s_p99_over_lease"] > 0.0 and shown["plain_lease_two_holders"] > 0
