--- a/tests/test_graphql.py
+++ b/tests/test_graphql.py
@@ -34,11 +34,25 @@
 from brackenloft.standins.graphql import GraphqlBoard
 
 WHO = "00000000b4d65521"
-PLANS = (Plan("free"), Plan("ten", rate=10.0, burst=10.0), Plan("tiny", rate=0.001, burst=2.0),
-         Plan("hundred", rate=0.001, burst=100.0))
-SETTINGS = replace(SITE, plans=PLANS, gateways=1, settles=True, limits=SiteLimits(
-    max_attempts=3, can_cancel=True, can_advise_retry=True, max_retry_after_ms=3000.0,
-    connect_timeout_ms=500.0))
+PLANS = (
+    Plan("free"),
+    Plan("ten", rate=10.0, burst=10.0),
+    Plan("tiny", rate=0.001, burst=2.0),
+    Plan("hundred", rate=0.001, burst=100.0),
+)
+SETTINGS = replace(
+    SITE,
+    plans=PLANS,
+    gateways=1,
+    settles=True,
+    limits=SiteLimits(
+        max_attempts=3,
+        can_cancel=True,
+        can_advise_retry=True,
+        max_retry_after_ms=3000.0,
+        connect_timeout_ms=500.0,
+    ),
+)
 READ = "{ boards(first: 3) { id } }"
 BUY = "mutation { buyHighlight(board: 1, days: 2) { id } }"
 POST = 'mutation { postNotice(board: 1, text: "x") { id } }'
@@ -55,9 +69,16 @@
 
     async def post(self, text=READ, variables=None, plan="free", headers=None, **more) -> httpx.Response:
         body = {"query": text, **({"variables": variables} if variables is not None else {}), **more}
-        return await self.http.post("/graphql", json=body, headers={
-            "x-customer": WHO, "x-plan": plan, "accept": "application/graphql-response+json",
-            **(headers or {})})
+        return await self.http.post(
+            "/graphql",
+            json=body,
+            headers={
+                "x-customer": WHO,
+                "x-plan": plan,
+                "accept": "application/graphql-response+json",
+                **(headers or {}),
+            },
+        )
 
     @property
     def runs(self) -> int:
@@ -68,8 +89,9 @@
 
 
 @asynccontextmanager
-async def world(nodes=1, sdl=BOARD, script=None, limits=None, price=None, settings=SETTINGS, reading=None,
-                **more):
+async def world(
+    nodes=1, sdl=BOARD, script=None, limits=None, price=None, settings=SETTINGS, reading=None, **more
+):
     priced = load(sdl, settings)
     boards = [await GraphqlBoard(priced.schema, script=script, **more).start() for _ in range(nodes)]
     async with Edge(settings, Room(100, 100), seed=1) as edge:
@@ -126,14 +148,22 @@
     run(test())
 
 
-@pytest.mark.parametrize("accept, status, kind", [
-    ("application/graphql-response+json", 400, "application/graphql-response+json"),
-    ("application/json", 200, "application/json"), ("*/*", 200, "application/json"),
-    ("", 200, "application/json"),
-    ("application/json;q=0.5, application/graphql-response+json", 400, "application/graphql-response+json"),
-    ("text/html", 406, "application/graphql-response+json"),
-    ("application/*;q=0", 406, "application/graphql-response+json"),
-])
+@pytest.mark.parametrize(
+    "accept, status, kind",
+    [
+        ("application/graphql-response+json", 400, "application/graphql-response+json"),
+        ("application/json", 200, "application/json"),
+        ("*/*", 200, "application/json"),
+        ("", 200, "application/json"),
+        (
+            "application/json;q=0.5, application/graphql-response+json",
+            400,
+            "application/graphql-response+json",
+        ),
+        ("text/html", 406, "application/graphql-response+json"),
+        ("application/*;q=0", 406, "application/graphql-response+json"),
+    ],
+)
 def test_media_types_and_their_status_for_a_bad_document(accept, status, kind):
     async def test():
         async with world() as made:
@@ -143,38 +173,63 @@
     run(test())
 
 
-@pytest.mark.parametrize("content, kind, status, said", [
-    (b"{", "application/json", 400, "BAD_REQUEST"), (b"[]", "application/json", 400, "BAD_REQUEST"),
-    (b"7", "application/json", 400, "BAD_REQUEST"), (b"{}", "application/json", 400, "BAD_REQUEST"),
-    (b'{"query": 7}', "application/json", 400, "BAD_REQUEST"),
-    (b'{"query": "{ a }", "variables": []}', "application/json", 400, "BAD_REQUEST"),
-    (b'{"query": "{ a }", "variables": {"a": NaN}}', "application/json", 400, "BAD_REQUEST"),
-    (b'{"query": "{ a }", "operationName": {}}', "application/json", 400, "BAD_REQUEST"),
-    (b'{"query": "{ a }", "variables": {"a": ' + b"[" * 900 + b"]" * 900 + b"}}", "application/json", 400,
-     "TOO_DEEP"),
-    (b"[" * 60_000, "application/json", 400, "BAD_REQUEST"),
-    (b"x" * 70_000, "application/json", 413, "TOO_MANY_BYTES"),
-    (b'{"query": "{ a }"}', "text/plain", 415, "BAD_REQUEST"),
-    (b'{"query": "{ a }"}', "application/json; charset=latin-1", 415, "BAD_REQUEST"),
-    (b'{"query": "\xff"}', "application/json", 400, "BAD_REQUEST"),
-    (b'{"extensions": {"persistedQuery": {"version": 2, "sha256Hash": "x"}}}', "application/json", 400,
-     "BAD_REQUEST"),
-])
+@pytest.mark.parametrize(
+    "content, kind, status, said",
+    [
+        (b"{", "application/json", 400, "BAD_REQUEST"),
+        (b"[]", "application/json", 400, "BAD_REQUEST"),
+        (b"7", "application/json", 400, "BAD_REQUEST"),
+        (b"{}", "application/json", 400, "BAD_REQUEST"),
+        (b'{"query": 7}', "application/json", 400, "BAD_REQUEST"),
+        (b'{"query": "{ a }", "variables": []}', "application/json", 400, "BAD_REQUEST"),
+        (b'{"query": "{ a }", "variables": {"a": NaN}}', "application/json", 400, "BAD_REQUEST"),
+        (b'{"query": "{ a }", "operationName": {}}', "application/json", 400, "BAD_REQUEST"),
+        (
+            b'{"query": "{ a }", "variables": {"a": ' + b"[" * 900 + b"]" * 900 + b"}}",
+            "application/json",
+            400,
+            "TOO_DEEP",
+        ),
+        (b"[" * 60_000, "application/json", 400, "BAD_REQUEST"),
+        (b"x" * 70_000, "application/json", 413, "TOO_MANY_BYTES"),
+        (b'{"query": "{ a }"}', "text/plain", 415, "BAD_REQUEST"),
+        (b'{"query": "{ a }"}', "application/json; charset=latin-1", 415, "BAD_REQUEST"),
+        (b'{"query": "\xff"}', "application/json", 400, "BAD_REQUEST"),
+        (
+            b'{"extensions": {"persistedQuery": {"version": 2, "sha256Hash": "x"}}}',
+            "application/json",
+            400,
+            "BAD_REQUEST",
+        ),
+    ],
+)
 def test_a_body_that_cannot_be_read_says_so(content, kind, status, said):
     async def test():
         async with world() as made:
-            answer = await made.http.post("/graphql", content=content, headers={
-                "x-customer": WHO, "x-plan": "free", "content-type": kind,
-                "accept": "application/graphql-response+json"})
+            answer = await made.http.post(
+                "/graphql",
+                content=content,
+                headers={
+                    "x-customer": WHO,
+                    "x-plan": "free",
+                    "content-type": kind,
+                    "accept": "application/graphql-response+json",
+                },
+            )
             assert (answer.status_code, code(answer)) == (status, said)
 
     run(test())
 
 
-@pytest.mark.parametrize("headers, words", [
-    ({"x-customer": ""}, "x-customer"), ({"x-customer": "me"}, "customer"), ({"x-plan": "none"}, "plan"),
-    ({"x-plan": ""}, "x-plan"),
-])
+@pytest.mark.parametrize(
+    "headers, words",
+    [
+        ({"x-customer": ""}, "x-customer"),
+        ({"x-customer": "me"}, "customer"),
+        ({"x-plan": "none"}, "plan"),
+        ({"x-plan": ""}, "x-plan"),
+    ],
+)
 def test_who_asks_is_checked_before_anything_is_charged(headers, words):
     async def test():
         async with world() as made:
@@ -199,12 +254,14 @@
     async def test():
         async with world() as made:
             said = {"persistedQuery": {"version": 1, "sha256Hash": digest(READ)}}
-            first = await made.http.post("/graphql", json={"extensions": said}, headers={
-                "x-customer": WHO, "x-plan": "free"})
+            first = await made.http.post(
+                "/graphql", json={"extensions": said}, headers={"x-customer": WHO, "x-plan": "free"}
+            )
             assert (first.status_code, code(first)) == (200, "PERSISTED_QUERY_NOT_FOUND")
             assert (await made.post(extensions=said)).status_code == 200
-            again = await made.http.post("/graphql", json={"extensions": said}, headers={
-                "x-customer": WHO, "x-plan": "free"})
+            again = await made.http.post(
+                "/graphql", json={"extensions": said}, headers={"x-customer": WHO, "x-plan": "free"}
+            )
             assert again.json()["data"] and made.front.documents.misses == 1
             wrong = {"persistedQuery": {"version": 1, "sha256Hash": "0" * 64}}
             assert code(await made.post(extensions=wrong)) == "PERSISTED_QUERY_MISMATCH"
@@ -402,8 +459,10 @@
             answer = await made.post(TWO)
             assert answer.json()["data"] == {"a": None, "b": None} and made.runs == 2
             assert [item["path"] for item in answer.json()["errors"]] == [["a"], ["b"]]
-            assert [document.index("a:") > 0 if "a:" in document else "b:" in document
-                    for document in made.boards[0].documents] == [True, True]
+            assert [
+                document.index("a:") > 0 if "a:" in document else "b:" in document
+                for document in made.boards[0].documents
+            ] == [True, True]
 
     run(test())
 
@@ -434,11 +493,23 @@
             async def send(message):
                 sent.append(message)
 
-            scope = {"type": "http", "method": "POST", "path": "/graphql", "query_string": b"", "headers": [
-                (b"x-customer", WHO.encode()), (b"x-plan", b"free"), (b"content-type", b"application/json")]}
+            scope = {
+                "type": "http",
+                "method": "POST",
+                "path": "/graphql",
+                "query_string": b"",
+                "headers": [
+                    (b"x-customer", WHO.encode()),
+                    (b"x-plan", b"free"),
+                    (b"content-type", b"application/json"),
+                ],
+            }
             serving = asyncio.ensure_future(made.front(scope, receive, send))
-            await until(lambda: made.edge.servers.tries + sum(
-                door.tries for door in made.edge.driver.doors.values()) == 1)
+            await until(
+                lambda: (
+                    made.edge.servers.tries + sum(door.tries for door in made.edge.driver.doors.values()) == 1
+                )
+            )
             gone.set()
             await serving
             await until(lambda: not made.edge.driver.calls)
@@ -450,8 +521,13 @@
 def test_a_query_whose_client_had_closed_behind_it_is_not_sent_on():
     async def test():
         async with world() as made:
-            messages, sent = [{"type": "http.request", "body": json.dumps({"query": BUY}).encode()},
-                              {"type": "http.disconnect"}], []
+            messages, sent = (
+                [
+                    {"type": "http.request", "body": json.dumps({"query": BUY}).encode()},
+                    {"type": "http.disconnect"},
+                ],
+                [],
+            )
 
             async def receive():
                 return messages.pop(0)
@@ -459,8 +535,17 @@
             async def send(message):
                 sent.append(message)
 
-            scope = {"type": "http", "method": "POST", "path": "/graphql", "query_string": b"", "headers": [
-                (b"x-customer", WHO.encode()), (b"x-plan", b"free"), (b"content-type", b"application/json")]}
+            scope = {
+                "type": "http",
+                "method": "POST",
+                "path": "/graphql",
+                "query_string": b"",
+                "headers": [
+                    (b"x-customer", WHO.encode()),
+                    (b"x-plan", b"free"),
+                    (b"content-type", b"application/json"),
+                ],
+            }
             await made.front(scope, receive, send)
             assert not sent and not made.edge.driver.counters.requests
 
@@ -470,8 +555,13 @@
 def test_a_client_that_leaves_before_its_request_is_whole_is_answered_nothing(caplog):
     async def test():
         async with world() as made:
-            sent, parts = [], [{"type": "http.request", "body": b'{"query": "', "more_body": True},
-                               {"type": "http.disconnect"}]
+            sent, parts = (
+                [],
+                [
+                    {"type": "http.request", "body": b'{"query": "', "more_body": True},
+                    {"type": "http.disconnect"},
+                ],
+            )
 
             async def receive():
                 return parts.pop(0)
@@ -479,8 +569,17 @@
             async def send(message):
                 sent.append(message)
 
-            scope = {"type": "http", "method": "POST", "path": "/graphql", "query_string": b"", "headers": [
-                (b"x-customer", WHO.encode()), (b"x-plan", b"free"), (b"content-type", b"application/json")]}
+            scope = {
+                "type": "http",
+                "method": "POST",
+                "path": "/graphql",
+                "query_string": b"",
+                "headers": [
+                    (b"x-customer", WHO.encode()),
+                    (b"x-plan", b"free"),
+                    (b"content-type", b"application/json"),
+                ],
+            }
             await made.front(scope, receive, send)
             assert not sent and not parts and made.runs == 0 and not caplog.records
 
@@ -523,26 +622,37 @@
 
 
 def test_answers_are_read_in_pieces_and_chunks():
-    text = (b"HTTP/1.1 200 OK\r\nContent-Type: application/json; charset=utf-8\r\n"
-            b"Transfer-Encoding: chunked\r\n\r\n3\r\n{\"a\r\n4\r\n\":1}\r\n0\r\n\r\n")
+    text = (
+        b"HTTP/1.1 200 OK\r\nContent-Type: application/json; charset=utf-8\r\n"
+        b'Transfer-Encoding: chunked\r\n\r\n3\r\n{"a\r\n4\r\n":1}\r\n0\r\n\r\n'
+    )
     for size in (1, 7, 1000):
-        (found,) = answers(*(text[start:start + size] for start in range(0, len(text), size)))
+        (found,) = answers(*(text[start : start + size] for start in range(0, len(text), size)))
         assert found == HttpAnswer(200, "application/json", b'{"a":1}')
 
 
-@pytest.mark.parametrize("text", [
-    b"+OK\r\n", b"HTTP/1.1 200 OK\r\nX: " + b"y" * 20_000 + b"\r\n\r\n",
-    b"HTTP/1.1 200 OK\r\nContent-Length: 2000000\r\n\r\n" + b"x" * (MOST_ANSWER + 1),
-    b"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n",
-])
+@pytest.mark.parametrize(
+    "text",
+    [
+        b"+OK\r\n",
+        b"HTTP/1.1 200 OK\r\nX: " + b"y" * 20_000 + b"\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 2000000\r\n\r\n" + b"x" * (MOST_ANSWER + 1),
+        b"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n",
+    ],
+)
 def test_what_is_no_answer_is_an_error(text):
     with pytest.raises(ProtocolError):
         answers(text)
 
 
-@pytest.mark.parametrize("extra, reusable", [
-    (b"", True), (b"Connection: close\r\n", False), (b"Content-Length: 2\r\n\r\n{}HTTP", False),
-])
+@pytest.mark.parametrize(
+    "extra, reusable",
+    [
+        (b"", True),
+        (b"Connection: close\r\n", False),
+        (b"Content-Length: 2\r\n\r\n{}HTTP", False),
+    ],
+)
 def test_a_connection_that_ends_or_brought_more_is_not_used_again(extra, reusable):
     reader = Answers()
     head = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
@@ -550,21 +660,28 @@
     assert reader.answer().body == b"{}" and (reader.left == 0) is reusable
 
 
-@pytest.mark.parametrize("status, kind, body, expected", [
-    (200, "application/json", b'{"data": {"a": 1}}', Status.OK),
-    (200, "application/json", b'{"data": null, "errors": [{"message": "x"}]}', Status.OK),
-    (200, "application/json", b'{"errors": [{"message": "x"}]}', Status.ERROR),
-    (200, "application/json", b'{"errors": [{"extensions": {"code": "BUSY"}}]}', Status.FULL),
-    (200, "application/json", b'{"errors": [{"extensions": {"code": "BUSY"}}, {}]}', Status.ERROR),
-    (200, "application/json", b'{"errors": 7}', Status.ERROR), (200, "application/json", b"[]", Status.ERROR),
-    (200, "application/json", b'{"data": 7}', Status.ERROR), (200, "application/json", b"{", Status.ERROR),
-    (200, "application/json", b'{"data": {"a": NaN}}', Status.ERROR),
-    (200, "application/json", b"", Status.ERROR), (200, "application/json", b"[" * 100_000, Status.ERROR),
-    (200, "text/html", b'{"data": {}}', Status.ERROR),
-    (503, "text/html", b"", Status.FULL), (429, "application/json", b"", Status.FULL),
-    (500, "application/json", b'{"message": "x"}', Status.ERROR),
-    (200, "application/json", b"\xff", Status.ERROR),
-])
+@pytest.mark.parametrize(
+    "status, kind, body, expected",
+    [
+        (200, "application/json", b'{"data": {"a": 1}}', Status.OK),
+        (200, "application/json", b'{"data": null, "errors": [{"message": "x"}]}', Status.OK),
+        (200, "application/json", b'{"errors": [{"message": "x"}]}', Status.ERROR),
+        (200, "application/json", b'{"errors": [{"extensions": {"code": "BUSY"}}]}', Status.FULL),
+        (200, "application/json", b'{"errors": [{"extensions": {"code": "BUSY"}}, {}]}', Status.ERROR),
+        (200, "application/json", b'{"errors": 7}', Status.ERROR),
+        (200, "application/json", b"[]", Status.ERROR),
+        (200, "application/json", b'{"data": 7}', Status.ERROR),
+        (200, "application/json", b"{", Status.ERROR),
+        (200, "application/json", b'{"data": {"a": NaN}}', Status.ERROR),
+        (200, "application/json", b"", Status.ERROR),
+        (200, "application/json", b"[" * 100_000, Status.ERROR),
+        (200, "text/html", b'{"data": {}}', Status.ERROR),
+        (503, "text/html", b"", Status.FULL),
+        (429, "application/json", b"", Status.FULL),
+        (500, "application/json", b'{"message": "x"}', Status.ERROR),
+        (200, "application/json", b"\xff", Status.ERROR),
+    ],
+)
 def test_what_an_answer_came_to(status, kind, body, expected):
     reply = GraphqlReplyDecoder().decode(HttpAnswer(status, kind, body))
     assert reply.status is expected and (reply.value is not None) is (expected is Status.OK)
@@ -579,15 +696,21 @@
         graph = await GraphqlBoard(priced.schema).start()
         board = await BoardNode("b", work_s=0.0).start()
         (tmp_path / "board.graphql").write_text(BOARD)
-        (tmp_path / "graphql.json").write_text(json.dumps({
-            "listen": "127.0.0.1:0", "schema": "board.graphql", "port_offset": graph.port - board.port}))
+        (tmp_path / "graphql.json").write_text(
+            json.dumps(
+                {"listen": "127.0.0.1:0", "schema": "board.graphql", "port_offset": graph.port - board.port}
+            )
+        )
         document = {key: value for key, value in EXAMPLE.items() if key != "admin"} | {
-            "listen": "127.0.0.1:0", "graphql": "graphql.json",
-            "nodes": [{"name": "b", "host": "127.0.0.1", "port": board.port}]}
+            "listen": "127.0.0.1:0",
+            "graphql": "graphql.json",
+            "nodes": [{"name": "b", "host": "127.0.0.1", "port": board.port}],
+        }
         path = tmp_path / "config.json"
         path.write_text(json.dumps(document))
         process = await asyncio.create_subprocess_exec(
-            *brackenloft("serve", "--config", str(path)), cwd=ROOT, stderr=subprocess.PIPE)
+            *brackenloft("serve", "--config", str(path)), cwd=ROOT, stderr=subprocess.PIPE
+        )
         try:
             where = {}
             while len(where) < 2:
@@ -600,8 +723,16 @@
                 headers = {"x-customer": WHO, "x-plan": "estadual"}
                 answer = await http.post("/graphql", json={"query": READ}, headers=headers)
                 assert answer.status_code == 200 and len(answer.json()["data"]["boards"]) == 3
-                code, _ = await asked("--at", where["listening on "], "--customer", WHO, "--plan", "estadual",
-                                      "--class", "read-board")
+                code, _ = await asked(
+                    "--at",
+                    where["listening on "],
+                    "--customer",
+                    WHO,
+                    "--plan",
+                    "estadual",
+                    "--class",
+                    "read-board",
+                )
                 assert code == 0 and len(board.begun) == 1 and len(graph.begun) == 1
                 process.send_signal(signal.SIGTERM)
                 assert await process.wait() == 0
@@ -615,20 +746,28 @@
     run(test())
 
 
-@pytest.mark.parametrize("change, words", [
-    ({"listen": "x"}, "listen: not host:port"), ({"schema": "none.graphql"}, "schema: "),
-    ({"schema": None}, "schema: "), ({"limits": {"depht": 3}}, "limits.depht: unknown key, depth is meant?"),
-    ({"limits": {"depth": 0}}, "limits: depth: not above 0"),
-    ({"price": {"per_unit": 0.0}}, "price: per_unit"),
-    ({"path": "graphql"}, "path: not from the root"), ({"plan": "none"}, "plan: no such plan"),
-    ({"port_offset": 99_999}, "port_offset"), ({"documents": "."}, "documents: "),
-    ({"kept_documents": 0}, "kept"),
-])
+@pytest.mark.parametrize(
+    "change, words",
+    [
+        ({"listen": "x"}, "listen: not host:port"),
+        ({"schema": "none.graphql"}, "schema: "),
+        ({"schema": None}, "schema: "),
+        ({"limits": {"depht": 3}}, "limits.depht: unknown key, depth is meant?"),
+        ({"limits": {"depth": 0}}, "limits: depth: not above 0"),
+        ({"price": {"per_unit": 0.0}}, "price: per_unit"),
+        ({"path": "graphql"}, "path: not from the root"),
+        ({"plan": "none"}, "plan: no such plan"),
+        ({"port_offset": 99_999}, "port_offset"),
+        ({"documents": "."}, "documents: "),
+        ({"kept_documents": 0}, "kept"),
+    ],
+)
 def test_a_wrong_file_of_the_front_is_one_line(change, words, tmp_path, capsys):
     good = {"listen": "127.0.0.1:0", "schema": "board.graphql"}
     (tmp_path / "board.graphql").write_text(BOARD)
-    (tmp_path / "graphql.json").write_text(json.dumps({
-        key: value for key, value in {**good, **change}.items() if value is not None}))
+    (tmp_path / "graphql.json").write_text(
+        json.dumps({key: value for key, value in {**good, **change}.items() if value is not None})
+    )
     (tmp_path / "config.json").write_text(json.dumps({**EXAMPLE, "graphql": "graphql.json"}))
     for subcommand in ("check-config", "serve"):
         assert main([subcommand, "--config", str(tmp_path / "config.json")]) == 2
@@ -649,6 +788,7 @@
 def test_a_cost_that_cannot_be_told_leaves_the_answer_and_the_guess():
     async def test():
         async with world(price=Price(per_unit=1.0)) as made:
+
             def encode(request_id: str, wait_ms: float) -> bytes:
                 aim = (WHO, "hundred", "read-board", wait_ms, 5.0)
                 return command("h", READ, None, {}, None, request_id, *aim)
@@ -700,8 +840,17 @@
             async def send(message):
                 sent.append(message)
 
-            scope = {"type": "http", "method": "POST", "path": "/graphql", "query_string": b"", "headers": [
-                (b"x-customer", WHO.encode()), (b"x-plan", b"free"), (b"content-type", b"application/json")]}
+            scope = {
+                "type": "http",
+                "method": "POST",
+                "path": "/graphql",
+                "query_string": b"",
+                "headers": [
+                    (b"x-customer", WHO.encode()),
+                    (b"x-plan", b"free"),
+                    (b"content-type", b"application/json"),
+                ],
+            }
             await made.front(scope, receive, send)
             assert sent[0]["status"] == 408
 
@@ -709,8 +858,11 @@
 
 
 def test_a_paid_part_takes_nothing_from_a_ceiling():
-    rig = Rig(replace(RIG_SETTINGS, plans=(Plan("low", rate=100.0, burst=100.0, ceiling_rate=1e-6,
-                                               ceiling_burst=10.0),)))
+    rig = Rig(
+        replace(
+            RIG_SETTINGS, plans=(Plan("low", rate=100.0, burst=100.0, ceiling_rate=1e-6, ceiling_burst=10.0),)
+        )
+    )
     rig.servers(entry(1))
     rig.now += 1e10  # the ceiling is full
     for number in range(20):
--- a/tests/test_graphql_cost.py
+++ b/tests/test_graphql_cost.py
@@ -23,14 +23,26 @@
 from brackenloft.graphql.schema import Priced, SchemaError, load
 from brackenloft.standins.graphql import value_of
 
-WIDE = Limits(fields=100_000, cost=1e15, depth=40, tokens=100_000, document_bytes=10**6, aliases=10_000,
-              list_size=2, merges=10**9, root_fields=1000, directives=10_000, most_list_size=10**7)
+WIDE = Limits(
+    fields=100_000,
+    cost=1e15,
+    depth=40,
+    tokens=100_000,
+    document_bytes=10**6,
+    aliases=10_000,
+    list_size=2,
+    merges=10**9,
+    root_fields=1000,
+    directives=10_000,
+    most_list_size=10**7,
+)
 BOARD = (Path(__file__).parent.parent / "deploy" / "board.graphql").read_text()
-CLASSES = (RequestClass("read-board", 2000.0, 4000.0, Effect.SAFE),
-           RequestClass("read-slow", 2000.0, 4000.0, Effect.SAFE),
-           RequestClass("post-notice", 2000.0, 4000.0, Effect.KEYED, key_scope=KeyScope.ALL,
-                        key_memory_ms=6000.0),
-           RequestClass("buy-highlight", 2000.0, 8000.0, Effect.UNSAFE))
+CLASSES = (
+    RequestClass("read-board", 2000.0, 4000.0, Effect.SAFE),
+    RequestClass("read-slow", 2000.0, 4000.0, Effect.SAFE),
+    RequestClass("post-notice", 2000.0, 4000.0, Effect.KEYED, key_scope=KeyScope.ALL, key_memory_ms=6000.0),
+    RequestClass("buy-highlight", 2000.0, 8000.0, Effect.UNSAFE),
+)
 SITE = replace(SETTINGS, classes=CLASSES, largest_units=1000.0)
 
 
@@ -70,8 +82,13 @@
     def resolve(source, info, **arguments):
         parent, declared = info.parent_type.name, priced.fields[info.parent_type.name, info.field_name]
         written = {item.name.value for item in info.field_nodes[0].arguments}
-        sums["fields"] += max(0.0, declared.weight + sum(
-            weight for name, weight in declared.arguments.items() if name in written and name in arguments))
+        sums["fields"] += max(
+            0.0,
+            declared.weight
+            + sum(
+                weight for name, weight in declared.arguments.items() if name in written and name in arguments
+            ),
+        )
         size = declared.size
         slicing = size.slicing if size else ()
         asked = [arguments[name] for name in slicing if arguments.get(name) is not None]
@@ -86,8 +103,14 @@
         assert parent
         return value
 
-    result = execute(schema, parse(text), None, variable_values=variables, field_resolver=resolve,
-                     type_resolver=lambda value, info, kind: value["__typename"])
+    result = execute(
+        schema,
+        parse(text),
+        None,
+        variable_values=variables,
+        field_resolver=resolve,
+        type_resolver=lambda value, info, kind: value["__typename"],
+    )
     assert not result.errors, result.errors
     return sums["types"] + priced.types[schema.query_type.name], sums["fields"], result.data
 
@@ -120,8 +143,9 @@
         if form == 1:
             return f"f{number}: [{kind}] @listSize(assumedSize: {draw.randint(0, 3)}){cost}"
         if form == 2:
-            return (f"f{number}(first: Int, {argument}): [{kind}!]! "
-                    f'@listSize(slicingArguments: ["first"]){cost}')
+            return (
+                f'f{number}(first: Int, {argument}): [{kind}!]! @listSize(slicingArguments: ["first"]){cost}'
+            )
         return f"f{number}: [{kind}]{cost}"
 
     def document(self, priced: Priced) -> str:
@@ -203,54 +227,73 @@
 """
 
 
-@pytest.mark.parametrize("text, types, fields", [
-    ("{ user { age } }", 2, 1), ("{ users(max: 5) { age } }", 6, 1), ("{ users(max: 0) { age } }", 1, 1),
-    ("{ users(max: 5) { age friend { age } } }", 11, 6), ("{ a: user { age } b: user { age } }", 3, 2),
-    ("{ user { age } user { name } }", 2, 2), ("{ user { __typename } __typename }", 2, 1),
-    ("{ users(max: 2) { a: friend { age } b: friend { age } } }", 7, 5),
-    ("{ paged(first: 3) { edges { node { age } } } }", 8, 5), ("{ paged(first: 3) { total } }", 2, 1),
-    ("{ paged(first: 3, last: 4) { edges { node { age } } } }", 10, 6),
-    ("{ paged { edges { node { age } } } }", 6, 4), ("{ grid { age } }", 9, 1),
-    ("{ search { name } }", 9, 3), ("{ search(filter: {}) { name } }", 9, 6),
-    ("{ search(filter: {exact: true, inner: {exact: true}}) { name } }", 9, 16),
-    ("{ search(filter: null) { name } }", 9, 6),
-    ("{ cheap { age } }", 2, 2), ("{ cheap(off: true) { age } }", 2, 0),
-    ("{ any { ... on User { age } ... on Group { members(max: 3) { age } } } }", 8, 2),
-    ("{ user { age @skip(if: true) friend @include(if: false) { age } } }", 2, 1),
-    ("query ($n: Int = 4) { users(max: $n) { age } }", 5, 1),
-    ("fragment F on User { friend { age } } { user { ...F ...F } }", 3, 2),
-    ("{ ... { user { ... { age } } } }", 2, 1),
-    ("{ user { ... @skip(if: true) { friend { age } } name } }", 2, 2),
-])
+@pytest.mark.parametrize(
+    "text, types, fields",
+    [
+        ("{ user { age } }", 2, 1),
+        ("{ users(max: 5) { age } }", 6, 1),
+        ("{ users(max: 0) { age } }", 1, 1),
+        ("{ users(max: 5) { age friend { age } } }", 11, 6),
+        ("{ a: user { age } b: user { age } }", 3, 2),
+        ("{ user { age } user { name } }", 2, 2),
+        ("{ user { __typename } __typename }", 2, 1),
+        ("{ users(max: 2) { a: friend { age } b: friend { age } } }", 7, 5),
+        ("{ paged(first: 3) { edges { node { age } } } }", 8, 5),
+        ("{ paged(first: 3) { total } }", 2, 1),
+        ("{ paged(first: 3, last: 4) { edges { node { age } } } }", 10, 6),
+        ("{ paged { edges { node { age } } } }", 6, 4),
+        ("{ grid { age } }", 9, 1),
+        ("{ search { name } }", 9, 3),
+        ("{ search(filter: {}) { name } }", 9, 6),
+        ("{ search(filter: {exact: true, inner: {exact: true}}) { name } }", 9, 16),
+        ("{ search(filter: null) { name } }", 9, 6),
+        ("{ cheap { age } }", 2, 2),
+        ("{ cheap(off: true) { age } }", 2, 0),
+        ("{ any { ... on User { age } ... on Group { members(max: 3) { age } } } }", 8, 2),
+        ("{ user { age @skip(if: true) friend @include(if: false) { age } } }", 2, 1),
+        ("query ($n: Int = 4) { users(max: $n) { age } }", 5, 1),
+        ("fragment F on User { friend { age } } { user { ...F ...F } }", 3, 2),
+        ("{ ... { user { ... { age } } } }", 2, 1),
+        ("{ user { ... @skip(if: true) { friend { age } } name } }", 2, 2),
+    ],
+)
 def test_cost_of_examples(text, types, fields):
     plan, _ = plan_of(load(USERS, SITE), text)
     assert (plan.cost.types, plan.cost.fields) == (types, fields)
 
 
-@pytest.mark.parametrize("text, variables, code", [
-    ("{ users { age } }", {}, Code.LIST_SIZE), ("{ users(max: null) { age } }", {}, Code.LIST_SIZE),
-    ("{ users(max: -1) { age } }", {}, Code.LIST_SIZE),
-    ("{ users(max: 99999999) { age } }", {}, Code.LIST_SIZE),
-    ("query ($n: Int) { users(max: $n) { age } }", {}, Code.LIST_SIZE),
-    ("query ($n: Int) { users(max: $n) { age } }", {"n": None}, Code.LIST_SIZE),
-    ("query ($n: Int) { users(max: $n) { age } }", {"n": -5}, Code.LIST_SIZE),
-    ("query ($n: Int) { users(max: $n) { age } }", {"n": "many"}, Code.VARIABLES),
-    ("query ($n: Int) { users(max: $n) { age } }", {"n": 1e400}, Code.VARIABLES),
-    ("query ($n: Int!) { users(max: $n) { age } }", {}, Code.VARIABLES),
-    ("query A { user { age } } query B { user { age } }", {}, Code.OPERATION),
-    ("fragment F on User { age }", {}, Code.INVALID), ("{ nobody }", {}, Code.INVALID),
-    ("{ __schema { types { name } } }", {}, Code.INVALID), ("{ user }", {}, Code.INVALID),
-    ("subscription { user { age } }", {}, Code.INVALID), ("type A { b: Int }", {}, Code.INVALID),
-    ("{", {}, Code.PARSE), ("", {}, Code.PARSE), ('{ a(b: "\\uD800") }', {}, Code.PARSE),
-])
+@pytest.mark.parametrize(
+    "text, variables, code",
+    [
+        ("{ users { age } }", {}, Code.LIST_SIZE),
+        ("{ users(max: null) { age } }", {}, Code.LIST_SIZE),
+        ("{ users(max: -1) { age } }", {}, Code.LIST_SIZE),
+        ("{ users(max: 99999999) { age } }", {}, Code.LIST_SIZE),
+        ("query ($n: Int) { users(max: $n) { age } }", {}, Code.LIST_SIZE),
+        ("query ($n: Int) { users(max: $n) { age } }", {"n": None}, Code.LIST_SIZE),
+        ("query ($n: Int) { users(max: $n) { age } }", {"n": -5}, Code.LIST_SIZE),
+        ("query ($n: Int) { users(max: $n) { age } }", {"n": "many"}, Code.VARIABLES),
+        ("query ($n: Int) { users(max: $n) { age } }", {"n": 1e400}, Code.VARIABLES),
+        ("query ($n: Int!) { users(max: $n) { age } }", {}, Code.VARIABLES),
+        ("query A { user { age } } query B { user { age } }", {}, Code.OPERATION),
+        ("fragment F on User { age }", {}, Code.INVALID),
+        ("{ nobody }", {}, Code.INVALID),
+        ("{ __schema { types { name } } }", {}, Code.INVALID),
+        ("{ user }", {}, Code.INVALID),
+        ("subscription { user { age } }", {}, Code.INVALID),
+        ("type A { b: Int }", {}, Code.INVALID),
+        ("{", {}, Code.PARSE),
+        ("", {}, Code.PARSE),
+        ('{ a(b: "\\uD800") }', {}, Code.PARSE),
+    ],
+)
 def test_documents_that_are_turned_away(text, variables, code):
     assert turned(load(USERS, SITE), text, variables) is code
 
 
 def test_the_operation_that_is_named_alone_counts():
     priced = load(BOARD, SITE)
-    text = ("query R { boards(first: 2) { id } } "
-            'mutation M { buyHighlight(board: "b", days: 3) { id } }')
+    text = 'query R { boards(first: 2) { id } } mutation M { buyHighlight(board: "b", days: 3) { id } }'
     read, _ = plan_of(priced, text, name="R")
     buy, _ = plan_of(priced, text, name="M")
     assert (read.cost.total, buy.cost.total) == (4.0, 8.0)
@@ -289,8 +332,20 @@
     assert true.total > plan.cost.total and costs.charged(plan.cost, true) == plan.cost
 
 
-@pytest.mark.parametrize("data", [None, [], 7, {"users": 7}, {"users": "x"}, {"users": {"age": 1}}, {},
-                                  {"users": [[], None, {"age": {}}]}, {"users": None}])
+@pytest.mark.parametrize(
+    "data",
+    [
+        None,
+        [],
+        7,
+        {"users": 7},
+        {"users": "x"},
+        {"users": {"age": 1}},
+        {},
+        {"users": [[], None, {"age": {}}]},
+        {"users": None},
+    ],
+)
 def test_the_cost_of_what_is_no_answer_is_still_a_number(data):
     plan, walk = plan_of(load(USERS, SITE), "{ users(max: 2) { age friend { age } } }")
     assert math.isfinite(costs.actual(walk, plan.root, plan.selections, data).total)
@@ -307,20 +362,24 @@
 # ---- Schemas
 
 
-@pytest.mark.parametrize("sdl, words", [
-    ("type Query { a: Int", "Syntax Error"), ("type A { a: Int }", "no type for queries"),
-    ("type Query { a: Nothing }", "Unknown type"),
-    ('type Query { a: Int @cost(weight: "x") }', "Query.a: @cost"),
-    ('type Query { a: Int @cost(weight: "inf") }', "Query.a: @cost"),
-    ('type Query @cost(weight: "-1") { a: Int }', "below 0"),
-    ('type Query { a: Int @listSize(assumedSize: 3) }', "no list"),
-    ('type Query { a: [Int] @listSize(slicingArguments: ["n"]) }', "'n', which is no argument"),
-    ('type Query { a: Query @listSize(assumedSize: 1, sizedFields: ["b"]) }', "'b', which is no list"),
-    ('type Query { a: [Int] @listSize(assumedSize: -3) }', "below 0"),
-    ('type Query { a: Int @call(class: "none") }', "no such class: 'none'"),
-    ('type Query { a: Int @call(class: "buy-highlight") }', "is not safe"),
-    ("type Query { a: Int } type Subscription { b: Int }", "subscriptions"),
-])
+@pytest.mark.parametrize(
+    "sdl, words",
+    [
+        ("type Query { a: Int", "Syntax Error"),
+        ("type A { a: Int }", "no type for queries"),
+        ("type Query { a: Nothing }", "Unknown type"),
+        ('type Query { a: Int @cost(weight: "x") }', "Query.a: @cost"),
+        ('type Query { a: Int @cost(weight: "inf") }', "Query.a: @cost"),
+        ('type Query @cost(weight: "-1") { a: Int }', "below 0"),
+        ("type Query { a: Int @listSize(assumedSize: 3) }", "no list"),
+        ('type Query { a: [Int] @listSize(slicingArguments: ["n"]) }', "'n', which is no argument"),
+        ('type Query { a: Query @listSize(assumedSize: 1, sizedFields: ["b"]) }', "'b', which is no list"),
+        ("type Query { a: [Int] @listSize(assumedSize: -3) }", "below 0"),
+        ('type Query { a: Int @call(class: "none") }', "no such class: 'none'"),
+        ('type Query { a: Int @call(class: "buy-highlight") }', "is not safe"),
+        ("type Query { a: Int } type Subscription { b: Int }", "subscriptions"),
+    ],
+)
 def test_a_schema_that_cannot_be_served_says_where(sdl, words):
     with pytest.raises(SchemaError) as caught:
         load(sdl, SITE)
@@ -335,28 +394,44 @@
     "deep values": ("{ user(a: " + "[" * 500 + "]" * 500 + ") { age } }", Code.DEPTH),
     "deep objects": ("{ user(a: " + "{a:" * 500 + "1" + "}" * 500 + ") { age } }", Code.DEPTH),
     "deep types": ("query ($a: " + "[" * 500 + "Int" + "]" * 500 + ") { user { age } }", Code.DEPTH),
-    "deep fragments": (" ".join(f"fragment F{n} on User {{ friend {{ ...F{n + 1} }} }}" for n in range(30))
-                       + " fragment F30 on User { age } { user { ...F0 } }", Code.DEPTH),
+    "deep fragments": (
+        " ".join(f"fragment F{n} on User {{ friend {{ ...F{n + 1} }} }}" for n in range(30))
+        + " fragment F30 on User { age } { user { ...F0 } }",
+        Code.DEPTH,
+    ),
     "aliases": ("{ " + " ".join(f"a{n}: user {{ age }}" for n in range(100)) + " }", Code.ALIASES),
     "roots": ("{ " + " ".join(f"{'a' * n}: user {{ age }}" for n in range(1, 25)) + " }", Code.ROOT_FIELDS),
     "merges": ("{ user { " + "age " * 300 + "} }", Code.MERGES),
     "merges below": ("{ " + "user { age name friend { age } } " * 19 + "}", Code.MERGES),
-    "merges of fragments": (" ".join(f"fragment F{n} on User {{ friend {{ age name }} }}" for n in range(60))
-                            + "{ user { " + " ".join(f"...F{n}" for n in range(60)) + " } }", Code.MERGES),
+    "merges of fragments": (
+        " ".join(f"fragment F{n} on User {{ friend {{ age name }} }}" for n in range(60))
+        + "{ user { "
+        + " ".join(f"...F{n}" for n in range(60))
+        + " } }",
+        Code.MERGES,
+    ),
     "roots by fragments": ("{ " + "...F " * 30 + "} fragment F on Query { user { age } }", Code.ROOT_FIELDS),
-    "tokens": ("{ " + "a " * 5000 + "}", Code.TOKENS), "comments": ("#\n" * 5000 + "{ a }", Code.TOKENS),
-    "bytes": ("{ a } #" + "x" * 20_000, Code.BYTES), "a huge name": ("{ " + "a" * 20_000 + " }", Code.BYTES),
-    "a cycle": ("{ user { ...A } } fragment A on User { friend { ...B } } "
-                "fragment B on User { friend { ...A } }", Code.CYCLE),
+    "tokens": ("{ " + "a " * 5000 + "}", Code.TOKENS),
+    "comments": ("#\n" * 5000 + "{ a }", Code.TOKENS),
+    "bytes": ("{ a } #" + "x" * 20_000, Code.BYTES),
+    "a huge name": ("{ " + "a" * 20_000 + " }", Code.BYTES),
+    "a cycle": (
+        "{ user { ...A } } fragment A on User { friend { ...B } } fragment B on User { friend { ...A } }",
+        Code.CYCLE,
+    ),
     "itself": ("{ user { ...A } } fragment A on User { ...A }", Code.CYCLE),
-    "doubling": (" ".join(f"fragment F{n} on User {{ ...F{n + 1} ...F{n + 1} }}" for n in range(30))
-                 + " fragment F30 on User { age } { user { ...F0 } }", Code.MERGES),
+    "doubling": (
+        " ".join(f"fragment F{n} on User {{ ...F{n + 1} ...F{n + 1} }}" for n in range(30))
+        + " fragment F30 on User { age } { user { ...F0 } }",
+        Code.MERGES,
+    ),
     "directives": ("{ user { age " + "@skip(if: false) " * 100 + "} }", Code.DIRECTIVES),
     "escapes": ('{ user(a: "' + "\\u{10FFFFFF}" * 10 + '") { age } }', Code.PARSE),
     "no end": ('{ user(a: "' + "\\u0041" * 1000, Code.PARSE),
     "a number": ("{ a(b: 1" + "0" * 4000 + ") }", None),
-    "nothing but brackets": ("{" * 10_000, None), "null": ("\0" * 100, Code.PARSE),
-    "surrogates": ("{ user(a: \"\ud800\") { age } }", None),
+    "nothing but brackets": ("{" * 10_000, None),
+    "null": ("\0" * 100, Code.PARSE),
+    "surrogates": ('{ user(a: "\ud800") { age } }', None),
 }
 
 
@@ -440,8 +515,10 @@
 
 def test_a_mutation_is_a_part_for_each_field_and_keys_are_told_apart():
     priced, classes = load(BOARD, SITE), {item.name: item for item in CLASSES}
-    text = ('mutation { a: postNotice(board: 1, text: "x") { id } buyHighlight(board: 1, days: 2) { id } '
-            'b: postNotice(board: 1, text: "y") { id } }')
+    text = (
+        'mutation { a: postNotice(board: 1, text: "x") { id } buyHighlight(board: 1, days: 2) { id } '
+        'b: postNotice(board: 1, text: "y") { id } }'
+    )
     plan, _ = plan_of(priced, text)
     assert [part.class_name for part in plan.parts] == ["post-notice", "buy-highlight", "post-notice"]
     first, none, third = plans.keys(plan, classes, "k1")
@@ -456,8 +533,9 @@
 
 def test_plans_without_variables_are_kept_and_those_with_are_made_anew():
     priced = load(BOARD, SITE)
-    found = prepared(priced, "query A { boards(first: 1) { id } } "
-                             "query B($n: Int!) { boards(first: $n) { id } }")
+    found = prepared(
+        priced, "query A { boards(first: 1) { id } } query B($n: Int!) { boards(first: $n) { id } }"
+    )
     plain, sized = (plans.choose(found, name) for name in "AB")
     assert plans.plan(found, plain, {}, priced, WIDE) is plans.plan(found, plain, {}, priced, WIDE)
     costs_of = [plans.plan(found, sized, {"n": n}, priced, WIDE).cost.total for n in (1, 5)]
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -46,9 +46,14 @@
     return rig
 
 
-STEPS = st.lists(st.tuples(
-    st.sampled_from(["metered", "capped", "ceiling", "only-cap"]), st.sampled_from("ab"),
-    st.sampled_from(["ask", "ask", "ok", "error"])), max_size=25)
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(["metered", "capped", "ceiling", "only-cap"]),
+        st.sampled_from("ab"),
+        st.sampled_from(["ask", "ask", "ok", "error"]),
+    ),
+    max_size=25,
+)
 
 
 def successor(state, later=0.0, numbers=NUMBERS) -> tuple[Rig, Adopted]:
@@ -56,7 +61,7 @@
     rig = Rig(seed=2)
     rig.now = 9_000_000.0
     rig.servers(entry(3), entry(4, started_ms=500.0))
-    document, = Frames().feed(encode(state))
+    (document,) = Frames().feed(encode(state))
     return rig, Adopted(rig.gateway, document, numbers, rig.now + later)
 
 
@@ -117,14 +122,27 @@
         spoilt[place] ^= 1 << place % 8
         with suppress(FrameError):
             assert Frames().feed(bytes(spoilt)) == []  # a length that says more than there is
-        found = pieces.feed(frame[place:place + 1])  # and byte by byte it is one, at the last of them
+        found = pieces.feed(frame[place : place + 1])  # and byte by byte it is one, at the last of them
     assert [document["kind"] for document in found] == ["state"]
 
 
 PATHS = [
-    ("customers",), ("servers",), ("fleet",), ("customers", 0), ("customers", 0, 2), ("customers", 0, 2, 0),
-    ("customers", 0, 3, 0), ("servers", "s-1"), ("servers", "s-1", 0), ("fleet", "pool"), ("fleet", "mean"),
-    ("fleet", "latency"), ("fleet", "retries"), ("started",), ("customers", 0, 0)]
+    ("customers",),
+    ("servers",),
+    ("fleet",),
+    ("customers", 0),
+    ("customers", 0, 2),
+    ("customers", 0, 2, 0),
+    ("customers", 0, 3, 0),
+    ("servers", "s-1"),
+    ("servers", "s-1", 0),
+    ("fleet", "pool"),
+    ("fleet", "mean"),
+    ("fleet", "latency"),
+    ("fleet", "retries"),
+    ("started",),
+    ("customers", 0, 0),
+]
 
 
 @pytest.mark.parametrize("path", PATHS)
@@ -232,8 +250,11 @@
         directory = tmp_path / ("d" * 120)  # longer than an address of a socket may be
         directory.mkdir()
         path = socket_path(directory, "127.0.0.1:1")
-        answers = {"junk": b"HTTP/1.1 400", "cut": encode({"kind": "state", "customers": []})[:-3],
-                   "other version": encode({"kind": "state"}).replace(b"BLH\x01", b"BLH\x02")}
+        answers = {
+            "junk": b"HTTP/1.1 400",
+            "cut": encode({"kind": "state", "customers": []})[:-3],
+            "other version": encode({"kind": "state"}).replace(b"BLH\x01", b"BLH\x02"),
+        }
         sockets = []
         if left != "nothing":
             sock = socket.socket(socket.AF_UNIX)
@@ -243,9 +264,11 @@
                 sock.listen()
             sockets.append(sock)
         if left in answers:
+
             async def answer(reader, writer):
                 writer.write(answers[left])
                 writer.close()
+
             sockets.append(await asyncio.start_unix_server(answer, sock=sock))
         server = await FakeServer(lambda words: array(b"v")).start()
         with socket.create_server(("127.0.0.1", 0)) as held:
@@ -273,8 +296,10 @@
             line.say({"kind": "hello"})
             assert await line.hear() is None
             old.lifecycle.happens(Event.LISTED)
-            first, second = [await channel.TakeOver(old, line_path)._connect()
-                             for line_path in [socket_path(tmp_path, "127.0.0.1:1")] * 2]
+            first, second = [
+                await channel.TakeOver(old, line_path)._connect()
+                for line_path in [socket_path(tmp_path, "127.0.0.1:1")] * 2
+            ]
             first.say({"kind": "hello"})
             assert (await first.expect("state"))["kind"] == "state"
             assert await second.hear() is None
@@ -340,7 +365,9 @@
 
 
 def test_without_admin_and_descriptor_nothing_of_it_is_imported():
-    code = ("import sys, brackenloft.__main__; "
-            "print([name for name in sys.modules if '.ops' in name or '.handover' in name])")
+    code = (
+        "import sys, brackenloft.__main__; "
+        "print([name for name in sys.modules if '.ops' in name or '.handover' in name])"
+    )
     out = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True).stdout
     assert out.strip() == "[]"
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -17,12 +17,19 @@
     assert known_red.options("", ROOT) == []
 
 
-@pytest.mark.parametrize("text", [
-    f"{HERE}, a cause, S\n" * 4, f"{HERE}\n", f"{HERE}, a cause\n", f"{HERE}, , S\n",
-    "tests/test_known_red.py, all, S\n",
-    "tests/test_known_red.py::test_nothing, a cause, S\n", "tests/nowhere.py::test_it, a cause, S\n",
-    "tests/test_known_red.py::ROOT, a cause, S\n",
-])
+@pytest.mark.parametrize(
+    "text",
+    [
+        f"{HERE}, a cause, S\n" * 4,
+        f"{HERE}\n",
+        f"{HERE}, a cause\n",
+        f"{HERE}, , S\n",
+        "tests/test_known_red.py, all, S\n",
+        "tests/test_known_red.py::test_nothing, a cause, S\n",
+        "tests/nowhere.py::test_it, a cause, S\n",
+        "tests/test_known_red.py::ROOT, a cause, S\n",
+    ],
+)
 def test_list_that_is_too_long_or_names_no_test_is_an_error(text, tmp_path, capsys):
     with pytest.raises(ValueError):
         known_red.options(text, ROOT)
--- a/tests/test_lab_real.py
+++ b/tests/test_lab_real.py
@@ -96,8 +96,10 @@
 
 def seen(experiment: spec.Experiment, folder: Path, place: type = GatewayProcess) -> sockets.Sockets:
     """One run on sockets."""
+
     async def scenario():
         return await sockets.Sockets(experiment, 1, folder, place).run()
+
     return uvloop.run(scenario())
 
 
@@ -110,7 +112,14 @@
     assert counts["served"] > 0 and counts["attempts"] >= counts["sent_on"] >= counts["served"]
     assert played.connections > 0 and played.cpu_s > 0.0
     assert [kind for _, kind in played.oracle.faults] == [
-        "crash", "cut", "drain", "gateway_crash", "start", "errors", "silent"]
+        "crash",
+        "cut",
+        "drain",
+        "gateway_crash",
+        "start",
+        "errors",
+        "silent",
+    ]
     for gateway in played.gateways:
         assert gateway.process.returncode is not None  # nothing is left of it
 
@@ -171,6 +180,7 @@
 
 def test_a_gateways_file_is_what_serve_takes(tmp_path):
     from brackenloft import config
+
     settings = spec.read(SMALL).settings(1)
     path = tmp_path / "gateway.json"
     path.write_text(json.dumps(configuration(settings, 4000, 7)))
@@ -183,16 +193,26 @@
     path = tmp_path / "gateway.json"
     path.write_text(json.dumps(configuration(spec.read(SMALL).settings(0), 1, 7)))
     parent = subprocess.Popen(
-        [sys.executable, "-c", "import subprocess, sys, time\n"
-         "child = subprocess.Popen([sys.executable, '-m', 'brackenloft.lab.real.child', *sys.argv[1:]],"
-         " stderr=subprocess.PIPE, text=True)\n"
-         "while 'listening' not in child.stderr.readline(): pass\n"
-         "print(child.pid, flush=True)\ntime.sleep(600)", "serve", "--config", str(path)],
-        stdout=subprocess.PIPE, text=True)
+        [
+            sys.executable,
+            "-c",
+            "import subprocess, sys, time\n"
+            "child = subprocess.Popen([sys.executable, '-m', 'brackenloft.lab.real.child', *sys.argv[1:]],"
+            " stderr=subprocess.PIPE, text=True)\n"
+            "while 'listening' not in child.stderr.readline(): pass\n"
+            "print(child.pid, flush=True)\ntime.sleep(600)",
+            "serve",
+            "--config",
+            str(path),
+        ],
+        stdout=subprocess.PIPE,
+        text=True,
+    )
     child = os.pidfd_open(int(parent.stdout.readline()))
     parent.send_signal(signal.SIGKILL)
     parent.wait()
     import select
+
     ended, _, _ = select.select([child], [], [], 20.0)
     assert ended == [child]
     os.close(child)
@@ -208,6 +228,7 @@
                 await gateway.start()
         finally:
             await gateway.close()
+
     run(scenario())
 
 
@@ -251,6 +272,7 @@
         writer.close()
         await host.ends.wait()
         listener.refuse()
+
     run(scenario())
 
 
@@ -282,6 +304,7 @@
             await reader.readexactly(1)
         writer.close()
         listener.refuse()
+
     run(scenario())
 
 
@@ -295,13 +318,21 @@
             await reader.readexactly(1)
         listener.refuse()
         writer.close()
+
     run(scenario())
 
 
-@pytest.mark.parametrize(("answer", "word"), [
-    (b"done", ("served", 0.0)), (Wrong("BUSY"), ("refused", 0.0)), (Wrong("BUSY 120"), ("refused", 120.0)),
-    (Wrong("ERR failed"), ("failed", 0.0)), (Wrong("BUSY x"), ("refused", 0.0)), (None, ("failed", 0.0)),
-])
+@pytest.mark.parametrize(
+    ("answer", "word"),
+    [
+        (b"done", ("served", 0.0)),
+        (Wrong("BUSY"), ("refused", 0.0)),
+        (Wrong("BUSY 120"), ("refused", 120.0)),
+        (Wrong("ERR failed"), ("failed", 0.0)),
+        (Wrong("BUSY x"), ("refused", 0.0)),
+        (None, ("failed", 0.0)),
+    ],
+)
 def test_answers_in_one_word(answer, word):
     assert commands.understood(answer) == word
 
@@ -312,11 +343,15 @@
     assert len(keys) == 3 and commands.keyed(customer, 1.0) in keys
 
 
-@pytest.mark.parametrize(("change", "word"), [
-    ({"gateways": {"count": 40}}, "gateways.count: 40 processes, 16 at most"),
-    ({"nodes": {"count": 400}}, "nodes.count: 800 gateways times nodes"),
-    ({"length_ms": 500_000.0}, "length_ms: 500 seconds"), ({"load": 100.0}, "load: "),
-])
+@pytest.mark.parametrize(
+    ("change", "word"),
+    [
+        ({"gateways": {"count": 40}}, "gateways.count: 40 processes, 16 at most"),
+        ({"nodes": {"count": 400}}, "nodes.count: 800 gateways times nodes"),
+        ({"length_ms": 500_000.0}, "length_ms: 500 seconds"),
+        ({"load": 100.0}, "load: "),
+    ],
+)
 def test_what_is_too_much_for_sockets_is_told_in_one_line(change, word, tmp_path, capsys):
     document = msgspec.to_builtins(spec.read(SMALL))
     for key, value in change.items():
--- a/tests/test_library.py
+++ b/tests/test_library.py
@@ -22,7 +22,8 @@
     asked = []
     plain = rig.do
     rig.do = lambda event: (lambda acts: asked.extend(a for a in acts if isinstance(a, Subscribe)) or acts)(
-        plain(event))
+        plain(event)
+    )
     rig.servers(entry(1), kind=ListKind.CACHED)
     rig.run(10.0)
     assert len(asked) == 1
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -85,6 +85,7 @@
 @given(st.binary(max_size=300), st.integers(0, 300))
 def test_no_bytes_bring_more_than_one_answer(junk, cut):
     """Whatever comes, in two pieces: one answer at most, and nothing raises."""
+
     class Wire:
         def __init__(self):
             self.written = []
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -13,8 +13,17 @@
 
 ROOT = Path(__file__).parent.parent
 POLICY = sorted((ROOT / "brackenloft" / "policy").glob("*.py"))
-PURE = {"__future__", "collections", "collections.abc", "enum", "itertools", "math", "random", "typing",
-        "brackenloft.interface"}
+PURE = {
+    "__future__",
+    "collections",
+    "collections.abc",
+    "enum",
+    "itertools",
+    "math",
+    "random",
+    "typing",
+    "brackenloft.interface",
+}
 
 
 def test_policy_is_short_and_is_all_that_the_platform_is_told():
@@ -27,8 +36,11 @@
 def test_policy_reads_no_clock_and_does_no_io():
     for path in POLICY:
         for item in ast.walk(ast.parse(path.read_text())):
-            names = [item.module] if isinstance(item, ast.ImportFrom) else (
-                [alias.name for alias in item.names] if isinstance(item, ast.Import) else [])
+            names = (
+                [item.module]
+                if isinstance(item, ast.ImportFrom)
+                else ([alias.name for alias in item.names] if isinstance(item, ast.Import) else [])
+            )
             assert all(name in PURE or name.startswith("brackenloft.policy") for name in names), (path, names)
 
 
@@ -47,9 +59,17 @@
     assert set(FOLLOWS) == set(State) and set(HEARD_IN) == set(Trigger)
 
 
-@pytest.mark.parametrize("before, after", [
-    (State.ANSWERED, State.OUT), (State.ANSWERED, State.ANSWERED), (State.STREAMING, State.OUT),
-    (State.OUT, State.PARKED), (State.PARKED, State.HELD), (State.HELD, State.NEW)])
+@pytest.mark.parametrize(
+    "before, after",
+    [
+        (State.ANSWERED, State.OUT),
+        (State.ANSWERED, State.ANSWERED),
+        (State.STREAMING, State.OUT),
+        (State.OUT, State.PARKED),
+        (State.PARKED, State.HELD),
+        (State.HELD, State.NEW),
+    ],
+)
 def test_a_change_that_the_table_does_not_have_is_an_error(before, after):
     made = flight(before)
     with pytest.raises(RuntimeError, match=f"r: {after.value} after {before.value}"):
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -27,13 +27,23 @@
 POST = RequestClass("post", 1000.0, 2000.0, Effect.KEYED)
 BUY = RequestClass("buy", 1000.0, 2000.0, Effect.UNSAFE)
 SITE = Settings(3, 0, "a", (READ, POST, BUY), (Plan("bairro"), Plan("cidade")))
-BASE = Load((("127.0.0.1", 1),), (Step(200.0, 0.2),), (Share("read", 1.0), Share("post", 1.0)),
-            (Share("bairro", 3.0), Share("cidade", 1.0)))
+BASE = Load(
+    (("127.0.0.1", 1),),
+    (Step(200.0, 0.2),),
+    (Share("read", 1.0), Share("post", 1.0)),
+    (Share("bairro", 3.0), Share("cidade", 1.0)),
+)
 LOADS = st.builds(
-    replace, st.just(BASE),
-    steps=st.lists(st.builds(Step, st.floats(1.0, 300.0), st.floats(0.01, 0.5)), min_size=1, max_size=3
-                   ).map(tuple),
-    processes=st.integers(1, 4), customers=st.integers(1, 50), seed=st.integers(0, 5), even=st.booleans())
+    replace,
+    st.just(BASE),
+    steps=st.lists(st.builds(Step, st.floats(1.0, 300.0), st.floats(0.01, 0.5)), min_size=1, max_size=3).map(
+        tuple
+    ),
+    processes=st.integers(1, 4),
+    customers=st.integers(1, 50),
+    seed=st.integers(0, 5),
+    even=st.booleans(),
+)
 
 
 @settings(max_examples=60, deadline=None)
@@ -58,17 +68,26 @@
     assert all(abs(b - a - 0.01) < 1e-6 for a, b in zip(at, at[1:], strict=False))
 
 
-@pytest.mark.parametrize(("change", "word"), [
-    ({"steps": (Step(1e6, 1.0),)}, "--stage: 1e+06 is not"), ({"steps": (Step(10.0, 1e5),)}, "--stage"),
-    ({"steps": (Step(150_000.0, 1000.0),)}, "--stage"), ({"steps": ()}, "--stage"),
-    ({"steps": (Step(10.0, 1.0), Step(-1.0, 1.0))}, "above 0 are wanted"),
-    ({"processes": 65}, "--processes"), ({"connections": 0}, "--connections"),
-    ({"customers": 0}, "--customers"),
-    ({"addresses": ()}, "--at"), ({"body": 1 << 21}, "--body"), ({"wait_ms": -1.0}, "--wait-ms"),
-    ({"classes": (Share("raed", 1.0),)}, "'raed' is none of read, post, buy"),
-    ({"plans": (Share("bairro", 0.0),)}, "a weight above 0"),
-    ({"classes": (Share("read", 1.0), Share("read", 1.0))}, "named once"), ({"plans": ()}, "one at least"),
-])
+@pytest.mark.parametrize(
+    ("change", "word"),
+    [
+        ({"steps": (Step(1e6, 1.0),)}, "--stage: 1e+06 is not"),
+        ({"steps": (Step(10.0, 1e5),)}, "--stage"),
+        ({"steps": (Step(150_000.0, 1000.0),)}, "--stage"),
+        ({"steps": ()}, "--stage"),
+        ({"steps": (Step(10.0, 1.0), Step(-1.0, 1.0))}, "above 0 are wanted"),
+        ({"processes": 65}, "--processes"),
+        ({"connections": 0}, "--connections"),
+        ({"customers": 0}, "--customers"),
+        ({"addresses": ()}, "--at"),
+        ({"body": 1 << 21}, "--body"),
+        ({"wait_ms": -1.0}, "--wait-ms"),
+        ({"classes": (Share("raed", 1.0),)}, "'raed' is none of read, post, buy"),
+        ({"plans": (Share("bairro", 0.0),)}, "a weight above 0"),
+        ({"classes": (Share("read", 1.0), Share("read", 1.0))}, "named once"),
+        ({"plans": ()}, "one at least"),
+    ],
+)
 def test_a_load_that_cannot_be_played_is_told_by_its_option(change, word):
     with pytest.raises(LoadError) as error:
         check(replace(BASE, **change), SITE)
@@ -131,6 +150,7 @@
 
     async def scenario():
         return await played(replace(BASE, wait_ms=150.0), lambda _: texts[next(order) % len(texts)])
+
     gateway, crowd, found = uvloop.run(scenario())
     counts = found.total()
     assert tally.unaccounted(found) == 0 and counts["due"] == counts["sent"] == len(gateway.commands)
@@ -143,10 +163,14 @@
 
 def test_what_is_sent_is_of_the_protocols_form():
     async def scenario():
-        return await played(replace(BASE, classes=(Share("read", 1.0), Share("post", 1.0), Share("buy", 1.0)),
-                                    body=5), lambda _: b"$2\r\nok\r\n")
+        return await played(
+            replace(BASE, classes=(Share("read", 1.0), Share("post", 1.0), Share("buy", 1.0)), body=5),
+            lambda _: b"$2\r\nok\r\n",
+        )
+
     gateway, _, _ = uvloop.run(scenario())
     from brackenloft.standins.call_fields import call_fields
+
     seen = set()
     for words in gateway.commands:
         fields = call_fields(words)
@@ -167,7 +191,9 @@
                 await gateway.news.wait()
             for writer in gateway.writers:
                 writer.write(b"$2\r\nok\r\n")
+
         return await played(replace(BASE, connections=500), lambda _: None, until_all_are_there)
+
     _, _, found = uvloop.run(scenario())
     counts = found.total()
     assert counts["served"] == counts["due"] == found.connects > 0
@@ -176,6 +202,7 @@
 def test_a_tool_that_falls_behind_says_so_and_gives_up_what_is_too_late():
     async def scenario():
         return await played(replace(BASE, connections=1, wait_ms=100.0), lambda _: None)
+
     gateway, _, found = uvloop.run(scenario())
     counts = found.total()
     assert counts["not_sent"] > 0 and tally.unaccounted(found) == 0
@@ -192,7 +219,9 @@
                 await asyncio.sleep(0.001)
             gateway.answer = lambda _: b"$2\r\nok\r\n"
             gateway.writers[0].write(b"$2\r\nok\r\n")
+
         return await played(replace(BASE, connections=1), lambda _: None, answer_the_first_when_others_wait)
+
     _, _, found = uvloop.run(scenario())
     counts = found.total()
     assert counts["served"] == counts["due"] > 1
@@ -204,6 +233,7 @@
     async def scenario():
         crowd = client.Crowd(replace(BASE, wait_ms=50.0), 0, SITE, client.time.monotonic())
         return await crowd.run(asyncio.Event())
+
     found = uvloop.run(scenario())
     counts = found.total()
     assert counts["due"] == counts["not_sent"] > 0 and not counts["sent"]
@@ -214,6 +244,7 @@
 
     async def scenario():
         return await played(replace(BASE, connections=1), lambda _: b"")
+
     _, crowd, found = uvloop.run(scenario())
     assert found.most_waiting <= 3 and tally.unaccounted(found) == 0 and not crowd.waiting
 
@@ -232,6 +263,7 @@
         await asyncio.sleep(0)
         gateway.server.close()
         return crowd, found
+
     crowd, found = uvloop.run(scenario())
     assert tally.unaccounted(found) == 0 and crowd.out == 0
 
@@ -239,8 +271,15 @@
 # ---- Tallies
 
 
-ENDED = st.lists(st.tuples(st.floats(0.0, 5.0), st.floats(0.0, 3.0), st.sampled_from(["read", "post"]),
-                           st.sampled_from(tally.ENDS)), max_size=30)
+ENDED = st.lists(
+    st.tuples(
+        st.floats(0.0, 5.0),
+        st.floats(0.0, 3.0),
+        st.sampled_from(["read", "post"]),
+        st.sampled_from(tally.ENDS),
+    ),
+    max_size=30,
+)
 
 
 def told(rows):
@@ -308,7 +347,9 @@
             await box["stop"].wait()
             for writer in box["gateway"].writers:
                 writer.transport.abort()
+
         asyncio.run(serve())
+
     thread = threading.Thread(target=main)
     thread.start()
     ready.wait()
@@ -339,6 +380,7 @@
         while len(gateway.commands) < 20:
             gateway_news.wait(0.01)
         os.kill(multiprocessing.active_children()[0].pid, signal.SIGKILL)
+
     gateway_news = threading.Event()
     with serving(tmp_path, lambda _: b"$2\r\nok\r\n") as (path, gateway):
         killer = threading.Thread(target=kill_one)
@@ -352,18 +394,26 @@
 
 def test_a_gateway_that_answers_nothing_makes_the_tool_say_that_it_fell_behind(tmp_path, capfd):
     with serving(tmp_path, lambda _: None) as (path, _):
-        code = program.main(["load", "--config", str(path), "--stage", "100x0.3", "--connections", "1",
-                             "--wait-ms", "50"])
+        code = program.main(
+            ["load", "--config", str(path), "--stage", "100x0.3", "--connections", "1", "--wait-ms", "50"]
+        )
     read = capfd.readouterr()
     assert code == load_cli.BEHIND and "fell behind" in read.err and json.loads(read.out)["fell_behind"]
 
 
-@pytest.mark.parametrize(("words", "text"), [
-    (["--stage", "ten"], "--stage: not RATExSECONDS: 'ten'"), (["--stage", "1.2.3x4"], "not RATExSECONDS"),
-    (["--class", "read=x"], "--class: not NAME=WEIGHT"), (["--class", "write"], "'write' is none of read"),
-    (["--plan", "cidade"], "'cidade' is none of bairro"), (["--at", "nowhere"], "--at: not host:port"),
-    (["--customers", "0"], "--customers"), (["--nothing"], "No such option"),
-])
+@pytest.mark.parametrize(
+    ("words", "text"),
+    [
+        (["--stage", "ten"], "--stage: not RATExSECONDS: 'ten'"),
+        (["--stage", "1.2.3x4"], "not RATExSECONDS"),
+        (["--class", "read=x"], "--class: not NAME=WEIGHT"),
+        (["--class", "write"], "'write' is none of read"),
+        (["--plan", "cidade"], "'cidade' is none of bairro"),
+        (["--at", "nowhere"], "--at: not host:port"),
+        (["--customers", "0"], "--customers"),
+        (["--nothing"], "No such option"),
+    ],
+)
 def test_wrong_words_are_one_line_and_code_2(tmp_path, capsys, words, text):
     path = tmp_path / "gateway.toml"
     path.write_text(FILE.format(port=1))
@@ -387,6 +437,7 @@
 
 def test_without_its_extra_the_command_names_it(monkeypatch, capsys):
     import sys
+
     for name in [name for name in sys.modules if name.startswith(("hdrh", "brackenloft.load"))]:
         monkeypatch.delitem(sys.modules, name)
     monkeypatch.setitem(sys.modules, "hdrh", None)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -45,8 +45,10 @@
                 self.known[entry.server] = entry
 
     def view(self) -> dict:
-        return {self.who[number]: (entry.state is ServerState.READY, entry.started_ms, entry.zone)
-                for number, entry in self.known.items()}
+        return {
+            self.who[number]: (entry.state is ServerState.READY, entry.started_ms, entry.zone)
+            for number, entry in self.known.items()
+        }
 
     def ready(self) -> set[str]:
         return {name for (name, *_), (ready, *_) in self.view().items() if ready}
@@ -93,10 +95,15 @@
         view = {}
         everyone = [instance for n in counting for instance in self.lists[n].values()]
         for instance in everyone:
-            here = [[item for item in self.lists[n].values() if item.address == instance.address]
-                    for n in counting]
-            lasts = [max(items, key=lambda item: (item.registered_ms, item.started_ms, item.name))
-                     for items in here if items]
+            here = [
+                [item for item in self.lists[n].values() if item.address == instance.address]
+                for n in counting
+            ]
+            lasts = [
+                max(items, key=lambda item: (item.registered_ms, item.started_ms, item.name))
+                for items in here
+                if items
+            ]
             same = [item for item in everyone if item.key == instance.key]
             ready = lasts[0].key == instance.key and all(item.ready for item in lasts)
             view[instance.key] = (ready, max(item.started_ms for item in same), same[0].zone)
@@ -104,15 +111,29 @@
 
 
 INSTANCES = st.builds(
-    Instance, st.sampled_from("abcdef"), st.just("h"), st.integers(1, 4), st.sampled_from("xy"),
-    ready=st.booleans(), started_ms=st.integers(0, 3).map(float), registered_ms=st.integers(0, 3).map(float))
-STEPS = st.lists(st.one_of(
-    st.tuples(st.just("whole"), st.integers(0, 2), st.lists(INSTANCES, max_size=6)),
-    st.tuples(st.just("delta"), st.integers(0, 2), st.lists(INSTANCES, max_size=3), st.sets(
-        st.sampled_from("abcdef"), max_size=2)),
-    st.tuples(st.just("time"), st.sampled_from([1.0, 60.0, 150.0, 400.0])),
-    st.tuples(st.just("empty"), st.integers(0, 2)),
-), max_size=40)
+    Instance,
+    st.sampled_from("abcdef"),
+    st.just("h"),
+    st.integers(1, 4),
+    st.sampled_from("xy"),
+    ready=st.booleans(),
+    started_ms=st.integers(0, 3).map(float),
+    registered_ms=st.integers(0, 3).map(float),
+)
+STEPS = st.lists(
+    st.one_of(
+        st.tuples(st.just("whole"), st.integers(0, 2), st.lists(INSTANCES, max_size=6)),
+        st.tuples(
+            st.just("delta"),
+            st.integers(0, 2),
+            st.lists(INSTANCES, max_size=3),
+            st.sets(st.sampled_from("abcdef"), max_size=2),
+        ),
+        st.tuples(st.just("time"), st.sampled_from([1.0, 60.0, 150.0, 400.0])),
+        st.tuples(st.just("empty"), st.integers(0, 2)),
+    ),
+    max_size=40,
+)
 
 
 @pytest.mark.parametrize("combine", list(Combine))
@@ -205,10 +226,15 @@
     assert {decisions.who[n] for n in decisions.known} == {("a", "h", 2), ("b", "h", 1)}
 
 
-@pytest.mark.parametrize("first, second, ready", [
-    (node("a"), node("a"), {"a"}), (node("a"), node("a", ready=False), set()),
-    (node("a"), node("other", ready=False), set()), (node("a"), node("other"), {"a"}),
-])
+@pytest.mark.parametrize(
+    "first, second, ready",
+    [
+        (node("a"), node("a"), {"a"}),
+        (node("a"), node("a", ready=False), set()),
+        (node("a"), node("other", ready=False), set()),
+        (node("a"), node("other"), {"a"}),
+    ],
+)
 def test_a_node_of_two_sources_is_one_and_withdrawn_by_either(first, second, ready):
     merge = Membership(terms(2))
     merge.said(0.0, Said(0, (first,)))
@@ -366,8 +392,9 @@
     names = [str(n) for n in range(1, 9)]
     merge, decisions = merged(*(node(name, int(name)) for name in names))
     for second in range(1, 21):
-        merge.said(second * 1000.0, Said(0, tuple(
-            node(name, int(name), ready=second % 2 == 0) for name in names)))
+        merge.said(
+            second * 1000.0, Said(0, tuple(node(name, int(name), ready=second % 2 == 0) for name in names))
+        )
         decisions.settle(second * 1000.0)
     assert len(decisions.ready()) == 6  # a quarter of eight waits
 
--- a/tests/test_meter.py
+++ b/tests/test_meter.py
@@ -200,6 +200,7 @@
 # A customer's part of its quota, by what is seen of its use here: width 4, rate 10, burst 8. Even parts hold
 # 2, and one more as the bucket has drained below it since the last.
 
+
 def busy_rig(seconds: int, used: float, over_cost: float = 0.0) -> Rig:
     """After so many seconds of two units each, all of them here, and readings of so many percent."""
     rig = rig_with(gateways=4, plans=(replace(SETTINGS.plans[0], over_cost=over_cost), *SETTINGS.plans[1:]))
@@ -217,14 +218,17 @@
     return sum(name in rig.sent for name in names)
 
 
-@pytest.mark.parametrize("seconds, used, over_cost, quiet_ms, sent", [
-    (60, 20.0, 0.0, 0.0, 9),  # all of its use is seen here: all of the quota
-    (60, 20.0, 1.3, 0.0, 3),  # where it is dear beyond the quota, the even part
-    (1, 20.0, 0.0, 0.0, 2),  # not yet shown for long
-    (60, 100.0, 0.0, 0.0, 3),  # no room
-    (60, 20.0, 0.0, 4100.0, 3),  # no news
-    (60, 80.0, 0.0, 0.0, 3),  # most of its use is seen elsewhere
-])
+@pytest.mark.parametrize(
+    "seconds, used, over_cost, quiet_ms, sent",
+    [
+        (60, 20.0, 0.0, 0.0, 9),  # all of its use is seen here: all of the quota
+        (60, 20.0, 1.3, 0.0, 3),  # where it is dear beyond the quota, the even part
+        (1, 20.0, 0.0, 0.0, 2),  # not yet shown for long
+        (60, 100.0, 0.0, 0.0, 3),  # no room
+        (60, 20.0, 0.0, 4100.0, 3),  # no news
+        (60, 80.0, 0.0, 0.0, 3),  # most of its use is seen elsewhere
+    ],
+)
 def test_a_slice_is_the_part_of_the_use_that_is_seen_here(seconds, used, over_cost, quiet_ms, sent):
     rig = busy_rig(seconds, used, over_cost)
     rig.run(quiet_ms)
@@ -261,6 +265,7 @@
 
 # Thin slices: rate 10, burst 8 over 60 gateways hold 0.13 of a request of one unit and drain it in 6 s
 
+
 def thin_rig(width: int = 60) -> Rig:
     rig = Rig(replace(SETTINGS, gateways=60))
     rig.servers(entry(1), entry(2))
@@ -292,7 +297,8 @@
 
 
 @pytest.mark.parametrize(
-    "used, width, more", [(0.0, 60, True), (20.0, 60, True), (100.0, 60, False), (0.0, 3, False)])
+    "used, width, more", [(0.0, 60, True), (20.0, 60, True), (100.0, 60, False), (0.0, 3, False)]
+)
 def test_room_lifts_the_part_of_many_gateways_to_that_of_few(monkeypatch, used, width, more):
     at_once = []
     for few in (meter.FEW, 0.0):
--- a/tests/test_net_client_state.py
+++ b/tests/test_net_client_state.py
@@ -38,10 +38,13 @@
     assert FACTS[then].half_closed >= FACTS[before].half_closed
 
 
-@pytest.mark.parametrize("sent, states", [
-    (b"!junk\r\n", [State.ENDING, State.LINGERING_ENDED, State.CLOSED]),
-    (b"", [State.LINGERING, State.CLOSED]),
-])
+@pytest.mark.parametrize(
+    "sent, states",
+    [
+        (b"!junk\r\n", [State.ENDING, State.LINGERING_ENDED, State.CLOSED]),
+        (b"", [State.LINGERING, State.CLOSED]),
+    ],
+)
 def test_a_connection_goes_through_the_states_of_its_end(sent, states, monkeypatch):
     async def test():
         async with node(FakeServer()) as gateway:
--- a/tests/test_net_clients.py
+++ b/tests/test_net_clients.py
@@ -24,11 +24,21 @@
             assert await peer.ask(call(1, "post", body=b"\x00\r\nx")) == b"val\r\nue"
             name, customer, request_id, fields, body = server.commands[0]
             assert (name, customer, request_id, body) == (
-                b"CALL.POST", WHO.encode(), b"0000000000000001", b"\x00\r\nx")
+                b"CALL.POST",
+                WHO.encode(),
+                b"0000000000000001",
+                b"\x00\r\nx",
+            )
             sent = dict(part.split(b"=") for part in fields.split(b","))
             assert 0 < int(sent.pop(b"d")) < 4000
-            assert sent == {b"c": b"post", b"t": b"free", b"k": b"5c0f", b"units": b"1", b"spread": b"2",
-                            b"first": b"0"}
+            assert sent == {
+                b"c": b"post",
+                b"t": b"free",
+                b"k": b"5c0f",
+                b"units": b"1",
+                b"spread": b"2",
+                b"first": b"0",
+            }
 
     run(test())
 
@@ -55,8 +65,9 @@
             peer = await gateway.peer()
             peer.send(call(1), call(2), resp("PING"))
             await server.until(lambda: len(server.commands) == 2)
-            first = next(n for n, words in zip(server.by, server.commands, strict=True)
-                         if words[2].endswith(b"1"))
+            first = next(
+                n for n, words in zip(server.by, server.commands, strict=True) if words[2].endswith(b"1")
+            )
             # The second is answered first: it waits for its turn.
             await until(lambda: len(gateway.driver.calls) == 1)
             server.writers[first].write(array(b"late"))
@@ -67,23 +78,37 @@
     run(test())
 
 
-@pytest.mark.parametrize("words", [
-    ["NONSENSE"], ["HELLO", "3"], ["CALL.GET"], ["CALL.GET", WHO, ID], ["CALL.GET", WHO, ID, GOOD, "body"],
-    ["CALL.POST", WHO, ID, GOOD.replace("read", "buy")],
-    ["CALL.GET", "zz", ID, GOOD], ["CALL.GET", "00000003b4d65521", ID, GOOD],
-    ["CALL.GET", WHO, "", GOOD], ["CALL.GET", WHO, "a" * 65, GOOD], ["CALL.GET", WHO, b"\xff\x00", GOOD],
-    ["CALL.GET", WHO, ID, ""], ["CALL.GET", WHO, ID, "c"], ["CALL.GET", WHO, ID, GOOD + ",c=read"],
-    ["CALL.GET", WHO, ID, GOOD.replace("read", "none")],
-    ["CALL.GET", WHO, ID, GOOD.replace("free", "none")],
-    ["CALL.GET", WHO, ID, GOOD.replace("d=4000", "d=x")],
-    ["CALL.GET", WHO, ID, GOOD.replace("d=4000", "d=nan")],
-    ["CALL.GET", WHO, ID, GOOD.replace("d=4000", "d=-1")], ["CALL.GET", WHO, ID, GOOD.replace("d=4000,", "")],
-    ["CALL.GET", WHO, ID, GOOD.replace("units=1", "units=inf")],
-    ["CALL.GET", WHO, ID, GOOD.replace("spread=2", "spread=0")],
-    ["CALL.GET", WHO, ID, GOOD.replace("read", "buy")], ["CALL.POST", WHO, ID, GOOD, "body"],
-    ["CALL.POST", WHO, ID, GOOD.replace("read", "post"), "body"],
-    ["CALL.GET", WHO, ID, b"\xff" + GOOD.encode() + b"\xff=\xff"],
-])
+@pytest.mark.parametrize(
+    "words",
+    [
+        ["NONSENSE"],
+        ["HELLO", "3"],
+        ["CALL.GET"],
+        ["CALL.GET", WHO, ID],
+        ["CALL.GET", WHO, ID, GOOD, "body"],
+        ["CALL.POST", WHO, ID, GOOD.replace("read", "buy")],
+        ["CALL.GET", "zz", ID, GOOD],
+        ["CALL.GET", "00000003b4d65521", ID, GOOD],
+        ["CALL.GET", WHO, "", GOOD],
+        ["CALL.GET", WHO, "a" * 65, GOOD],
+        ["CALL.GET", WHO, b"\xff\x00", GOOD],
+        ["CALL.GET", WHO, ID, ""],
+        ["CALL.GET", WHO, ID, "c"],
+        ["CALL.GET", WHO, ID, GOOD + ",c=read"],
+        ["CALL.GET", WHO, ID, GOOD.replace("read", "none")],
+        ["CALL.GET", WHO, ID, GOOD.replace("free", "none")],
+        ["CALL.GET", WHO, ID, GOOD.replace("d=4000", "d=x")],
+        ["CALL.GET", WHO, ID, GOOD.replace("d=4000", "d=nan")],
+        ["CALL.GET", WHO, ID, GOOD.replace("d=4000", "d=-1")],
+        ["CALL.GET", WHO, ID, GOOD.replace("d=4000,", "")],
+        ["CALL.GET", WHO, ID, GOOD.replace("units=1", "units=inf")],
+        ["CALL.GET", WHO, ID, GOOD.replace("spread=2", "spread=0")],
+        ["CALL.GET", WHO, ID, GOOD.replace("read", "buy")],
+        ["CALL.POST", WHO, ID, GOOD, "body"],
+        ["CALL.POST", WHO, ID, GOOD.replace("read", "post"), "body"],
+        ["CALL.GET", WHO, ID, b"\xff" + GOOD.encode() + b"\xff=\xff"],
+    ],
+)
 def test_bad_command_gets_an_error_and_the_connection_lives(words):
     async def test():
         server = FakeServer()
@@ -97,10 +122,21 @@
     run(test())
 
 
-@pytest.mark.parametrize("junk", [
-    b"GET / HTTP/1.1\r\n\r\n", b"*1\r\n$x\r\n", b"*0\r\n", b"*1\r\n:5\r\n", b"+OK\r\n", b"-ERR\r\n",
-    b"*-1\r\n", b"*4000000000\r\n", b"\x00\xff\r\n", b"*1\r\n*1\r\n$4\r\nPING\r\n",
-])
+@pytest.mark.parametrize(
+    "junk",
+    [
+        b"GET / HTTP/1.1\r\n\r\n",
+        b"*1\r\n$x\r\n",
+        b"*0\r\n",
+        b"*1\r\n:5\r\n",
+        b"+OK\r\n",
+        b"-ERR\r\n",
+        b"*-1\r\n",
+        b"*4000000000\r\n",
+        b"\x00\xff\r\n",
+        b"*1\r\n*1\r\n$4\r\nPING\r\n",
+    ],
+)
 def test_broken_resp_gets_an_error_and_a_close_after_what_was_taken(junk):
     async def test():
         server = FakeServer(lambda words: None)
@@ -256,9 +292,14 @@
     run(test())
 
 
-@pytest.mark.parametrize("sent, first", [
-    (b"", None), (b"*4\r\n$8\r\nCALL", None), (call(1) + b"*4\r", "-ERR failed"),
-])
+@pytest.mark.parametrize(
+    "sent, first",
+    [
+        (b"", None),
+        (b"*4\r\n$8\r\nCALL", None),
+        (call(1) + b"*4\r", "-ERR failed"),
+    ],
+)
 def test_silence_before_or_within_a_command_gets_an_error_and_a_close(sent, first, monkeypatch):
     monkeypatch.setattr(module, "COMMAND_S", 0.05)
 
@@ -294,11 +335,21 @@
     run(test())
 
 
-@pytest.mark.parametrize("head", [
-    b"*2000000000\r\n", b"*6\r\n", b"*0\r\n", b"*4\r\n$60000000\r\n", b"*4\r\n$-1\r\n", b"x" * 100,
-    call(1, "buy", body=b"x" * (LONGEST_VALUE + 1))[:200], b"*00000000000000000000000", b"*1\r\n$4\r\nPINGxx",
-    b"*1\r\n$+4\r\n",
-])
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"*2000000000\r\n",
+        b"*6\r\n",
+        b"*0\r\n",
+        b"*4\r\n$60000000\r\n",
+        b"*4\r\n$-1\r\n",
+        b"x" * 100,
+        call(1, "buy", body=b"x" * (LONGEST_VALUE + 1))[:200],
+        b"*00000000000000000000000",
+        b"*1\r\n$4\r\nPINGxx",
+        b"*1\r\n$+4\r\n",
+    ],
+)
 def test_header_that_promises_more_than_may_come_is_an_error_at_once(head, monkeypatch):
     monkeypatch.setattr(module, "COMMAND_S", 3600.0)
 
@@ -358,12 +409,27 @@
     run(test())
 
 
-@pytest.mark.parametrize("old, new", [
-    ("units=1", "units=2"), ("units=1", "units=1e0"), ("units=1", "units=0"), ("units=1", "units=-1"),
-    ("units=1", "units= 1"), ("units=1", "units=1_0"), ("units=1", "units=0x1"), (",units=1", ""),
-    ("spread=2", "spread=3"), ("spread=2", "spread=1.5"), ("first=0", "first=2"), ("first=0", "first=-1"),
-    ("first=0", "first=+0"), ("d=4000", "d=1e3"), ("d=4000", "d=0"), ("d=4000", "d= 4000"),
-])
+@pytest.mark.parametrize(
+    "old, new",
+    [
+        ("units=1", "units=2"),
+        ("units=1", "units=1e0"),
+        ("units=1", "units=0"),
+        ("units=1", "units=-1"),
+        ("units=1", "units= 1"),
+        ("units=1", "units=1_0"),
+        ("units=1", "units=0x1"),
+        (",units=1", ""),
+        ("spread=2", "spread=3"),
+        ("spread=2", "spread=1.5"),
+        ("first=0", "first=2"),
+        ("first=0", "first=-1"),
+        ("first=0", "first=+0"),
+        ("d=4000", "d=1e3"),
+        ("d=4000", "d=0"),
+        ("d=4000", "d= 4000"),
+    ],
+)
 def test_figures_out_of_range_are_an_error_and_charge_nobody(old, new):
     async def test():
         server = FakeServer()
@@ -389,6 +455,8 @@
             assert last[0] <= gateway.driver.clock() + 4000.0
 
     run(test())
+
+
 def test_no_pong_before_the_list_is_known():
     async def test():
         async with node() as gateway:
@@ -421,8 +489,9 @@
             peer.send(*(call(number) for number in range(MOST_PIPELINED + more)))
             await server.until(lambda: len(held) == MOST_PIPELINED)
             gateway.clients.stop_listening()
-            first = next(n for n, words in zip(server.by, server.commands, strict=True)
-                         if int(words[2], 16) == 0)
+            first = next(
+                n for n, words in zip(server.by, server.commands, strict=True) if int(words[2], 16) == 0
+            )
             for number, writer in enumerate(server.writers):
                 if number != first:
                     writer.write(array(b"v"))
--- a/tests/test_net_closing.py
+++ b/tests/test_net_closing.py
@@ -80,7 +80,8 @@
 
 @pytest.mark.parametrize("bad", [b"!junk\r\n", resp("NONSENSE") * client_module.MOST_ERRORS])
 def test_replies_before_a_command_that_ends_the_connection_come_whole_however_late_they_are_taken(
-        bad, monkeypatch):
+    bad, monkeypatch
+):
     monkeypatch.setattr(client_module, "LINGER_S", 0.0)
 
     async def test():
@@ -145,6 +146,7 @@
 @pytest.mark.parametrize("sent", [b"", call(9)[:20]])
 def test_what_is_answered_last_of_all_goes_out_before_its_connection_is_closed(sent):
     """Many answers are given in one moment, at the end of the time that closing may take."""
+
     async def test():
         server, owed = FakeServer(lambda words: None), 30
         async with node(server, plans=(Plan("free"),), limits=SETTINGS.limits) as gateway:
--- a/tests/test_net_departures.py
+++ b/tests/test_net_departures.py
@@ -90,6 +90,7 @@
 
 def test_request_that_was_answered_is_not_sent_on_a_connection_that_comes_up_after_that():
     """The last answer is given some ticks before the client's time is up."""
+
     async def test():
         server, up = FakeServer(), asyncio.Event()
         async with node(server, limits=NO_CANCELS, tick_ms=1000.0) as gateway:
@@ -233,6 +234,7 @@
 
 def test_client_that_left_while_the_process_stood_still_with_nothing_in_hand_is_not_sent_on():
     """Nothing in hand: the loop's lag is not watched, and nothing else tells that it stood still."""
+
     async def test():
         server = FakeServer()
         async with node(server) as gateway:
--- a/tests/test_net_discovery.py
+++ b/tests/test_net_discovery.py
@@ -42,7 +42,9 @@
             told, addresses = await news.get()
             assert told.kind is ListKind.CHANGES and told.version == 43
             assert [(e.server, e.state, e.started_ms) for e in told.entries] == [
-                (2, ServerState.DRAINING, 0.0), (3, ServerState.READY, 9.0)]
+                (2, ServerState.DRAINING, 0.0),
+                (3, ServerState.READY, 9.0),
+            ]
             watch.close()
             target, watch = await fake.watch()
             assert target == "/discovery/hosts?watch=1&from=43"
@@ -53,11 +55,19 @@
     run(test())
 
 
-@pytest.mark.parametrize("line", [
-    b"{not json\n", b"[]\n", b"7\n", b'{"generation":2,"reset":false}\n', b"\xff\xfe\n",
-    listing(2, {**row("s-2", 2), "hostPort": None}), listing(2, {**row("s-2", 2), "lifecycle": "Odd"}),
-    listing(2, {**row("s-2", 2), "hostPort": "nowhere"}),
-])
+@pytest.mark.parametrize(
+    "line",
+    [
+        b"{not json\n",
+        b"[]\n",
+        b"7\n",
+        b'{"generation":2,"reset":false}\n',
+        b"\xff\xfe\n",
+        listing(2, {**row("s-2", 2), "hostPort": None}),
+        listing(2, {**row("s-2", 2), "lifecycle": "Odd"}),
+        listing(2, {**row("s-2", 2), "hostPort": "nowhere"}),
+    ],
+)
 def test_malformed_line_is_not_fatal_and_all_is_asked_for_again(line):
     async def test():
         async with watched() as (_, fake, news):
@@ -117,8 +127,12 @@
     told = []
     discovery = Discovery(lambda listing, _: told.append(listing))
     discovery.known({"generation": 1, "reset": True, "instances": [row("s-1", 1)]})
-    for bad in ({**row("s-3", 3), "lifecycle": "Odd"}, {**row("s-3", 3), "hostPort": "127.0.0.1:70000"},
-                {**row("s-3", 3), "hostPort": ":9"}, {**row("s-3", 3), "instanceId": 7}):
+    for bad in (
+        {**row("s-3", 3), "lifecycle": "Odd"},
+        {**row("s-3", 3), "hostPort": "127.0.0.1:70000"},
+        {**row("s-3", 3), "hostPort": ":9"},
+        {**row("s-3", 3), "instanceId": 7},
+    ):
         discovery.told({"generation": 2, "reset": True, "instances": [row("s-2", 2), bad]})
     discovery.told({"generation": float("inf"), "reset": True, "instances": [row("s-2", 2)]})
     assert len(told) == 1 and discovery.roster.numbers == {"s-1": 1}
@@ -155,10 +169,14 @@
     run(test())
 
 
-@pytest.mark.parametrize("answer", [
-    b"HTTP/1.1 500 Odd\r\nContent-Length: 2\r\n\r\n{}", b"junk\r\n\r\n",
-    b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
-])
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"HTTP/1.1 500 Odd\r\nContent-Length: 2\r\n\r\n{}",
+        b"junk\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+    ],
+)
 def test_answer_that_is_no_watch_is_asked_for_again(answer):
     async def test():
         asked = asyncio.Queue()
--- a/tests/test_net_driver.py
+++ b/tests/test_net_driver.py
@@ -60,13 +60,15 @@
     async def test():
         async with node() as gateway:
             sends = []
-            script = Script(Request=lambda e: [Send("r", 9), Send("r", 9), Log("after both")],
-                            Outcome=lambda e: sends.append(gateway.driver.calls["r"].sends) or (
-                                [Refuse("r")] if e.attempt == 1 else []))
+            script = Script(
+                Request=lambda e: [Send("r", 9), Send("r", 9), Log("after both")],
+                Outcome=lambda e: (
+                    sends.append(gateway.driver.calls["r"].sends) or ([Refuse("r")] if e.attempt == 1 else [])
+                ),
+            )
             answers = scripted(gateway, script)
             assert sends == [2, 2]
-            assert script.outcomes() == [
-                (0, Status.CONNECT_FAILED, False), (1, Status.CONNECT_FAILED, False)]
+            assert script.outcomes() == [(0, Status.CONNECT_FAILED, False), (1, Status.CONNECT_FAILED, False)]
             assert answers == [b"-BUSY\r\n"] and not gateway.driver.calls
 
     run(test())
@@ -86,11 +88,14 @@
     async def test():
         server = FakeServer(lambda words: None)
         async with node(server) as gateway:
-            script = Script(Request=lambda e: [
-                Send("r", 1), Fail("r"), Refuse("r"), Send("r", 1), Cancel("r", 0)])
+            script = Script(
+                Request=lambda e: [Send("r", 1), Fail("r"), Refuse("r"), Send("r", 1), Cancel("r", 0)]
+            )
             assert scripted(gateway, script) == [b"-ERR failed\r\n"]
             assert sorted(script.outcomes(), key=lambda outcome: outcome[0]) == [
-                (0, Status.CONNECT_FAILED, True), (1, Status.NOT_SENT, True)]
+                (0, Status.CONNECT_FAILED, True),
+                (1, Status.NOT_SENT, True),
+            ]
             assert not server.commands and not gateway.driver.calls
 
     run(test())
@@ -100,8 +105,9 @@
     async def test():
         server, other = FakeServer(lambda words: None), FakeServer(lambda words: None)
         async with node(server, other) as gateway:
-            script = Script(Request=lambda e: [Send("r", 1)],
-                            Outcome=lambda e: [Send("r", 2)] if e.attempt == 0 else [])
+            script = Script(
+                Request=lambda e: [Send("r", 1)], Outcome=lambda e: [Send("r", 2)] if e.attempt == 0 else []
+            )
             scripted(gateway, script)
             await server.until(lambda: len(server.commands) == 1)
             gateway.driver._perform(Cancel("r", 0))
--- a/tests/test_net_ops.py
+++ b/tests/test_net_ops.py
@@ -61,7 +61,8 @@
             peer = await gateway.peer()
             before = (await ask("GET", "/-/metrics"))[1]
             assert before["handled"] == {
-                name: {"passed": 0, "dropped": 0, "bad_gateway": 0} for name in ("read", "post", "buy")}
+                name: {"passed": 0, "dropped": 0, "bad_gateway": 0} for name in ("read", "post", "buy")
+            }
             assert await peer.ask(call(1)) == await peer.ask(call(2, "post")) == b"v"
             assert await peer.ask(call(3, plan="tiny")) == b"v"
             assert (await peer.ask(call(5, plan="tiny"))).startswith("-BUSY")
@@ -139,13 +140,18 @@
     run(test())
 
 
-@pytest.mark.parametrize(("sent", "status"), [
-    (b"GET /-/nothing HTTP/1.1\r\n\r\n", 404), (b"GET /-/drain HTTP/1.1\r\n\r\n", 405),
-    (b"POST /-/ready HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}", 405),
-    (b"*1\r\n$4\r\nPING\r\n", 400), (b"GET /-/ready HTTP/7.1\r\n\r\n", 400),
-    (b"GET /-/ready HTTP/1.1\r\nX: " + b"y" * module.LONGEST_CALL, 431),
-    (b"GET /-/ready?a=1 HTTP/1.1\r\n\r\nGET /-/unknown HTTP/1.1\r\n\r\n", 200),
-])
+@pytest.mark.parametrize(
+    ("sent", "status"),
+    [
+        (b"GET /-/nothing HTTP/1.1\r\n\r\n", 404),
+        (b"GET /-/drain HTTP/1.1\r\n\r\n", 405),
+        (b"POST /-/ready HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}", 405),
+        (b"*1\r\n$4\r\nPING\r\n", 400),
+        (b"GET /-/ready HTTP/7.1\r\n\r\n", 400),
+        (b"GET /-/ready HTTP/1.1\r\nX: " + b"y" * module.LONGEST_CALL, 431),
+        (b"GET /-/ready?a=1 HTTP/1.1\r\n\r\nGET /-/unknown HTTP/1.1\r\n\r\n", 200),
+    ],
+)
 def test_bad_calls_are_answered_at_once_and_only_the_first_of_two(sent, status):
     async def test():
         async with manned(FakeServer()) as (_, ask):
@@ -217,8 +223,10 @@
 def test_the_command_line_calls_it_and_its_exit_code_says_yes_or_no(capsys):
     async def test():
         async with manned(FakeServer()) as (gateway, ask):
+
             def ops(*words):
                 return asyncio.to_thread(main, ["ops", *words, "--at", f"127.0.0.1:{ask.port}"])
+
             assert await ops("ready") == 0
             assert await ops("drain") == 0 and await ops("ready") == 1
             waits = asyncio.ensure_future(ops("ready", "--wait", "60"))
--- a/tests/test_net_pipelined.py
+++ b/tests/test_net_pipelined.py
@@ -39,6 +39,7 @@
         # hand than there may be connections to the node: what finds none at all is refused.
         patient = tuple(replace(kind, aim_ms=20_000.0, deadline_ms=40_000.0) for kind in SETTINGS.classes)
         async with node(FakeServer(), most_connections=200, classes=patient) as gateway:
+
             async def one(first):
                 peer = await gateway.peer()
                 for turn in range(4):
@@ -52,8 +53,10 @@
     run(test())
 
 
-@pytest.mark.parametrize("commands", [
-    (call(1), call(2, "post"), call(3)), (call(4, "buy", body=b"x" * 70), b"*1\r\n$4\r\nPING\r\n", call(5))])
+@pytest.mark.parametrize(
+    "commands",
+    [(call(1), call(2, "post"), call(3)), (call(4, "buy", body=b"x" * 70), b"*1\r\n$4\r\nPING\r\n", call(5))],
+)
 def test_pipelined_stream_split_at_every_byte_is_answered_in_order(commands):
     async def test():
         server = FakeServer(lambda words: array(words[2]))
--- a/tests/test_net_process.py
+++ b/tests/test_net_process.py
@@ -66,14 +66,26 @@
     """The running program, the port it listens on and the discovery it watches."""
     discovery, port = await FakeDiscovery().start(), free_port()
     path = tmp_path / "config.json"
-    path.write_text(json.dumps({
-        "name": "n0", "listen": f"127.0.0.1:{port}", "discovery": f"127.0.0.1:{discovery.port}",
-        "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-        "known": {"generation": 1, "reset": True, "instances": [row("s-1", server.port)]},
-        "settings": SETTINGS,
-    }))
-    env = {**os.environ, "EDGE_CONFIG": str(path), "EDGE_NAME": "n0", "EDGE_LISTEN": f"127.0.0.1:{port}",
-           "EDGE_DISCOVERY": f"127.0.0.1:{discovery.port}"}
+    path.write_text(
+        json.dumps(
+            {
+                "name": "n0",
+                "listen": f"127.0.0.1:{port}",
+                "discovery": f"127.0.0.1:{discovery.port}",
+                "seed": "8c1f30d27a5be964",
+                "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+                "known": {"generation": 1, "reset": True, "instances": [row("s-1", server.port)]},
+                "settings": SETTINGS,
+            }
+        )
+    )
+    env = {
+        **os.environ,
+        "EDGE_CONFIG": str(path),
+        "EDGE_NAME": "n0",
+        "EDGE_LISTEN": f"127.0.0.1:{port}",
+        "EDGE_DISCOVERY": f"127.0.0.1:{discovery.port}",
+    }
     process = await asyncio.create_subprocess_shell(command(), cwd=ROOT, env=env)
     try:
         yield process, port, discovery
@@ -111,8 +123,11 @@
             await server.until(lambda: len(server.commands) == 3)
             process.send_signal(signal.SIGTERM)
             assert await idle.reply() is None
-            number = next(n for n, words in zip(server.by, server.commands, strict=True)
-                          if words[2] == b"0000000000000001")
+            number = next(
+                n
+                for n, words in zip(server.by, server.commands, strict=True)
+                if words[2] == b"0000000000000001"
+            )
             server.writers[number].write(array(b"late"))
             assert await busy.reply() == b"late" and await busy.reply() is None
             # The server stays silent on this one, whose client would wait for a minute: refused in time.
@@ -181,7 +196,8 @@
             "load = program.Config.load\n"
             "def slow(env):\n    os.kill(os.getpid(), signal.SIGHUP)\n    return load(env)\n"
             "program.Config.load = slow\n"
-            "raise SystemExit(program.main())")
+            "raise SystemExit(program.main())"
+        )
         monkeypatch.setattr(sys.modules[__name__], "command", lambda: f'exec {sys.executable} -c "$CODE"')
         monkeypatch.setenv("CODE", code)
         server = await FakeServer(lambda words: array(b"v")).start()
--- a/tests/test_net_servers.py
+++ b/tests/test_net_servers.py
@@ -51,13 +51,24 @@
     run(test())
 
 
-@pytest.mark.parametrize("answer, status", [
-    (array(b"v"), Status.OK), (b"-BUSY\r\n", Status.FULL), (b"-ERR failed\r\n", Status.ERROR),
-    (b"", Status.RESET), (b"$1\r\nv\r\n", Status.ERROR), (b"*3\r\n$-1\r\n$-1\r\n$-1\r\n", Status.ERROR),
-    (b"*0\r\n", Status.ERROR), (b"*-1\r\n", Status.ERROR), (b"+OK\r\n", Status.ERROR),
-    (b"HTTP/1.1 200 OK\r\n\r\n", Status.ERROR), (b"$500000000\r\n" + b"x" * 3_000_000, Status.ERROR),
-    (b"*4000000000\r\n", Status.ERROR), (b"*1\r\n:5\r\n", Status.ERROR),
-])
+@pytest.mark.parametrize(
+    "answer, status",
+    [
+        (array(b"v"), Status.OK),
+        (b"-BUSY\r\n", Status.FULL),
+        (b"-ERR failed\r\n", Status.ERROR),
+        (b"", Status.RESET),
+        (b"$1\r\nv\r\n", Status.ERROR),
+        (b"*3\r\n$-1\r\n$-1\r\n$-1\r\n", Status.ERROR),
+        (b"*0\r\n", Status.ERROR),
+        (b"*-1\r\n", Status.ERROR),
+        (b"+OK\r\n", Status.ERROR),
+        (b"HTTP/1.1 200 OK\r\n\r\n", Status.ERROR),
+        (b"$500000000\r\n" + b"x" * 3_000_000, Status.ERROR),
+        (b"*4000000000\r\n", Status.ERROR),
+        (b"*1\r\n:5\r\n", Status.ERROR),
+    ],
+)
 def test_outcome_by_the_table_and_one_only(answer, status):
     async def test():
         server = FakeServer(lambda words: answer)
@@ -74,10 +85,10 @@
 def test_figures_on_use_and_load_in_answers_and_error_lines():
     read = RespReplyDecoder(("utilisation", "queue"), 1.0).decode
     assert read([b"v", b"used=37,cost=4", b"inflight=7,queue=2,util=0.61"]) == Reply(
-        Status.OK, b"v", 37.0, 4.0, (0.61, 2.0))
+        Status.OK, b"v", 37.0, 4.0, (0.61, 2.0)
+    )
     assert read([b"v", None, None]) == Reply(Status.OK, b"v")
-    assert read("ERR failed used=120 util=0.5,queue=3") == Reply(
-        Status.ERROR, None, 120.0, None, (0.5, 3.0))
+    assert read("ERR failed used=120 util=0.5,queue=3") == Reply(Status.ERROR, None, 120.0, None, (0.5, 3.0))
     assert read("BUSY used=9") == Reply(Status.FULL, None, 9.0)
     assert read([b"v", b"used=x,,=,nan", b"util=0.5"]) == Reply(Status.OK, b"v")
 
@@ -96,11 +107,24 @@
     run(test())
 
 
-@pytest.mark.parametrize("answer", [
-    array(b"v") + b"junk", b"*3\r\n$1\r\nvv\r\n$-1\r\n$-1\r\n", b"*2000000000\r\n",
-    b"*3\r\n$3000000000\r\n", b"*3\r\n$4194305\r\n", b"*1\r\n$1\r\nv\r\n", b"*3\r\n$-1\r\n", b"\xb4P\xff",
-    b"-" + b"x" * 600, b"-NOISE x\r\n", b"-\xff\xff\r\n", b"*3\r\n*1\r\n$1\r\nv\r\n", b":5\r\n",
-])
+@pytest.mark.parametrize(
+    "answer",
+    [
+        array(b"v") + b"junk",
+        b"*3\r\n$1\r\nvv\r\n$-1\r\n$-1\r\n",
+        b"*2000000000\r\n",
+        b"*3\r\n$3000000000\r\n",
+        b"*3\r\n$4194305\r\n",
+        b"*1\r\n$1\r\nv\r\n",
+        b"*3\r\n$-1\r\n",
+        b"\xb4P\xff",
+        b"-" + b"x" * 600,
+        b"-NOISE x\r\n",
+        b"-\xff\xff\r\n",
+        b"*3\r\n*1\r\n$1\r\nv\r\n",
+        b":5\r\n",
+    ],
+)
 def test_connection_of_a_spoilt_answer_is_never_used_again_though_it_stays_open(answer):
     async def test():
         server = FakeServer(lambda words: answer if words[2].endswith(b"1") else array(words[2]))
@@ -183,7 +207,8 @@
             peer, other = await gateway.peer(), await gateway.peer()
             for number in range(0, 8, 2):  # two at once: one to each server
                 replies = await asyncio.gather(
-                    peer.ask(call(number, "buy")), other.ask(call(number + 1, "buy")))
+                    peer.ask(call(number, "buy")), other.ask(call(number + 1, "buy"))
+                )
                 assert replies == [b"%016x" % number, b"%016x" % (number + 1)]
             assert busy.commands
 
@@ -308,8 +333,10 @@
     async def test():
         server = FakeServer()
         async with node(server) as gateway:
+
             def none_left(*_):
                 raise OSError(errno.EMFILE, "too many open files")
+
             ends = Ends()
             with monkeypatch.context() as patch:
                 patch.setattr(socket, "socket", none_left)
--- a/tests/test_net_slow.py
+++ b/tests/test_net_slow.py
@@ -27,8 +27,12 @@
     monkeypatch.setattr(clients_module, "IDLE_S", 0.2)
 
     async def test():
-        board = await BoardNode("b", work_s=0.001, cores=64, script=at_random(7, {
-            Fault.SLOW: 0.05, Fault.ERROR: 0.05, Fault.RESET: 0.05, Fault.SPOILT: 0.05})).start()
+        board = await BoardNode(
+            "b",
+            work_s=0.001,
+            cores=64,
+            script=at_random(7, {Fault.SLOW: 0.05, Fault.ERROR: 0.05, Fault.RESET: 0.05, Fault.SPOILT: 0.05}),
+        ).start()
         async with node(classes=CROWD) as gateway:
             gateway.edge.budget.total = 256 - 32
             gateway.edge.budget.floors = {Side.CLIENTS: 112, Side.SERVERS: 28}
@@ -95,7 +99,7 @@
                 peer, text = await gateway.peer(), call(number, "buy", body=b"x" * 1500)
                 answer = asyncio.ensure_future(peer.reply())
                 for place in range(0, len(text), 100):
-                    peer.send(text[place:place + 100])
+                    peer.send(text[place : place + 100])
                     await asyncio.wait((answer,), timeout=began + (place + 100) / rate - time.monotonic())
                     if answer.done():
                         break
@@ -228,11 +232,15 @@
 
 def test_answers_that_together_outgrow_the_memory_end_who_has_most():
     async def test():
-        server = FakeServer(lambda words: array(LARGE[:60_000 if words[2] < b"0000000000000010" else 40_000]))
+        server = FakeServer(
+            lambda words: array(LARGE[: 60_000 if words[2] < b"0000000000000010" else 40_000])
+        )
         async with node(server) as gateway:
             small_buffers(gateway)
-            socks = [await deaf_peer(gateway, *(call(number + more, "buy") for more in range(2)))
-                     for number in (1, 0x11)]
+            socks = [
+                await deaf_peer(gateway, *(call(number + more, "buy") for more in range(2)))
+                for number in (1, 0x11)
+            ]
             await until(lambda: len(gateway.clients.stuck) == 2)
             gateway.clients.most_held = 150_000
             await until(lambda: len(gateway.clients.connections) == 1)
@@ -254,7 +262,7 @@
             place, slow = 0, asyncio.ensure_future(trickle.reply())
             trickle.send(call(1)[:20])
             while place < len(large):
-                moves.send(large[place:place + 2000])  # 40 KB a second, for longer than COMMAND_S
+                moves.send(large[place : place + 2000])  # 40 KB a second, for longer than COMMAND_S
                 place += 2000
                 trickle.send(b"")
                 await asyncio.sleep(0.05)
@@ -268,8 +276,9 @@
 def test_pause_of_our_own_is_not_blamed_on_the_client():
     async def test():
         held = []
-        server = FakeServer(lambda words: held.append(words) if len(held) < clients_module.MOST_PIPELINED
-                            else array(b"v"))
+        server = FakeServer(
+            lambda words: held.append(words) if len(held) < clients_module.MOST_PIPELINED else array(b"v")
+        )
         async with node(server) as gateway:
             peer = await gateway.peer()
             commands = [call(number) for number in range(clients_module.MOST_PIPELINED + 2)]
@@ -334,7 +343,7 @@
             asking = asyncio.ensure_future(peer.ask(call(1)))
             await server.until(lambda: len(server.commands) == 1)
             for place in range(0, len(LARGE), 50_000):
-                server.writers[0].write(LARGE[place:place + 50_000])
+                server.writers[0].write(LARGE[place : place + 50_000])
                 await asyncio.sleep(0.05)
             server.writers[0].write(b"\r\n$-1\r\n$-1\r\n")
             assert await asking == LARGE
@@ -400,8 +409,10 @@
 
 # ---- Crowds
 
-CROWD = (RequestClass("read", 2000.0, 4000.0, Effect.SAFE),
-         RequestClass("buy", 2000.0, 8000.0, Effect.UNSAFE, worth=3.0))
+CROWD = (
+    RequestClass("read", 2000.0, 4000.0, Effect.SAFE),
+    RequestClass("buy", 2000.0, 8000.0, Effect.UNSAFE, worth=3.0),
+)
 
 
 def test_cheapest_first_requests_are_turned_away_while_places_are_short_and_end_their_connection(monkeypatch):
@@ -459,8 +470,11 @@
     async def test():
         kind = RequestClass("read", 200.0, 4000.0, Effect.SAFE)
         server = FakeServer()
-        async with node(server, classes=(kind,), plans=(Plan("free"), Plan("tiny", rate=0.001, burst=2.0)),
-                        ) as gateway:
+        async with node(
+            server,
+            classes=(kind,),
+            plans=(Plan("free"), Plan("tiny", rate=0.001, burst=2.0)),
+        ) as gateway:
             more, gateway.clients._accept_more = gateway.clients._accept_more, lambda: None
             gateway.clients._accept_no_more()
             peer = await gateway.peer()
@@ -526,8 +540,9 @@
     shares = {}
     for scarcity in (0.5, 0.9, 1.0):
         asked = [(kind, passed(kind, scarcity)) for _ in range(100) for kind in ("safe", "dear")]
-        shares[scarcity] = {kind: sum(sent for name, sent in asked if name == kind)
-                            for kind in ("safe", "dear")}
+        shares[scarcity] = {
+            kind: sum(sent for name, sent in asked if name == kind) for kind in ("safe", "dear")
+        }
     assert shares[0.5] == {"safe": 100, "dear": 100}
     assert shares[0.9]["safe"] < 50 and shares[0.9]["dear"] > 80
     assert shares[1.0]["safe"] == 0
--- a/tests/test_net_streams.py
+++ b/tests/test_net_streams.py
@@ -36,7 +36,7 @@
     reader, text, values = Answers(), answer * (1 + twice), []
     got, length, place = b"", None, 0
     for cut in [*cuts, len(text)]:
-        data, place = text[place:place + cut], place + cut
+        data, place = text[place : place + cut], place + cut
         if length is None or not reader.value_left:
             reader.feed(data)
         else:
@@ -126,8 +126,10 @@
         server = quiet()
         async with node(server) as gateway:
             peer = await asked(gateway, server, call(1), call(2), call(3))
-            by = {int(words[2], 16): server.writers[number]
-                  for number, words in zip(server.by, server.commands, strict=True)}
+            by = {
+                int(words[2], 16): server.writers[number]
+                for number, words in zip(server.by, server.commands, strict=True)
+            }
             by[2].write(HEAD + LONG + TAIL)
             by[3].write(array(b"third"))
             await until(lambda: sum(bool(one.stream) for one in gateway.servers.connections) == 1)
@@ -196,7 +198,7 @@
 
 def test_a_client_that_reads_a_long_value_slowly_holds_up_none_of_a_hundred_beside_it():
     async def test():
-        value = LONG[:1 << 20]
+        value = LONG[: 1 << 20]
         server = FakeServer(lambda words: array(value if int(words[2], 16) == 1 else b"ok"))
         async with node(server) as gateway:
             gateway.clients.listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
@@ -209,7 +211,8 @@
             peers = [await gateway.peer() for _ in range(20)]
             for turn in range(5):  # one read of the slow one for twenty quick answers
                 answers = await asyncio.gather(
-                    *(peer.ask(call(100 * turn + 100 + number)) for number, peer in enumerate(peers)))
+                    *(peer.ask(call(100 * turn + 100 + number)) for number, peer in enumerate(peers))
+                )
                 assert answers == [b"ok"] * 20
                 (open_,) = gateway.servers.streams.open
                 assert not open_.ended or open_.pieces
@@ -276,8 +279,10 @@
         async with node(server) as gateway:
             gateway.clients.most_held = 1_200_000
             peers = [await gateway.peer() for _ in range(10)]
-            asking = [asyncio.ensure_future(peer.ask(call(number, "buy", body=body)))
-                      for number, peer in enumerate(peers)]
+            asking = [
+                asyncio.ensure_future(peer.ask(call(number, "buy", body=body)))
+                for number, peer in enumerate(peers)
+            ]
             while not all(one.done() for one in asking):
                 most = max(most, gateway.clients.held)
                 await asyncio.sleep(0.001)
--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -9,8 +9,13 @@
 NAMES = [item.name for item in SETTINGS.classes]
 MAYBE = {Status.ERROR, Status.TIMEOUT, Status.RESET, Status.CANCELLED}
 STEPS = st.one_of(
-    st.tuples(st.just("ask"), st.sampled_from([p.name for p in SETTINGS.plans]), st.sampled_from(NAMES),
-              st.floats(20.0, 4000.0), st.integers(1, 4)),
+    st.tuples(
+        st.just("ask"),
+        st.sampled_from([p.name for p in SETTINGS.plans]),
+        st.sampled_from(NAMES),
+        st.floats(20.0, 4000.0),
+        st.integers(1, 4),
+    ),
     st.tuples(st.just("end"), st.integers(0, 50), st.sampled_from([s for s in Status if s is not Status.OK])),
     st.tuples(st.just("end"), st.integers(0, 50), st.just(Status.OK)),
     st.tuples(st.just("wait"), st.floats(0.0, 900.0)),
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -73,8 +73,10 @@
         counter = await Counter().start()
         async with fleet(2, counter) as (edges, counting):
             await state(counting, State.FRESH)
-            while (await ask(edges[0]) == "Served"
-                   and edges[0].driver.gateway.meter.customers["plan", C].granted <= 0.9):
+            while (
+                await ask(edges[0]) == "Served"
+                and edges[0].driver.gateway.meter.customers["plan", C].granted <= 0.9
+            ):
                 await asyncio.sleep(0.3)  # who asks for nothing for long, on a busy machine, is told no share
             assert await ask(edges[1]) == "Served"
             key = "plan", C
@@ -89,6 +91,7 @@
 
 # ---- The file that switches it on
 
+
 def written(tmp_path: Path, table: object) -> Path:
     """A configuration that names a file with this table."""
     path, file = tmp_path / "config.json", tmp_path / "counter.json"
@@ -97,15 +100,21 @@
     return path
 
 
-@pytest.mark.parametrize("table,words", [
-    ({}, "url: is missing"), ({"url": "http://127.0.0.1"}, "url: is no redis:// or rediss:// address"),
-    ({"url": "redis://"}, "url: is no redis://"),
-    ({"url": "redis://a", "prefx": "b"}, "prefx: unknown key, prefix"),
-    ({"url": "redis://a", "prefix": ""}, "prefix: ''"),
-    ({"url": "redis://a", "prefix": "a b"}, "prefix: 'a b'"),
-    ({"url": "redis://a", "timeout_ms": 0}, "timeout_ms: not from 1"),
-    ({"url": "redis://a", "timeout_ms": 10001}, "timeout_ms: not from 1"),
-    ({"url": "redis://a", "ca": "b"}, "ca: goes with rediss:// alone"), ([], "not a table")])
+@pytest.mark.parametrize(
+    "table,words",
+    [
+        ({}, "url: is missing"),
+        ({"url": "http://127.0.0.1"}, "url: is no redis:// or rediss:// address"),
+        ({"url": "redis://"}, "url: is no redis://"),
+        ({"url": "redis://a", "prefx": "b"}, "prefx: unknown key, prefix"),
+        ({"url": "redis://a", "prefix": ""}, "prefix: ''"),
+        ({"url": "redis://a", "prefix": "a b"}, "prefix: 'a b'"),
+        ({"url": "redis://a", "timeout_ms": 0}, "timeout_ms: not from 1"),
+        ({"url": "redis://a", "timeout_ms": 10001}, "timeout_ms: not from 1"),
+        ({"url": "redis://a", "ca": "b"}, "ca: goes with rediss:// alone"),
+        ([], "not a table"),
+    ],
+)
 def test_a_wrong_file_is_one_line_that_names_the_key(tmp_path, capsys, table, words):
     assert main(["check-config", "--config", str(written(tmp_path, table))]) == 2
     (line,) = capsys.readouterr().err.splitlines()
@@ -128,11 +137,20 @@
         counter, board, admin = await Counter().start(), await FakeServer().start(), free_port()
         path = written(tmp_path, {"url": f"redis://127.0.0.1:{counter.port}/0"})
         document = json.loads(path.read_text()) | {
-            "admin": f"127.0.0.1:{admin}", "nodes": [{"name": "b", "host": "127.0.0.1", "port": board.port}]}
+            "admin": f"127.0.0.1:{admin}",
+            "nodes": [{"name": "b", "host": "127.0.0.1", "port": board.port}],
+        }
         path.write_text(json.dumps(document))
         process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "brackenloft.cli", "serve", "--config", str(path), cwd=ROOT,
-            stderr=subprocess.PIPE)
+            sys.executable,
+            "-m",
+            "brackenloft.cli",
+            "serve",
+            "--config",
+            str(path),
+            cwd=ROOT,
+            stderr=subprocess.PIPE,
+        )
         try:
             while "listening on " not in (line := (await process.stderr.readline()).decode()):
                 assert line
@@ -246,9 +264,16 @@
         counter.store.mood = Mood.WELL
 
 
-@pytest.mark.parametrize("event,turned", [
-    (killed, State.SILENT), (hangs, State.SILENT), (cut, State.SPLIT), (swapped, State.REPLACED),
-    (loads, State.SUSPICIOUS)])
+@pytest.mark.parametrize(
+    "event,turned",
+    [
+        (killed, State.SILENT),
+        (hangs, State.SILENT),
+        (cut, State.SPLIT),
+        (swapped, State.REPLACED),
+        (loads, State.SUSPICIOUS),
+    ],
+)
 def test_what_is_let_in_keeps_its_bound_through_what_happens_to_the_counter(event, turned):
     async def test():
         one, other = rooms()
--- a/tests/test_quota_core.py
+++ b/tests/test_quota_core.py
@@ -40,16 +40,31 @@
 
 # ---- What is read
 
-@pytest.mark.parametrize("value", [
-    b"", b"1", b"-1:0", b"1:-1", b"1e3:0", b"1:2:3", b" 1:2", b"9" * 16 + b":1", b"1:" + b"9" * 13, b"nan:1",
-    b"\xff:1"])
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"",
+        b"1",
+        b"-1:0",
+        b"1:-1",
+        b"1e3:0",
+        b"1:2:3",
+        b" 1:2",
+        b"9" * 16 + b":1",
+        b"1:" + b"9" * 13,
+        b"nan:1",
+        b"\xff:1",
+    ],
+)
 def test_figures_that_no_gateway_writes_are_refused(value):
     with pytest.raises(NonsenseError):
         figures_of({b"0.a": value})
 
 
-@pytest.mark.parametrize("field", [
-    b"", b"a", b"0", b"0.", b".a", b"-1.a", b"0.A", b"0." + b"a" * 33, b"1234567.a"])
+@pytest.mark.parametrize(
+    "field", [b"", b"a", b"0", b"0.", b".a", b"-1.a", b"0.A", b"0." + b"a" * 33, b"1234567.a"]
+)
 def test_fields_that_no_gateway_writes_are_refused(field):
     for read in (lambda: run_of(field), lambda: figures_of({field: b"1:1"}), lambda: beats_of({field: b"1"})):
         with pytest.raises(NonsenseError):
@@ -68,8 +83,12 @@
 
 
 @settings(derandomize=True, max_examples=200, deadline=None)
-@given(st.integers(0, 10**15 - 1), st.integers(0, 10**12 - 1), st.integers(0, 999_999),
-       st.text("0123456789abcdef", min_size=1, max_size=32))
+@given(
+    st.integers(0, 10**15 - 1),
+    st.integers(0, 10**12 - 1),
+    st.integers(0, 999_999),
+    st.text("0123456789abcdef", min_size=1, max_size=32),
+)
 def test_what_a_gateway_writes_is_read_back(units, rate, gateway, nonce):
     run, figures = Run(gateway, nonce), Figures(units, rate)
     assert figures_of({run.field(): figures.text()}) == {run: figures}
@@ -77,6 +96,7 @@
 
 # ---- One account
 
+
 def account(now: float = 0.0, width: int = 2) -> Account:
     return Account(PLAN, tuple(range(width)), now)
 
@@ -100,8 +120,12 @@
 
 
 @settings(derandomize=True, max_examples=200, deadline=None)
-@given(st.integers(1, 8), st.lists(st.floats(0.0, 20.0), min_size=1, max_size=30),
-       st.sampled_from(list(State)), st.sets(st.integers(0, 7)))
+@given(
+    st.integers(1, 8),
+    st.lists(st.floats(0.0, 20.0), min_size=1, max_size=30),
+    st.sampled_from(list(State)),
+    st.sets(st.integers(0, 7)),
+)
 def test_no_share_is_below_the_even_floor_or_above_the_whole(width, uses, state, unseen):
     one, now = account(width=width), 0.0
     for units in uses:
@@ -189,6 +213,7 @@
 
 # ---- Trust
 
+
 def answered(trust: Trust, now: float, epoch: str = "e", **beats: int) -> State:
     runs = {Run(int(name[1]), name[2:]): number for name, number in beats.items()}
     trust.answer(now, now, epoch, runs)
@@ -208,8 +233,15 @@
     assert now >= CALM_MS
 
 
-@pytest.mark.parametrize("after,state", [(LATE_MS, State.FRESH), (LATE_MS + 1, State.LATE),
-                                         (SILENT_MS, State.LATE), (SILENT_MS + 1, State.SILENT)])
+@pytest.mark.parametrize(
+    "after,state",
+    [
+        (LATE_MS, State.FRESH),
+        (LATE_MS + 1, State.LATE),
+        (SILENT_MS, State.LATE),
+        (SILENT_MS + 1, State.SILENT),
+    ],
+)
 def test_without_answers_it_is_late_and_then_silent(after, state):
     trust, now = fresh()
     trust.beats.clear()
@@ -266,6 +298,7 @@
 
 # ---- The core
 
+
 def core(most: int = 1000) -> Core:
     return Core((PLAN, Plan("free")), 2, OWN, most)
 
@@ -295,8 +328,9 @@
     one.uses(("plan", "c"), 1.0, 2, 0, 0.0)
     report = one.due(REPORT_MS, "e")
     one.failed(report, "timeout", 600.0)
-    assert one.due(1000.0, "e").rows == tuple(replace(row, figures=one.accounts["plan", "c"].figures(1000.0))
-                                              for row in report.rows)
+    assert one.due(1000.0, "e").rows == tuple(
+        replace(row, figures=one.accounts["plan", "c"].figures(1000.0)) for row in report.rows
+    )
 
 
 def test_another_counter_is_told_all_again():
@@ -315,6 +349,7 @@
 
 # ---- Whole fleets
 
+
 def keeps(rig: Rig) -> None:
     """What holds whatever happens."""
     most = allowed(rig.play)
@@ -359,8 +394,14 @@
     """Of the customers few are active; those far over their quota come through eight gateways."""
     active = tuple(Asker(f"c{n}", 0.5 if n % 10 else 5.0, first=n % 100) for n in range(60))
     once = tuple(Asker(f"o{number}", 0.003, first=number % 100) for number in range(100_000))
-    play = Play(gateways=100, width=8, askers=active + once, length_ms=10_000.0, rooms=(0, 1, 1),
-                troubles=(Trouble(Fault.SPLIT, 4000.0, 3000.0),))
+    play = Play(
+        gateways=100,
+        width=8,
+        askers=active + once,
+        length_ms=10_000.0,
+        rooms=(0, 1, 1),
+        troubles=(Trouble(Fault.SPLIT, 4000.0, 3000.0),),
+    )
     rig = Rig(play).run()
     keeps(rig)
     assert max(len(one.accounts) for one in rig.cores) > 50
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -14,6 +14,7 @@
 
 # 1. One final answer
 
+
 @pytest.mark.parametrize("class_name, answer", [("safe", "Refuse"), ("keyed", "Fail"), ("unsafe", "Fail")])
 def test_silent_attempt_is_answered_before_the_client_leaves(rig, class_name, answer):
     name = rig.ask(class_name=class_name, patience=300.0)
@@ -47,6 +48,7 @@
 
 # 2. No effect twice
 
+
 @pytest.mark.parametrize("status", RAN_NOT)
 @pytest.mark.parametrize("class_name", ["safe", "keyed", "unsafe"])
 def test_an_attempt_proven_not_to_have_run_is_sent_elsewhere(rig, class_name, status):
@@ -78,8 +80,9 @@
     assert rig.answers[name] == "Fail"
 
 
-@pytest.mark.parametrize("class_name, group", [
-    ("keyed", {1, 2}), ("keyed-cell", {1, 2}), ("keyed-all", {1, 2, 3, 4})])
+@pytest.mark.parametrize(
+    "class_name, group", [("keyed", {1, 2}), ("keyed-cell", {1, 2}), ("keyed-all", {1, 2, 3, 4})]
+)
 def test_keyed_goes_again_only_in_its_group(class_name, group):
     for seed in range(10):
         rig = Rig(seed=seed)
@@ -114,6 +117,7 @@
 
 # 3. Drains
 
+
 @pytest.mark.parametrize("state", [ServerState.DRAINING, ServerState.GONE])
 def test_nothing_goes_to_a_draining_server(rig, state):
     rig.servers(entry(1, state=state), kind=ListKind.CHANGES)
@@ -136,6 +140,7 @@
 
 # 4. Cold servers
 
+
 def test_cold_server_gets_little_work_in_a_burst():
     rig = Rig()
     rig.servers(entry(1), entry(2), entry(3, started_ms=1000.0))
@@ -187,6 +192,7 @@
 
 # 5. Ceilings
 
+
 def test_ceiling_starts_empty_and_fills_at_its_share(rig):
     names = [rig.ask("ceiling") for _ in range(3)]
     assert not any(name in rig.sent for name in names)
@@ -231,6 +237,7 @@
 
 # Beyond the rules: pressure
 
+
 def test_who_waits_for_a_cap_and_is_shed_as_another_is_woken_stays_answered():
     rig = rig_with(classes=(*CLASSES, DEAR))
     rig.servers(entry(1), entry(2))
@@ -327,6 +334,7 @@
 
 # Beyond the rules: pressure over all servers, at any number of gateways
 
+
 def test_all_gateways_together_keep_few_out_before_anything_is_known():
     out = 0
     for index in range(100):  # six a server over all gateways: 0.6 each with ten servers
@@ -382,6 +390,7 @@
 
 # Beyond the rules: servers that fail a part of what they get
 
+
 def fleet(size: int = 4) -> Rig:
     rig = Rig()
     rig.servers(*(entry(n) for n in range(size)))
@@ -497,6 +506,7 @@
 
 # Beyond the rules: connections that fall silent
 
+
 def hung(class_name: str, mean: float) -> tuple[Rig, str]:
     """A request out without an answer, at servers that answer its class in this time on the mean."""
     rig = fleet(2)
--- a/tests/test_served_here.py
+++ b/tests/test_served_here.py
@@ -128,8 +128,16 @@
 
 
 @settings(derandomize=True, max_examples=60, deadline=None)
-@given(st.lists(st.tuples(st.sampled_from(("ask", "done", "gone", "wait")), st.integers(0, 30),
-                          st.sampled_from([plan.name for plan in PLANS])), max_size=60))
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(("ask", "done", "gone", "wait")),
+            st.integers(0, 30),
+            st.sampled_from([plan.name for plan in PLANS]),
+        ),
+        max_size=60,
+    )
+)
 def test_counts_are_exact_after_any_order_of_events(steps):
     rig, names = Rig(), []
     rig.servers(entry(1), entry(2))
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -54,11 +54,18 @@
     run(test())
 
 
-@pytest.mark.parametrize("words", [
-    ["CALL.GET", WHO, ID], ["CALL.GET", "zz", ID, GOOD], ["CALL.GET", WHO, "a b", GOOD],
-    ["CALL.GET", WHO, ID, GOOD + ",c=x"], ["CALL.GET", WHO, ID, GOOD.replace("d=4000,", "")],
-    ["CALL.POST", WHO, ID, GOOD], ["CALL.GET", WHO, ID, GOOD.replace("units=1", "units=x")],
-])
+@pytest.mark.parametrize(
+    "words",
+    [
+        ["CALL.GET", WHO, ID],
+        ["CALL.GET", "zz", ID, GOOD],
+        ["CALL.GET", WHO, "a b", GOOD],
+        ["CALL.GET", WHO, ID, GOOD + ",c=x"],
+        ["CALL.GET", WHO, ID, GOOD.replace("d=4000,", "")],
+        ["CALL.POST", WHO, ID, GOOD],
+        ["CALL.GET", WHO, ID, GOOD.replace("units=1", "units=x")],
+    ],
+)
 def test_command_not_of_the_form_is_a_syntax_error_and_runs_nothing(words):
     async def test():
         board, peer = await opened()
@@ -96,9 +103,15 @@
     run(test())
 
 
-@pytest.mark.parametrize("fault, ran", [
-    (Fault.RESET, 1), (Fault.HANG_UP, 0), (Fault.BUSY, 0), (Fault.ERROR, 1),
-])
+@pytest.mark.parametrize(
+    "fault, ran",
+    [
+        (Fault.RESET, 1),
+        (Fault.HANG_UP, 0),
+        (Fault.BUSY, 0),
+        (Fault.ERROR, 1),
+    ],
+)
 def test_faults_run_or_not_as_they_say(fault, ran):
     async def test():
         board, peer = await opened(script=in_order([fault]))
@@ -160,6 +173,7 @@
         async def line(keep=writer):  # a writer that nobody holds closes itself
             size = int(await reader.readline(), 16)
             return (await reader.readexactly(size + 2))[:-2]
+
         return line
 
     async def test():
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -24,8 +24,10 @@
 
 
 def test_refusal_over_quota_tells_when_the_bucket_has_drained_so_that_coming_back_then_is_sent_at_once():
-    rig = rig_with(limits=Limits(can_advise_retry=True, max_retry_after_ms=60_000.0),
-                   plans=(Plan("metered", rate=2.0, burst=4.0),))
+    rig = rig_with(
+        limits=Limits(can_advise_retry=True, max_retry_after_ms=60_000.0),
+        plans=(Plan("metered", rate=2.0, burst=4.0),),
+    )
     rig.servers(entry(1), entry(2))
     refusal = first_refusal(rig)
     assert 0.0 < refusal.retry_after_ms < 60_000.0
--- a/tests/test_transcripts.py
+++ b/tests/test_transcripts.py
@@ -23,18 +23,27 @@
     draw = random.Random(20261201)
     for number in range(MANY):
         kind = draw.choice(("read", "post", "buy", "buy", "read", "none"))
-        yield Call(
-            kind, draw.choice(("free", "free", "tiny")), f"{draw.randrange(1, 4):016x}",
-            body=b"" if kind == "read" else draw.randbytes(draw.choice((0, 10, 5000))),
-            key=f"{number:08x}" if kind == "post" else None, units=draw.choice((1.0, 0.5, 0.25)),
-            width=draw.choice((1, 2)), request_id=f"{number:016x}",
-        ), draw.choice(FAULTS)
+        yield (
+            Call(
+                kind,
+                draw.choice(("free", "free", "tiny")),
+                f"{draw.randrange(1, 4):016x}",
+                body=b"" if kind == "read" else draw.randbytes(draw.choice((0, 10, 5000))),
+                key=f"{number:08x}" if kind == "post" else None,
+                units=draw.choice((1.0, 0.5, 0.25)),
+                width=draw.choice((1, 2)),
+                request_id=f"{number:016x}",
+            ),
+            draw.choice(FAULTS),
+        )
 
 
 def command(call: Call) -> bytes:
     key = f"k={call.key}," if call.key else ""
-    listed = (f"c={call.class_name},t={call.plan},d=4000,{key}units={call.units:g},"
-              f"spread={call.width},first={call.first_gateway}")
+    listed = (
+        f"c={call.class_name},t={call.plan},d=4000,{key}units={call.units:g},"
+        f"spread={call.width},first={call.first_gateway}"
+    )
     words = ["CALL.GET" if call.class_name == "read" else "CALL.POST", call.customer, call.request_id, listed]
     return resp(*words, *([] if call.class_name == "read" else [call.body]))
 
@@ -62,7 +71,8 @@
     async def test():
         faults = []
         board = await BoardNode(
-            "b", work_s=0.0, slow_s=0.01, script=lambda _: faults.pop() if faults else None).start()
+            "b", work_s=0.0, slow_s=0.01, script=lambda _: faults.pop() if faults else None
+        ).start()
         async with node(plans=PLANS) as gateway:
             gateway.edge.use([Node("b", "127.0.0.1", board.port)])
             peer = await gateway.peer()
