--- a/brackenloft/edge/edge.py
+++ b/brackenloft/edge/edge.py
@@ -11,15 +11,16 @@
 import logging
 import secrets
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import asdict, fields, replace
+from dataclasses import replace
 from types import TracebackType
 from typing import Any
 
 from brackenloft import interface as api
 from brackenloft.admission.budget import Budget, Side
-from brackenloft.answers import Answer, Tally
+from brackenloft.answers import Answer
 from brackenloft.checks import CLIENT_MARGIN_MS, Checks, FieldError
 from brackenloft.edge.calls import Admitting, Call, CallRoute, EdgeClosed, Pending, Room
+from brackenloft.edge.counters import request_counters
 from brackenloft.edge.sources import Node, listing
 from brackenloft.lifecycle import FACTS, Event, Lifecycle, State
 from brackenloft.net import wire
@@ -342,20 +343,7 @@
 
     def counters(self) -> dict[str, float]:
         """What became of the requests so far, and what is in hand now."""
-        now = {
-            "in_hand": len(self.driver.calls),
-            "granted_now": self.granted_now,
-            "client_connections": len(self.clients.connections),
-            "server_connections": len(self.servers.connections),
-        }
-        bites = {
-            f"bit: {name}": count
-            for part in (self.clients, self.servers)
-            for name, count in part.bites.counts.items()
-        }
-        tallies = self.driver.tallies.values()
-        ended = {field.name: sum(getattr(tally, field.name) for tally in tallies) for field in fields(Tally)}
-        return asdict(self.driver.counters) | ended | now | bites
+        return request_counters(self.driver, self.clients, self.servers, self.granted_now)
 
     def _check_open(self) -> None:
         if not self.is_open:
