--- a/tests/test_net_slow.py
+++ b/tests/test_net_slow.py
@@ -21,6 +21,7 @@
 from brackenloft.standins import BoardNode, Fault, at_random
 
 LARGE = b"v" * 900_000
+pytestmark = pytest.mark.paced
 
 
 def test_crowd_that_asks_once_and_stays_is_answered_within_256_descriptors(monkeypatch):
