--- a/review/common.py
+++ b/review/common.py
@@ -406,4 +406,9 @@
         finally:
             await case.close()
 
-    sys.exit(asyncio.run(whole()))
+    async def and_exit() -> None:
+        code = await whole()
+        sys.stdout.flush()
+        os._exit(code)  # no word from connections that are still open as the loop is closed
+
+    asyncio.run(and_exit())
