--- a/review/common.py
+++ b/review/common.py
@@ -332,10 +332,10 @@
     return f"{random.getrandbits(64):016x}"
 
 
-async def read_answer(reader: asyncio.StreamReader, paced: float = 0.0) -> bytes | None:
+async def read_answer(reader: asyncio.StreamReader, paced: float = 0.0, for_s: float = 0.0) -> bytes | None:
     """The next answer: its line if it is none of a value, else the value; None if it never came whole.
 
-    ``paced``: bytes a second that the client reads of a value; 0 for all that comes.
+    ``paced``: bytes a second that the client reads of a value, ``for_s`` seconds; 0 for all that comes.
     """
     try:
         line = await reader.readline()
@@ -344,7 +344,9 @@
         if line[:1] != b"$":
             return line
         left, value = int(line[1:]) + 2, bytearray()
+        end = time.monotonic() + for_s
         while left:
+            paced = paced if time.monotonic() < end else 0.0
             piece = await reader.read(min(left, 16 * 1024) if paced else left)
             if not piece:
                 return None
