--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,160 +1,109 @@
-"""A keyed request is sent again over a connection that comes up late, when its first run is forgotten."""
+"""Clients post long values, few at a time, beside the usual reads; the gateway's memory is watched."""
 
 from __future__ import annotations
 
 import asyncio
 import random
-import socket
-import time
-from contextlib import suppress
-
-from common import (
-    TROUBLE,
-    Case,
-    Gateway,
-    Server,
-    array,
-    command,
-    fields_of,
-    new_id,
-    read_answer,
-    run,
-    service,
-    settings,
-)
-
-WINDOW_S = 1.5  # for which the servers of a room drop a repeat: STANDING, a shorter window
-SLACK_S = 0.05 + 0.15  # PROTOCOL: each limit is 50 ms longer; STANDING: held up for up to 0.15 s
-CONNECT_MS = 2000.0  # connections that come up 1.5 s late do come up
-SERVERS, RATE, LASTS_S = 4, 20.0, 45.0
-WORK_S = 0.03
-# STANDING, zone+brink: a third of the connections come up late (up to 1.5 s), idle ones are closed early,
-# some are reset under requests, also long after.
-CYCLE_S, SHUT_S = 1.5, 0.45  # a server takes no connection for so long of so long: they come up 1 s late
-RESET_SHARE, RESET_S = 0.15, (0.8, 1.4)  # of the requests that have begun, and how long after
-IDLE_S = 0.05  # after which a server closes a connection
-BACKLOG = 4
-
-KINDS = (
-    service("route-publish", "keyed", 3000.0, 12000.0, key_scope="zone", memory_span_ms=WINDOW_S * 1000.0),
-)
-
-
-class LateServer(Server):
-    """A server whose accept queue is full now and then: who connects meanwhile comes up a second later."""
-
-    async def start(self, case: Case) -> LateServer:
-        self.socket = socket.create_server(("127.0.0.1", 0), backlog=BACKLOG)
-        self.socket.setblocking(False)
-        self.port = self.socket.getsockname()[1]
-        self.tasks: set[asyncio.Task] = set()
-        self.fillers: list[socket.socket] = []
-        asyncio.get_running_loop().add_reader(self.socket, self._accept)
-        case.closers.append(self._close)
-        if TROUBLE:
-            self._task(self._be_late())
-        return self
-
-    def _close(self) -> None:
-        asyncio.get_running_loop().remove_reader(self.socket)
-        for one in (self.socket, *self.fillers):
-            one.close()
-
-    def _task(self, coroutine) -> None:
-        task = asyncio.get_running_loop().create_task(coroutine)
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
-
-    def _accept(self) -> None:
-        while True:
-            try:
-                sock, _ = self.socket.accept()
-            except OSError:
+from pathlib import Path
+
+from common import TROUBLE, Case, Gateway, Server, array, command, new_id, read_answer, run, settings
+
+MEMORY_MB, DESCRIPTORS = 192, 1024  # the highest limits of the days that are scored
+LONG, USUAL = 4 * 1024 * 1024, 16 * 1024  # bytes of a body: DAYS, up to 4 MiB; PROTOCOL, at most 64 KiB
+POSTS, READS = 25.0, 50.0  # a second; a gateway gets up to 140
+PLAYS_S = 20.0
+SERVERS, WORK_S = 9, (0.15, 0.26)
+LOOK_S = 0.02
+
+
+class Watcher:
+    """The platform's watch on memory: over its limit the gateway is killed."""
+
+    def __init__(self, case: Case, process: asyncio.subprocess.Process) -> None:
+        self.record, self.process = case.record, process
+        self.status = Path(f"/proc/{process.pid}/status")
+        self.peak, self.killed = 0.0, False
+
+    def anonymous_mb(self) -> float:
+        """Memory that is the process's alone: no measure of the platform's can be less."""
+        return int(self.status.read_text().split("RssAnon:")[1].split()[0]) / 1024.0
+
+    async def watch(self) -> None:
+        """Look until it is over its limit."""
+        while self.process.returncode is None:
+            self.peak = max(self.peak, self.anonymous_mb())
+            if self.peak > MEMORY_MB:
+                self.killed = True
+                self.process.kill()
+                self.record.note(f"{self.peak:.1f} MB of anonymous memory: the gateway is killed")
                 return
-            self._task(self._take(sock))
-
-    async def _take(self, sock: socket.socket) -> None:
-        sock.setblocking(False)
-        reader, writer = await asyncio.open_connection(sock=sock)
-        await self._serve(reader, writer)
-
-    async def _be_late(self) -> None:
-        loop = asyncio.get_running_loop()
-        await asyncio.sleep(1.0 + random.random() * CYCLE_S)
-        while True:
-            loop.remove_reader(self.socket)
-            for _ in range(BACKLOG + 2):
-                filler = socket.socket()
-                filler.setblocking(False)
-                with suppress(OSError):
-                    filler.connect(("127.0.0.1", self.port))
-                self.fillers.append(filler)
-            await asyncio.sleep(SHUT_S)
-            for filler in self.fillers:
-                filler.close()
-            self.fillers.clear()
-            self._accept()
-            loop.add_reader(self.socket, self._accept)
-            await asyncio.sleep(CYCLE_S - SHUT_S)
+            await asyncio.sleep(LOOK_S)
+
+
+class Clients:
+    """All clients: each asks once, on a connection of its own."""
+
+    def __init__(self, case: Case, gateway: Gateway, watcher: Watcher) -> None:
+        self.record, self.port, self.watcher = case.record, gateway.port, watcher
+        self.tasks: list[asyncio.Task[str]] = []
+        self.unanswered, self.most = 0, 0  # bytes of bodies
+
+    def send(self, body: bytes | None) -> None:
+        """One more request."""
+        self.tasks.append(asyncio.create_task(self._ask(len(self.tasks), body)))
+
+    async def _ask(self, number: int, body: bytes | None) -> str:
+        name, kind, size = new_id(), "read-board" if body is None else "buy-highlight", len(body or b"")
+        try:
+            reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        except OSError:
+            return "no connection"
+        self.record.note(f"{name} is sent, {kind}, {size} bytes")
+        self.unanswered += size
+        self.most = max(self.most, self.unanswered)
+        writer.write(command(kind, request_id=name, customer=number, body=body))
+        answer = await read_answer(reader)
+        self.unanswered -= size
+        writer.close()
+        got = "no answer" if answer is None else "a refusal" if answer.startswith(b"-BUSY") else "a failure"
+        got = "the value" if answer == b"value of " + name.encode() else got
+        self.record.note(f"{name} got {got}; {self.watcher.peak:.1f} MB so far")
+        return got
 
 
 async def play(case: Case) -> bool:
-    record = case.record
-    memory: dict[str, float] = {}  # of the room: when a key's first run began
-    runs: dict[str, list[str]] = {}
-    resets = 0
-
     async def work(server: Server, words: list[bytes], writer: asyncio.StreamWriter) -> None:
-        nonlocal resets
-        now, key, name = time.monotonic(), fields_of(words)["k"], words[2].decode()
-        known = memory.get(key)
-        if known is not None and now - known <= WINDOW_S + SLACK_S:
-            record.note(f"{server.name} drops a repeat of {name}, {now - known:.3f} s after the first")
-            writer.write(array(b"value of " + words[2]))
-            return
-        again = "" if known is None else f", AGAIN, {now - known:.3f} s after the first"
-        memory[key] = now
-        runs.setdefault(name, []).append(server.name)
-        record.note(f"{server.name} runs {name}{again}")
-        if TROUBLE and known is None and random.random() < RESET_SHARE:
-            resets += 1
-            await asyncio.sleep(random.uniform(*RESET_S))
-            record.note(f"{server.name} resets the connection of {name}")
-            writer.transport.abort()
-            return
-        await asyncio.sleep(WORK_S)
+        case.record.note(f"{server.name} begins {words[2].decode()}")
+        await asyncio.sleep(random.uniform(*WORK_S))
         writer.write(array(b"value of " + words[2]))
-        await writer.drain()
-        if TROUBLE:
-            asyncio.get_running_loop().call_later(IDLE_S, writer.close)
-
-    servers = [await LateServer(f"s-{number}", work).start(case) for number in range(SERVERS)]
-    gateway = await Gateway(
-        case, 0, settings(KINDS, connect_timeout_ms=CONNECT_MS, may_duplicate=True)
-    ).start([server.row() for server in servers])
-
-    async def client(number: int) -> None:
-        name = new_id()
-        reader, writer = await asyncio.open_connection("127.0.0.1", gateway.port)
-        writer.write(
-            command(
-                "route-publish", request_id=name, customer=number, wait_ms=12000, key=new_id(), body=b"route"
-            )
-        )
-        record.note(f"{name} is sent")
-        answer = await read_answer(reader)
-        record.note(f"{name} got {answer!r:.50}")
-        writer.close()
 
-    clients = []
-    for number in range(int(RATE * LASTS_S)):
-        clients.append(asyncio.create_task(client(number)))
-        await asyncio.sleep(1.0 / RATE)
-    await asyncio.gather(*clients)
-    await asyncio.sleep(3.0)
-    twice = [name for name, at in runs.items() if len(at) > 1]
-    record.say(f"{len(clients)} requests, {resets} reset when they had begun, {len(twice)} run twice")
-    return bool(twice)
+    servers = [await Server(f"s-{number}", work).start(case) for number in range(SERVERS)]
+    gateway = Gateway(case, 0, settings(), memory_mb=MEMORY_MB, sockets=DESCRIPTORS)
+    await gateway.start([server.row() for server in servers])
+    assert gateway.process
+    watcher = Watcher(case, gateway.process)
+    case.record.note(f"{watcher.anonymous_mb():.1f} MB of anonymous memory before the first request")
+    watching = asyncio.create_task(watcher.watch())
+    clients, body, posts, reads = Clients(case, gateway, watcher), b"b" * (LONG if TROUBLE else USUAL), 0, 0
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    while (now := loop.time() - began) < PLAYS_S and not watcher.killed:
+        if posts < now * POSTS:
+            posts += 1
+            clients.send(body)
+        if reads < now * READS:
+            reads += 1
+            clients.send(None)
+        await asyncio.sleep(0.002)
+    got = await asyncio.gather(*clients.tasks)
+    watching.cancel()
+    counts = ", ".join(f"{got.count(what)} got {what}" for what in sorted(set(got)))
+    case.record.say(
+        f"{posts} posts and {reads} reads in {now:.1f} s: {counts}; at most {clients.most / 2**20:.0f} MB of "
+        f"bodies without an answer; anonymous memory rose to {watcher.peak:.1f} of {MEMORY_MB} MB"
+        + (", and the gateway was killed" if watcher.killed else "")
+    )
+    return watcher.killed
 
 
 run(__file__, play)
