--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,4 +1,4 @@
-"""Discovery is slow to answer, and a server leaves the list."""
+"""Discovery is slow to answer, and a server leaves the list, and ends when nothing new may come any more."""
 
 from __future__ import annotations
 
@@ -10,8 +10,9 @@
 
 SLOW_S = 1.5  # that a call to discovery waits for the first byte of its answer
 SERVERS, RATE = 4, 40.0
-WORK_S = 0.02
+WORK_S = 0.3
 GONE_AT_S, PLAYS_S = 3.0, 15.0
+ENDS_S = 10.0  # after it has left the list: its process ends, which resets its connections
 TOLD_S = 6.0  # STANDING: a change counts as told so long after discovery had it, at the latest
 GRACE_S = 1.0 + 0.05  # BRIEF: the grace; PROTOCOL: each limit is 50 ms longer
 
@@ -64,7 +65,8 @@
 
 
 async def play(case: Case) -> bool:
-    record, late, gone_at = case.record, [], None
+    record, late, gone_at = case.record, {}, None
+    failed: list[str] = []
 
     async def work(server: Server, words: list[bytes], writer: asyncio.StreamWriter) -> None:
         name = words[2].decode()
@@ -72,7 +74,7 @@
         if server is servers[0] and gone_at is not None:
             since = time.monotonic() - gone_at
             if since > TOLD_S + GRACE_S:
-                late.append(since)
+                late[name] = since
                 record.note(f"{name} came to a server that is gone, {since:.3f} s after discovery had it")
         await asyncio.sleep(WORK_S)
         writer.write(array(b"value of " + words[2]))
@@ -89,8 +91,12 @@
     async def client(number: int) -> None:
         name = new_id()
         reader, writer = await asyncio.open_connection("127.0.0.1", gateway.port)
-        writer.write(command("read-board", request_id=name, customer=number))
-        record.note(f"{name} got {await read_answer(reader)!r:.40}")
+        kind, body = ("read-board", None) if number % 2 else ("buy-highlight", b"highlight")
+        writer.write(command(kind, request_id=name, customer=number, body=body))
+        answer = await read_answer(reader)
+        record.note(f"{name}, {kind}, got {answer!r:.40}")
+        if body and name in late and answer != b"value of " + name.encode():
+            failed.append(name)
         writer.close()
 
     clients, began = [], time.monotonic()
@@ -99,12 +105,16 @@
             gone_at = time.monotonic()
             record.note(f"discovery has it that {servers[0].name} is gone; it still answers")
             await gateway.agent.gone(servers[0].name)
+        if gone_at and time.monotonic() - gone_at >= ENDS_S and servers[0].server.is_serving():
+            record.note(f"{servers[0].name} ends")
+            servers[0].end()
         clients.append(asyncio.create_task(client(len(clients))))
         await asyncio.sleep(1.0 / RATE)
     await asyncio.gather(*clients)
     record.say(
-        f"{len(clients)} requests; {agent.calls} calls to discovery, {agent.answered} not given up before "
-        f"the answer; {len(late)} attempts at the server that is gone, over {TOLD_S + GRACE_S:g} s after"
+        f"{len(clients)} requests; {agent.calls} calls to discovery, {agent.answered} of them heard; "
+        f"{len(late)} attempts at the server that is gone, over {TOLD_S + GRACE_S:g} s after; of "
+        f"these {len(failed)} buy-highlight were lost when it ended"
     )
     return bool(late)
 
--- a/review/common.py
+++ b/review/common.py
@@ -260,6 +260,13 @@
         case.closers.append(self.server.close)
         return self
 
+    def end(self) -> None:
+        """The process ends: its connections are reset, new ones refused."""
+        assert self.server
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
     def row(self) -> dict[str, Any]:
         """Its entry in discovery's list."""
         return {
