Release what a request held at its end: bodies stayed until the garbage collector came

Cause: Slot and Call refer to each other, and the call's encoder to the command with its body. Nothing took the ring apart at the end of a request; only the cyclic garbage collector did, which counts objects, not bytes, while Clients.held had gone down. Found with gc.DEBUG_SAVEALL behind a few requests: 20 calls and slots, 7 streams, 10 connections, one task with its connection. Without a ring, a reader kept the last command's or answer's words.

Change: Call.release and Call.drop_command at the end; slot, stream, connection, task and reader let go of what refers back to them.

--- a/brackenloft/net/call.py
+++ b/brackenloft/net/call.py
@@ -70,9 +70,24 @@
         self.door = ""  # through which its servers are spoken to, where it is not RESP2
         self.weigh: Callable[[Reply], None] | None = None  # tells what a good answer has cost
         self.left: Callable[[], bool] | None = None  # whether its client has gone, though nobody was told yet
-        self.request_id, self.encode, self.on_answer = request_id, encode, on_answer
+        self.request_id = request_id
+        self.encode: Callable[[float], bytes] | None = encode  # holds the body; None once nothing is sent
+        self.on_answer: Callable[[Answer], None] | None = on_answer  # None once it has ended
         self.deadline, self.sends, self.answered = 0.0, 0, False
         self.out: dict[int, Attempt | None] = {}  # None: at the host itself
         self.timers: list[Handle] = []
         self.tally: Tally  # of its class, from when it is taken
         self.request: api.Request
+
+    def drop_command(self) -> None:
+        """Release the command with its body: no further attempt is written."""
+        self.encode = None
+
+    def release(self) -> None:
+        """Release all that the request referred to, once it has ended.
+
+        The client's side refers to it in turn. Guards against bodies and answers that stay in memory, counted
+        by nobody, until the cyclic garbage collector comes by.
+        """
+        self.drop_command()
+        self.on_answer = self.on_open = self.left = self.weigh = self.stream = None
--- a/brackenloft/net/driver.py
+++ b/brackenloft/net/driver.py
@@ -154,6 +154,7 @@
         for attempt in list(call.out.values()):
             if attempt and attempt.done and not (attempt.connection and attempt.connection.handed):
                 self.servers.stop(attempt, api.Status.CANCELLED, api.Status.NOT_SENT)
+        call.drop_command()
 
     def release(self, request_id: str, status: api.Status, units: float | None = None) -> None:
         """The host has done the work that it was granted, once; ``units`` puts a guess right."""
@@ -240,6 +241,7 @@
     def _encode(self, call: Call, left_ms: float) -> bytes:
         """The command of an attempt that is written now."""
         self.obligations.sends(call.request_id, not call.answered, call.deadline - self.clock())
+        assert call.encode, "nothing is written once it was dropped"
         return call.encode(left_ms)
 
     def _weigh(self, call: Call, reply: Reply) -> None:
@@ -344,7 +346,8 @@
     def _answer(self, call: Call, answer: Answer) -> None:
         call.answered = True
         call.tally.count(answer)
-        call.on_answer(answer)
+        if call.on_answer:
+            call.on_answer(answer)
         self.ended.append(call)
 
     def _drop_if_done(self, call: Call) -> None:
@@ -353,6 +356,7 @@
             for handle in call.timers:
                 self.timers.cancel(handle)
             call.timers.clear()
+            call.release()
 
     def _cancel(self, action: api.Cancel) -> None:
         call = self.calls.get(action.request_id)
--- a/brackenloft/net/resp.py
+++ b/brackenloft/net/resp.py
@@ -75,7 +75,8 @@
             return None
         self.count = 0
         self._done(self.place)
-        return self.words
+        words, self.words = self.words, []  # an idle connection keeps no body or value
+        return words
 
     def _done(self, end: int) -> None:
         """All before this place is done with."""
--- a/brackenloft/net/server_connection.py
+++ b/brackenloft/net/server_connection.py
@@ -241,14 +241,14 @@
     def _open(self, attempt: Attempt, size: int, piece: bytes) -> None:
         assert attempt.opened
         self.servers.hold(-self.held, self)
-        self.stream = Stream(size, self, self.servers.streams)
+        stream = self.stream = Stream(size, self, self.servers.streams)
         attempt.streams = True
         self.pace = Pace(Least(1.0, STALLED_S, STALLED_S), time.monotonic())
-        if not attempt.opened(attempt, self.stream):
+        if not attempt.opened(attempt, stream):
             self.close(api.Status.CANCELLED)
             return
         self.servers.look_at(self)
-        self.stream.came(piece)
+        stream.came(piece)
 
     def _pass_on(self, data: bytes) -> bool:
         """Pass on what belongs to the value; whether that is all there is."""
@@ -321,5 +321,6 @@
                         self.socket.shutdown(socket.SHUT_RDWR)
                 if self.up:
                     self.transport.abort()
+            self.stream = None  # which refers to the connection in turn
         if attempt:
             attempt.finish(Reply(status))
--- a/brackenloft/net/servers.py
+++ b/brackenloft/net/servers.py
@@ -147,9 +147,10 @@
         """Whether descriptors are short, and it has one that rests: no use to close that for another."""
         return bool(host.idle) and not self.budget.free(Side.SERVERS)
 
-    def _came_up(self, host: Host) -> None:
-        host.coming_up -= 1
-        self.serve_waiting(host)
+    def _came_up(self, connection: Connection) -> None:
+        connection.task = None  # which refers to the connection in turn
+        connection.host.coming_up -= 1
+        self.serve_waiting(connection.host)
 
     def _have_rested(self, host: Host) -> None:
         host.timer = None
@@ -179,7 +180,7 @@
         host.coming_up += 1
         self.connections.add(connection)
         connection.task = self.loop.create_task(connection.open())
-        connection.task.add_done_callback(lambda _: self._came_up(host))  # also where it never began
+        connection.task.add_done_callback(lambda _: self._came_up(connection))  # also where it never began
 
     def _evict(self) -> bool:
         """Close the connection that has been idle longest, to make room under the limit on descriptors."""
--- a/brackenloft/net/slots.py
+++ b/brackenloft/net/slots.py
@@ -49,7 +49,7 @@
     def begin(self, stream: Stream) -> bytes:
         """What stands before the value, which goes to the client from now on."""
         stream.begin()
-        self.answer = b""
+        self.answer, self.call = b"", None
         self._resize(0)
         return wire.value_header(stream.size)
 
@@ -62,7 +62,7 @@
 
     def settle(self, answer: Answer) -> None:
         """The command's one answer, to be written when its turn comes."""
-        self.answer, self.stream = wire.answer_line(answer), None
+        self.answer, self.stream, self.call = wire.answer_line(answer), None, None
         self._resize(len(self.answer))
 
     def _resize(self, size: int) -> None:
--- a/brackenloft/net/streams.py
+++ b/brackenloft/net/streams.py
@@ -75,12 +75,17 @@
     def end(self) -> None:
         """All of it has come."""
         self.ended = True
-        self.sink()
+        self._tell_last()
 
     def fail(self) -> None:
         """The rest will not come."""
         self.failed = True
-        self.sink()
+        self._tell_last()
+
+    def _tell_last(self) -> None:
+        """Tell the sink for the last time, and release it: the client's connection refers to the stream."""
+        sink, self.sink = self.sink, _nobody
+        sink()
 
     # ---- The client's side
 
