Write a keyed request's repeat only while the servers remember its key

Cause: Flight.in_group looks at the memory for the key when the server is chosen. What the attempt waits for after that (a connection, one that rests, a server that reads) was bounded by the client's time alone.

Change: Send.write_within_ms, checked where the client's time is (before the first byte) and at its end: what is not written whole is withdrawn, what the server's machine has not acknowledged is reset away.

--- a/brackenloft/gateway_types/actions.py
+++ b/brackenloft/gateway_types/actions.py
@@ -6,17 +6,23 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from math import inf
 
 HERE = -1  # stands for the host itself, in a Send and its Outcome: no server has a number below 0
 
 
 @dataclass(frozen=True, slots=True)
 class Send:
-    """Start an attempt. ``timeout_ms`` of 0: as long as the client waits. Attempts count from 0."""
+    """Start an attempt. ``timeout_ms`` of 0: as long as the client waits. Attempts count from 0.
+
+    ``write_within_ms``: the command is written whole within this time, or the attempt is not sent. It bounds
+    a repeat of a keyed request by what is left of the servers' memory for its key.
+    """
 
     request_id: str
     server: int
     timeout_ms: float = 0.0
+    write_within_ms: float = inf
 
 
 @dataclass(frozen=True, slots=True)
--- a/brackenloft/net/attempt.py
+++ b/brackenloft/net/attempt.py
@@ -10,7 +10,7 @@
 
 from brackenloft import interface as api
 from brackenloft.net.streams import Stream
-from brackenloft.obligations import told_ms
+from brackenloft.obligations import may_send, told_ms
 
 
 @dataclass(slots=True)
@@ -33,6 +33,9 @@
     def close(self, status: api.Status) -> None:
         """Close the connection; the attempt on it ends with this status."""
 
+    def discard_unacknowledged(self) -> None:
+        """Close the connection with a reset if the server has not acknowledged the whole command."""
+
 
 class Attempt:
     """A command on its way to a server; ``done`` is called once with what came of it."""
@@ -42,6 +45,7 @@
         "done",
         "connection",
         "due",
+        "write_by",
         "written",
         "began",
         "waits",
@@ -66,6 +70,7 @@
         self.request_id, self.number, self.server = "", 0, 0  # whose it is, for ``opened``
         # All by time.monotonic(): not written from ``due`` on, when it was written, when it was asked for.
         self.due, self.written, self.began = due, inf, time.monotonic()
+        self.write_by = inf  # not whole with the kernel by then, it is not sent; by the same clock
         self.done: Callable[[Reply], None] | None = done
         self.connection: Carrier | None = None
         self.waits = False  # for a connection of its host
@@ -83,6 +88,10 @@
         """What is left of its time; ``now`` by time.monotonic()."""
         return (self.due - now) * 1000.0
 
+    def may_be_written(self, now: float) -> bool:
+        """Whether there is time left, the client's and of the servers' memory; by time.monotonic()."""
+        return may_send(True, self.left_ms(now)) and now < self.write_by
+
     def still_wanted(self) -> bool:
         """Whether it is to be written now; ``before_write`` may have stopped it."""
         if self.before_write:
--- a/brackenloft/net/driver.py
+++ b/brackenloft/net/driver.py
@@ -205,9 +205,14 @@
             self._answer(call, Granted())
             return
 
-        self._start(call, number, action.server, wait)
-        if number in call.out:
-            call.timers.append(self.timers.at(now + wait, self._time_out, call.out[number]))
+        self._start(call, number, action, wait)
+        attempt = call.out.get(number)
+        if attempt is None:
+            return
+        call.timers.append(self.timers.at(now + wait, self._time_out, attempt))
+        if action.write_within_ms < wait:
+            again_at = now + action.write_within_ms
+            call.timers.append(self.timers.at(again_at, self._end_write_window, attempt))
 
     def _notice_departure(self, call: Call) -> None:
         """Withdraw the request if its client has gone, though the loop has yet to read that.
@@ -217,7 +222,9 @@
         if call.left and not call.answered and self.lag.held_up() and call.left():
             self.client_gone(call.request_id)
 
-    def _start(self, call: Call, number: int, server: int, wait_ms: float) -> None:
+    def _start(self, call: Call, number: int, action: api.Send, wait_ms: float) -> None:
+        server = action.server
+
         def done(reply: Reply) -> None:
             call.out.pop(number, None)
             latency_ms = self._taken_ms(attempt)
@@ -227,10 +234,12 @@
                 self._weigh(call, reply)
             self._outcome(call, number, server, reply, latency_ms, attempt.streams)
 
-        due = time.monotonic() + wait_ms / 1000.0
+        now = time.monotonic()
+        due = now + wait_ms / 1000.0
         encode = partial(self._encode, call)
         attempt = Attempt(encode, done, due, self._opened if call.on_open else None)
         attempt.request_id, attempt.number, attempt.server = call.request_id, number, server
+        attempt.write_by = now + action.write_within_ms / 1000.0
         attempt.before_write = partial(self._notice_departure, call) if call.left else None
         self.counters.attempts += 1
         call.out[number] = attempt
@@ -281,6 +290,17 @@
             return
         self._stop(attempt, api.Status.TIMEOUT)
 
+    def _end_write_window(self, attempt: Attempt) -> None:
+        """Withdraw a repeat that its server has not taken whole while its key is remembered.
+
+        Guards against a second run by a connection that comes up late, or a server that reads slowly.
+        """
+        connection = attempt.connection
+        if connection and connection.handed:
+            connection.discard_unacknowledged()
+        else:
+            self.servers.stop(attempt, api.Status.CANCELLED, api.Status.NOT_SENT)
+
     def _stop(self, attempt: Attempt, status: api.Status) -> None:
         """Wait no more. What a held up loop kept from being sent is no failure of the server."""
         now = time.monotonic()
--- a/brackenloft/net/server_connection.py
+++ b/brackenloft/net/server_connection.py
@@ -9,6 +9,7 @@
 import asyncio
 import logging
 import socket
+import struct
 import time
 from collections import deque
 from collections.abc import Awaitable, Callable
@@ -19,16 +20,17 @@
 from brackenloft.admission.rate import Least, Pace
 from brackenloft.net.address import Address
 from brackenloft.net.attempt import Attempt, Reply
+from brackenloft.net.kernel import unacknowledged
 from brackenloft.net.resp import ProtocolError
 from brackenloft.net.server_protocol import ServerProtocol
 from brackenloft.net.streams import STREAM_FROM, Stream, Streams
-from brackenloft.obligations import may_send
 
 log = logging.getLogger(__name__)
 
 # For an answer on its way to a connection, twice that by the kernel. Guards against reads of a quarter of a
 # megabyte on each of many connections whose values nobody takes yet.
 RECEIVES = 32 * 1024
+RESET_AT_CLOSE = struct.pack("ii", 1, 0)  # struct linger: on, for no time
 STALLED_S = 15.0  # a server that sends nothing of a stream for so long has died
 
 
@@ -148,7 +150,7 @@
         elif self.epoch != self.host.epoch or not self.host.ready:
             # Guards against a first byte to a server that began to drain, left or moved meanwhile.
             self.close(api.Status.CONNECT_FAILED)
-        elif not may_send(True, self.attempt.left_ms(time.monotonic())):
+        elif not self.attempt.may_be_written(time.monotonic()):
             # Guards against a send after its time, by a loop that was held up while this one came up.
             self.close(api.Status.NOT_SENT)
         elif self.attempt.still_wanted():
@@ -299,11 +301,22 @@
 
     # ---- The end
 
+    def discard_unacknowledged(self) -> None:
+        """Close it with a reset if the server's machine has not acknowledged the whole command.
+
+        The kernel would go on sending what it holds after a usual close (SO_LINGER, socket(7)).
+        """
+        if self.closed or self.socket is None or not unacknowledged(self.socket):
+            return
+        with suppress(OSError):
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+        self.close(api.Status.RESET, graceful=False)
+
     def connection_lost(self, exc: Exception | None) -> None:
         self.close(api.Status.RESET if self.handed else api.Status.CONNECT_FAILED)
 
-    def close(self, status: api.Status) -> None:
-        """Close at once; the attempt on it, if any, ends with this status.
+    def close(self, status: api.Status, graceful: bool = True) -> None:
+        """Close at once; the attempt on it, if any, ends with this status. ``graceful``: with a FIN.
 
         The socket is shut down before the outcome is told, so that a further attempt, which the outcome
         may bring about, never finds this one still out.
@@ -317,7 +330,7 @@
                 self.task.cancel()
             elif self.transport:
                 with suppress(OSError):
-                    if self.socket:
+                    if self.socket and graceful:
                         self.socket.shutdown(socket.SHUT_RDWR)
                 if self.up:
                     self.transport.abort()
--- a/brackenloft/net/servers.py
+++ b/brackenloft/net/servers.py
@@ -24,7 +24,6 @@
 from brackenloft.net.server_protocol import ServerProtocol
 from brackenloft.net.server_replies import RespReplyDecoder
 from brackenloft.net.streams import Streams
-from brackenloft.obligations import may_send
 
 IDLE_SHARE = 0.4  # of the servers' idle limit after which a connection is retired: well before they do
 COMING_UP = 8  # connections to a server that are coming up at once: its accept queue takes many times as many
@@ -126,7 +125,7 @@
             if attempt.done is None:
                 host.waiting.popleft()  # stopped meanwhile
                 continue
-            if not may_send(True, attempt.left_ms(time.monotonic())):
+            if not attempt.may_be_written(time.monotonic()):
                 host.waiting.popleft().finish(Reply(api.Status.NOT_SENT))
                 continue
             if not attempt.still_wanted():
--- a/brackenloft/policy/attempts.py
+++ b/brackenloft/policy/attempts.py
@@ -13,6 +13,7 @@
 from __future__ import annotations
 
 from enum import Enum
+from math import inf
 from typing import TYPE_CHECKING
 
 from brackenloft.interface import Effect, KeyScope, Plan, Request, RequestClass, Status
@@ -126,9 +127,17 @@
             return True
         if self.kind.effect is Effect.UNSAFE:
             return False
-        first, sent = self.maybe_ran
-        if now - sent >= self.kind.key_memory_ms:
+        first = self.maybe_ran[0]
+        if self.key_memory_left_ms(now) <= 0.0:
             return False
         scope = self.kind.key_scope
         return scope is KeyScope.ALL or (
             server.zone == first.zone and (scope is KeyScope.ZONE or server.cell == first.cell))
+
+    def key_memory_left_ms(self, now: float) -> float:
+        """How long the servers still drop a repeat; infinity where none is one. An attempt that waits for a
+        connection may be written later than it is sent: guards against a second run once they have forgotten.
+        """
+        if self.maybe_ran is None or self.kind.effect is not Effect.KEYED:
+            return inf
+        return self.maybe_ran[1] + self.kind.key_memory_ms - now
--- a/brackenloft/policy/gateway.py
+++ b/brackenloft/policy/gateway.py
@@ -144,8 +144,7 @@
         plan = customer.plan
         wait = meter.ceiling_wait(customer, plan, flight.request.charge, self.now)
         if wait >= flight.deadline - self.now:
-            self._answer(flight)
-            return
+            return self._answer(flight)
         capped = customer.out >= meter.in_flight_cap(customer, plan, self.now)
         if server := None if wait or capped else self.fleet.choose(flight):
             self.parked.drop(flight)
@@ -210,7 +209,8 @@
             self.retries -= 1.0
         flight.tried.add(server.id)
         self.fleet.sent(server, (request.request_id, number))
-        self.actions.append(api.Send(request.request_id, server.id))
+        self.actions.append(
+            api.Send(request.request_id, server.id, write_within_ms=flight.key_memory_left_ms(self.now)))
         self._arm(SLOW * flight.kind.aim_ms, self._on_slow, (flight, number), flight)
 
     def _may_resend(self, flight: Flight) -> bool:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,11 +1,12 @@
 """The five rules: for each the case that keeps it and the case that would break it."""
 
 from dataclasses import replace
+from math import inf
 
 import pytest
 from conftest import CLASSES, DEAR, SETTINGS, Rig, entry, rig_with
 
-from brackenloft import Cancel, Limits, ListKind, Log, Outcome, ServerState, Status
+from brackenloft import Cancel, Limits, ListKind, Log, Outcome, Send, ServerState, Status
 from brackenloft.interface import StreamStarted
 
 RAN_NOT = [Status.FULL, Status.CONNECT_FAILED]
@@ -101,6 +102,15 @@
     assert len(rig.sent[name]) == 1 and rig.answers[name] == "Fail"
 
 
+# Guards against a repeat that is decided in time and written when the servers have forgotten its key.
+@pytest.mark.parametrize(("class_name", "left_ms"), [("keyed", 2000.0), ("keyed-all", 2000.0), ("safe", inf)])
+def test_repeat_may_be_written_only_while_its_key_is_remembered(rig, class_name, left_ms):
+    name = rig.ask(class_name=class_name, patience=3900.0)
+    rig.now += 1000.0
+    (repeat,) = [action for action in rig.finish(name, Status.ERROR) if isinstance(action, Send)]
+    assert repeat.write_within_ms == left_ms
+
+
 def test_one_attempt_out_where_duplicates_are_not_allowed(rig):
     name = rig.ask()
     rig.run(3900.0)
