Measure what slow peers take by what their machine acknowledges

Cause: the pace of a peer that does not take what is written was measured by the transport's buffer, which moves in steps of a third of the kernel's send buffer. The same for servers that read a long command.

Change: what the peer's machine has not acknowledged (SIOCOUTQ) counts with it, for clients and for servers.

--- a/brackenloft/net/client_closing.py
+++ b/brackenloft/net/client_closing.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 import time
 from typing import Any
 
@@ -31,7 +30,6 @@
     """The half of a client's connection that ends it."""
 
     clients: ClientOwner[Any]
-    socket: socket.socket
     reader: Commands
     spoke: bool  # a whole command has come
     tired: bool  # its turn is over, and what it has read waits for the next
@@ -46,8 +44,7 @@
 
     def dues(self) -> Dues:
         """What is owed on it."""
-        unwritten = self.transport.get_write_buffer_size() if self.transport else 0
-        return Dues(len(self.slots), self.unparsed, unwritten + unacknowledged(self.socket))
+        return Dues(len(self.slots), self.unparsed, self.undelivered())
 
     def _leave_if_done(self) -> None:
         """Close between requests, when it is time to, and behind the last reply of one that ends."""
--- a/brackenloft/net/replies.py
+++ b/brackenloft/net/replies.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import time
 from collections import deque
 
@@ -10,6 +11,7 @@
 from brackenloft.answers import FAILED
 from brackenloft.net.client_owner import BufferAccount
 from brackenloft.net.client_state import FACTS, FOLLOWS, ConnectionEvent, ConnectionState
+from brackenloft.net.kernel import unacknowledged
 from brackenloft.net.slots import Slot
 from brackenloft.net.streams import Stream
 
@@ -20,6 +22,8 @@
 class Replies(asyncio.Protocol):
     """What is owed on a connection, and what of it is still to be written."""
 
+    socket: socket.socket
+
     def __init__(self, clients: BufferAccount) -> None:
         self.clients = clients
         self.transport: asyncio.Transport | None = None
@@ -30,6 +34,7 @@
         self.stuck = self.paused = self.reading = False
         self.writes: Pace | None = None  # while it is stuck
         self.unsent = 0  # bytes of answers that it has not taken, while it is stuck
+        self.undelivered_before = 0  # as ``undelivered`` was when its pace was looked at last
 
     # ---- What the other half does
 
@@ -157,6 +162,7 @@
         self.writes = Pace(Least(WRITE_RATE, STALLED_S, STALLED_S), time.monotonic())
         self._is_stuck()
         self._count_unsent()
+        self.undelivered_before = self.undelivered()
         self.throttle()
 
     def _count_unsent(self) -> int:
@@ -167,12 +173,25 @@
         return gone
 
     def takes_too_little(self, now: float, late: float) -> bool:
-        """Whether answers pile up here that it takes too slowly."""
+        """Whether answers pile up here that it takes too slowly, by what its machine has acknowledged.
+
+        Guards against cutting off who reads steadily: the transport's buffer alone moves in steps of a third
+        of the kernel's, which may be a megabyte.
+        """
         assert self.writes
+        self._count_unsent()
         self.writes.excuse(late)
-        self.writes.moved(max(0, self._count_unsent()), now)
+        if not self.writes.too_slow(now):
+            return False
+        before, self.undelivered_before = self.undelivered_before, self.undelivered()
+        self.writes.moved(max(0, before - self.undelivered_before), now)
         return self.writes.too_slow(now)
 
+    def undelivered(self) -> int:
+        """Bytes of replies that the peer's machine has not acknowledged."""
+        unwritten = self.transport.get_write_buffer_size() if self.transport else 0
+        return unwritten + unacknowledged(self.socket)
+
     def resume_writing(self) -> None:
         self.stuck, self.writes = False, None
         self._takes_again()
--- a/brackenloft/net/server_connection.py
+++ b/brackenloft/net/server_connection.py
@@ -99,7 +99,7 @@
         self.pace: Pace | None = None  # of a command or an answer that is under way for a while
         self.stream: Stream | None = None  # the value of its answer, passed on as it comes
         self.reading = True
-        self.unsent = 0
+        self.undelivered = 0  # bytes of the command, when its pace was looked at last
         self.number = attempt.server  # the server's
         self.idle_since = 0.0
         # The loop has taken over the socket. Guards against closing the transport before that: uvloop closes
@@ -167,10 +167,10 @@
         assert self.transport is not None
         self.handed, attempt.written = False, time.monotonic()
         self.transport.write(attempt.payload(attempt.written))
-        self.unsent = self.transport.get_write_buffer_size()
-        self.handed = self.unsent == 0
+        self.handed = not self.transport.get_write_buffer_size()
         self.servers.tries += self.handed
         if not self.handed:
+            self.undelivered = self._count_undelivered()
             self.servers.look_at(self)
 
     def resume_writing(self) -> None:
@@ -178,16 +178,23 @@
         self.handed, self.pace = True, None
 
     def too_slow(self, now: float, late: float) -> bool:
-        """Whether what is under way moves below the least rate; a command by what the kernel takes."""
+        """Whether what is under way moves below the least rate.
+
+        A command by what the server's machine acknowledges. Guards against ending one that is read steadily:
+        the transport's buffer alone moves in steps of a third of the kernel's, which may be a megabyte.
+        """
         if self.pace is None:
             return False
         self.pace.excuse(late)
-        if not self.handed and self.transport:
-            size = self.transport.get_write_buffer_size()
-            self.pace.moved(max(0, self.unsent - size), now)
-            self.unsent = size
+        if not self.handed:
+            before, self.undelivered = self.undelivered, self._count_undelivered()
+            self.pace.moved(max(0, before - self.undelivered), now)
         return self.pace.too_slow(now)
 
+    def _count_undelivered(self) -> int:
+        assert self.transport and self.socket
+        return self.transport.get_write_buffer_size() + unacknowledged(self.socket)
+
     def data_received(self, data: bytes) -> None:
         """An answer, or a part of one; it is judged before the connection is used again.
 
