--- a/brackenloft/__main__.py
+++ b/brackenloft/__main__.py
@@ -21,6 +21,7 @@
 from brackenloft.edge.calls import Room
 from brackenloft.edge.edge import Edge
 from brackenloft.net.address import Address
+from brackenloft.net.allocator import return_freed_memory
 from brackenloft.settings import settings_from
 
 if TYPE_CHECKING:
@@ -258,6 +259,7 @@
     try:
         config = Config.load(dict(os.environ))
         gc.freeze()
+        return_freed_memory()
         uvloop.run(serve(config))
     except SystemExit as error:
         log.error("not started: %s", error)
--- a/brackenloft/net/attempt.py
+++ b/brackenloft/net/attempt.py
@@ -10,6 +10,7 @@
 
 from brackenloft import interface as api
 from brackenloft.net.streams import Stream
+from brackenloft.net.wire import Buffers, Encoder
 from brackenloft.obligations import may_send, told_ms
 
 
@@ -59,12 +60,12 @@
 
     def __init__(
         self,
-        encode: Callable[[float], bytes],
+        encode: Encoder,
         done: Callable[[Reply], None],
         due: float = inf,
         opened: Callable[[Attempt, Stream], bool] | None = None,
     ) -> None:
-        self.encode: Callable[[float], bytes] | None = encode  # from the milliseconds that are left
+        self.encode: Encoder | None = encode  # from the milliseconds that are left
         self.opened = opened  # takes a long value as a stream, unless nobody wants it any more
         self.streams = False  # it has been taken
         self.request_id, self.number, self.server = "", 0, 0  # whose it is, for ``opened``
@@ -76,7 +77,7 @@
         self.waits = False  # for a connection of its host
         self.before_write: Callable[[], None] | None = None  # may stop it, at the last moment
 
-    def payload(self, now: float) -> bytes:
+    def payload(self, now: float) -> Buffers:
         """The command as it is written at this time, by time.monotonic(): it tells what is left then.
 
         Guards against a deadline that was reckoned before a wait for a connection.
--- a/brackenloft/net/call.py
+++ b/brackenloft/net/call.py
@@ -10,6 +10,7 @@
 from brackenloft.net.attempt import Attempt, Reply
 from brackenloft.net.streams import Stream
 from brackenloft.net.timers import Handle
+from brackenloft.net.wire import Encoder
 
 
 class CallListener(Protocol):
@@ -60,7 +61,7 @@
     def __init__(
         self,
         request_id: str,
-        encode: Callable[[float], bytes],
+        encode: Encoder,
         on_answer: Callable[[Answer], None],
         on_open: Callable[[Opened], None] | None = None,
     ) -> None:
@@ -71,7 +72,7 @@
         self.weigh: Callable[[Reply], None] | None = None  # tells what a good answer has cost
         self.left: Callable[[], bool] | None = None  # whether its client has gone, though nobody was told yet
         self.request_id = request_id
-        self.encode: Callable[[float], bytes] | None = encode  # holds the body; None once nothing is sent
+        self.encode: Encoder | None = encode  # holds the body; None once nothing is sent
         self.on_answer: Callable[[Answer], None] | None = on_answer  # None once it has ended
         self.deadline, self.sends, self.answered = 0.0, 0, False
         self.out: dict[int, Attempt | None] = {}  # None: at the host itself
--- a/brackenloft/net/client.py
+++ b/brackenloft/net/client.py
@@ -19,7 +19,7 @@
 from brackenloft.net.client_state import ConnectionEvent
 from brackenloft.net.kernel import age_s, has_gone, unread
 from brackenloft.net.requests import CommandError
-from brackenloft.net.resp import LONGEST_VALUE, Commands, ProtocolError
+from brackenloft.net.resp import Commands, ProtocolError
 from brackenloft.net.slots import Slot
 from brackenloft.net.streams import STREAM_FROM
 from brackenloft.obligations import Breach, CloseReason, Dues
@@ -28,7 +28,6 @@
 
 MOST_PIPELINED = 64  # commands of one connection in hand; what comes behind waits in the kernel
 MOST_IN_HAND = 256 * 1024  # bytes of one connection's commands and replies in hand, beside CALL; the same
-MOST_AT_ONCE = 64  # commands of one connection read before the others have their turn
 MOST_ERRORS = 16  # bad commands in a row, after which a connection is closed: no use comes of more
 AGED_S = 0.05  # from which the time that a request has waited in the kernel counts: the loop's turns are less
 # Bytes that a request in hand takes beside its command: 5.7 kB were seen with an attempt out. Guards against
@@ -51,7 +50,7 @@
         self.backlog = False  # something came meanwhile, and was not read yet
         self.asked = self.errors = 0  # requests so far, and bad commands in a row
         self.withheld: deque[bytes] = deque()  # errors behind the end, written only if a request follows
-        self.spoke = self.tired = False
+        self.spoke = self.waits_turn = False
         self.parting = False  # to be closed as soon as nothing is owed on it
         self.within = False  # a part of a command has come, and may be dropped
         self.timer: asyncio.TimerHandle | None = None  # while it lingers
@@ -60,6 +59,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         # uvloop's transports are not asyncio.Transport by class: no isinstance here
         self.transport = cast(asyncio.Transport, transport)
+        self.transport.set_write_buffer_limits(self.clients.most_unsent)
         self.clients.opened(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -97,7 +97,15 @@
 
     # ---- Commands in
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Where the loop reads to; no more at once than there is memory for."""
+        return self.clients.read_buffer.part(self.clients.room())
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """So many bytes have come there."""
+        self._received(self.clients.read_buffer.taken(nbytes))
+
+    def _received(self, data: bytes) -> None:
         if self.half_closed:  # reading has stopped by then: nothing would answer what comes
             self.clients.obligations.breach(Breach.READ_TOO_LATE, self.name())
             return
@@ -156,7 +164,8 @@
         ``flush``, which may come back here: ``reading`` says so.
         """
         self.reading, self.within, took, within = True, False, 0, False
-        while self.transport and not self._full() and took < MOST_AT_ONCE:
+        most = self.clients.turns.batch()
+        while self.transport and not self._full() and took < most:
             before = self.reader.left
             try:
                 command = self.reader.command()
@@ -177,9 +186,9 @@
             self.clients.relieve()
         elif self in self.clients.intake:
             self.clients.next_long(self)
-        if took == MOST_AT_ONCE and not self.tired:
-            self.tired = True
-            self.clients.loop.call_soon(self._go_on)
+        if took == most and not self.waits_turn:
+            self.waits_turn = True
+            self.clients.turns.wait(self)
         self.throttle()
         self.clients.sort(self, self.reader.left > 0, took > 0)  # part of one, or some not taken yet
         self._leave_if_done()
@@ -189,8 +198,9 @@
         self.throttle()
         self._read()
 
-    def _go_on(self) -> None:
-        self.tired = False
+    def take_turn(self) -> None:
+        """Go on with what was read."""
+        self.waits_turn = False
         if self.transport:
             self._read()
 
@@ -202,7 +212,7 @@
             self.ending
             or self.half_closed
             or self.clients.closing
-            or self.tired
+            or self.waits_turn
             or self._full()
             or not self.clients.may_send_on(self)
         )
@@ -212,7 +222,7 @@
             if self.reads:
                 (self.reads.pause if pause else self.reads.resume)(time.monotonic())
             (self.transport.pause_reading if pause else self.transport.resume_reading)()
-        if pause and not self.tired:  # that lasts for a turn of the loop alone
+        if pause and not self.waits_turn:  # that lasts for a turn of the loop alone
             self.clients.departures.watch(self, self.socket)
         else:
             self.clients.departures.forget(self)
@@ -287,7 +297,7 @@
         # Guards against who never pauses as the process empties: left unread, its commands would be closed
         # over when their time has gone by. One that comes alone is served, and the connection closed behind.
         too_late = self.ending or self.clients.closing or (bool(self.slots) and self.clients.finishing())
-        if too_late or not self.clients.relieve(LONGEST_VALUE if size > STREAM_FROM else 0):
+        if too_late or not self.clients.may_take(size):
             self.hold(-size, in_hand=False)
             while self.withheld:
                 self._reply(self.withheld.popleft())
@@ -313,6 +323,15 @@
             )
         driver.request(slot.call, request, request.patience_ms)
 
+    def long_held(self) -> int:
+        """Bytes of long commands here, those that are in hand and one that is not whole yet."""
+        unread = self.held - self.in_hand if self in self.clients.intake else 0
+        return unread + sum(slot.size for slot in self.slots if slot.size > STREAM_FROM and slot.call)
+
+    def unheard(self) -> bool:
+        """Whether nothing was read on it so far, though something has come."""
+        return not self.spoke and not self.reader.left and not self.ending and unread(self.socket)
+
     def has_left(self) -> bool:
         """Whether the kernel knows that it has gone, though that was not read yet."""
         return self.transport is None or has_gone(self.socket)
--- a/brackenloft/net/client_closing.py
+++ b/brackenloft/net/client_closing.py
@@ -32,7 +32,6 @@
     clients: ClientOwner[Any]
     reader: Commands
     spoke: bool  # a whole command has come
-    tired: bool  # its turn is over, and what it has read waits for the next
     within: bool  # a part of a command has come, and may be dropped
     parting: bool  # to be closed as soon as nothing is owed on it
     timer: asyncio.TimerHandle | None  # while it lingers
@@ -40,7 +39,7 @@
     @property
     def unparsed(self) -> bool:
         """Whether bytes were read that may hold whole commands."""
-        return self.tired or (self.reader.left > 0 and not self.within)
+        return self.waits_turn or (self.reader.left > 0 and not self.within)
 
     def dues(self) -> Dues:
         """What is owed on it."""
--- a/brackenloft/net/client_owner.py
+++ b/brackenloft/net/client_owner.py
@@ -9,6 +9,8 @@
 from brackenloft.admission.roll import Roll
 from brackenloft.net.departures import Departures
 from brackenloft.net.driver import Driver
+from brackenloft.net.read_buffer import ReadBuffer
+from brackenloft.net.read_turns import ReadTurns
 from brackenloft.net.requests import Requests
 from brackenloft.obligations import Obligations
 from brackenloft.policy.parked import Parked
@@ -34,6 +36,9 @@
     departures: Departures[ClientT]
     stuck: dict[ClientT, None]
     most_held: int
+    most_unsent: int
+    read_buffer: ReadBuffer
+    turns: ReadTurns
     asking: int
     emptying: bool
     closing: bool
@@ -57,12 +62,18 @@
     def may_send_on(self, client: ClientT) -> bool:
         """Whether a connection is read further, as far as memory goes."""
 
+    def room(self) -> int:
+        """Bytes that may be read ahead."""
+
     def relieve(self, reserve: int = 0) -> bool:
         """Free memory where too much is buffered; whether there is room now, with a ``reserve`` in bytes."""
 
     def look_after(self) -> None:
         """Sweep until nothing is overdue and there is room."""
 
+    def may_take(self, size: int) -> bool:
+        """Whether there is memory for a command of this size, which has come whole."""
+
     def depth(self) -> int:
         """Commands that one connection may have in hand now."""
 
--- a/brackenloft/net/clients.py
+++ b/brackenloft/net/clients.py
@@ -25,21 +25,25 @@
 from brackenloft.net.driver import Driver
 from brackenloft.net.kernel import waiting_connections
 from brackenloft.net.listener import Listener
+from brackenloft.net.read_buffer import ReadBuffer
+from brackenloft.net.read_turns import ReadTurns
 from brackenloft.net.requests import Requests
+from brackenloft.net.resp import LONGEST_VALUE
+from brackenloft.net.streams import STREAM_FROM
 from brackenloft.obligations import CloseReason
 
 log = logging.getLogger(__name__)
 
 COMMAND_S = 2.0  # for a first command, from connecting on, and for the rest of one that has begun
 READ_RATE = 16 * 1024  # bytes a second of a command that takes longer than COMMAND_S: a poor link brings more
-# For a command on its way to a connection, twice that by the kernel. Guards against reads of a quarter of a
-# megabyte on each of many connections when there is no room for them.
-RECEIVES = 32 * 1024
-LEAST_RECEIVES = 4 * 1024  # the kernel's own least is half of that
+# Bytes of answers that a connection's transport buffers before no more are written: a quarter of the memory,
+# where all places are taken by clients that do not read.
+MOST_UNSENT, LEAST_UNSENT, UNSENT_PARTS = 64 * 1024, 4 * 1024, 4
 LATE_S = 0.025  # a sweep so late says that the loop was held up: nobody is too slow for that
 SHORT = 0.5  # share of the places taken from which they are given up as soon as may be
 IDLE_S = 2.0  # a connection on which no request is open may be closed after that
 SERVED_S = 0.1  # about what it is open for before
+LONG_SHARE = 0.75  # of what may be held, for commands of more than STREAM_FROM and for what is read ahead
 SWEEP_S = 0.05  # between two looks at who is overdue
 FINISH_S = 1.5  # while the process empties: for who is within a command, and for commands without a gap: none
 # may be held after 4 s on which a request came within 2 s
@@ -62,9 +66,9 @@
         super().__init__(budget, lifecycle)
         self.driver, self.requests, self.most_held = driver, Requests(settings), most_held
         self.parked = driver.gateway.parked
-        # What the kernel doubles fits the memory on all places: a first read takes all of it.
-        fits = most_held // (2 * max(1, budget.limit(Side.CLIENTS)))
-        self.receives = max(LEAST_RECEIVES, min(RECEIVES, fits))
+        fits = most_held // (UNSENT_PARTS * max(1, budget.limit(Side.CLIENTS)))
+        self.most_unsent = max(LEAST_UNSENT, min(MOST_UNSENT, fits))
+        self.read_buffer = ReadBuffer()
         self.bites = Bites()
         self.departures: Departures[Client] = Departures(asyncio.get_running_loop(), Client.departed)
         self.slow: dict[Client, None] = {}  # within a command for long, but not too slow so far
@@ -76,6 +80,7 @@
         self.owing: OrderedDict[Client, float] = OrderedDict()  # a command or an end, since when
         self.roll: Roll[Client] = Roll()  # who does nothing now, and may be closed for it
         self.asking = 0  # connections that have asked for something
+        self.turns = ReadTurns(self.loop)
         self.usual = usual  # connections that clients open for requests by themselves; 0 for any number
         self.emptying = False
         self.closing = False  # nothing more is read, and what was read is answered at once
@@ -216,16 +221,7 @@
 
     def _sweep(self) -> None:
         self.sweeper = None
-        before = self.loop.time() - COMMAND_S
-        while self.owing:
-            client, since = next(iter(self.owing.items()))
-            if since > before:
-                break
-            del self.owing[client]
-            if client.reads and not client.ending:
-                self.slow[client] = None
-            else:
-                client.overdue()
+        self._end_the_overdue()
         self._cut_the_slow()
         if self.intake.rows:
             self._let_in()
@@ -240,6 +236,21 @@
         if self._busy():
             self.look_after()
 
+    def _end_the_overdue(self) -> None:
+        """End who owes a first command or an end for too long; watch who is within a command for as long."""
+        now = self.loop.time()
+        while self.owing:
+            client, since = next(iter(self.owing.items()))
+            if since > now - COMMAND_S:
+                break
+            del self.owing[client]
+            if client.unheard():
+                self.owing[client] = now  # it is the loop that is late
+            elif client.reads and not client.ending:
+                self.slow[client] = None
+            else:
+                client.overdue()
+
     def _cut_the_slow(self) -> None:
         """End who reads or writes below the least rate, and who has most here if it is too much for all."""
         now = time.monotonic()
@@ -262,13 +273,34 @@
         """Whether what is held leaves room for more."""
         return self.held < self.most_held
 
+    def room(self) -> int:
+        """Bytes that may be read ahead, the share of usual commands left free."""
+        return int(self.most_held * LONG_SHARE) - self.held
+
     def may_send_on(self, client: Client) -> bool:
         """Whether it is read further, as far as memory goes. Who is not is looked at again at each sweep."""
-        room = self.has_room()
-        if room or client not in self.intake:
+        most = self.most_held * LONG_SHARE
+        room = self.held < most
+        if not self.intake.may_read(client, room):
+            return False
+        if self.intake.may_read(client, room, beside=False):
+            return True
+        return self.held - sum(one.held for one in self.intake.rows) < most
+
+    def long_held(self) -> int:
+        """Bytes of long commands, those that are in hand and those that are not whole yet."""
+        return sum(client.long_held() for client in self.connections)
+
+    def may_take(self, size: int) -> bool:
+        """Whether there is memory for a command of this size, which has come whole.
+
+        Guards against usual commands that are refused for long ones, of which a few fill the memory: these
+        have a share of it and wait for their turn. What is whole and long had its turn.
+        """
+        if self.relieve(LONGEST_VALUE if size > STREAM_FROM else 0):
             return True
-        within = sum(one.held for one in self.intake.rows)
-        return self.intake.may_read(client, room, self.held - within < self.most_held)
+        usual = self.held - self.long_held()
+        return size <= STREAM_FROM and usual <= self.most_held * (1.0 - LONG_SHARE)
 
     def next_long(self, client: Client) -> None:
         """A long command is whole, or its connection ended: others may go on."""
--- a/brackenloft/net/driver.py
+++ b/brackenloft/net/driver.py
@@ -19,6 +19,7 @@
 from brackenloft.net.servers import Servers
 from brackenloft.net.streams import Stream
 from brackenloft.net.timers import Timers
+from brackenloft.net.wire import Buffers
 from brackenloft.obligations import Obligations, may_send
 from brackenloft.policy import Gateway
 
@@ -247,7 +248,7 @@
             self.tap.sent(call)
         self.doors.get(call.door, self.servers).start(server, attempt)
 
-    def _encode(self, call: Call, left_ms: float) -> bytes:
+    def _encode(self, call: Call, left_ms: float) -> Buffers:
         """The command of an attempt that is written now."""
         self.obligations.sends(call.request_id, not call.answered, call.deadline - self.clock())
         assert call.encode, "nothing is written once it was dropped"
--- a/brackenloft/net/listener.py
+++ b/brackenloft/net/listener.py
@@ -14,14 +14,13 @@
 log = logging.getLogger(__name__)
 
 BACKLOG = 1024  # connections that wait in the kernel: all that come while there is no room
+RECEIVES = 32 * 1024  # bytes that the kernel takes in for a connection before it is read; it doubles them
 ACCEPTS = 32  # connections accepted before the others have their turn
 
 
 class Listener:
     """Accepts while there is room; who comes meanwhile waits in the kernel."""
 
-    receives = 0  # bytes that the kernel may take in for a connection before it is read
-
     def __init__(self, budget: Budget, lifecycle: Lifecycle) -> None:
         self.budget, self.lifecycle = budget, lifecycle
         self.loop = asyncio.get_running_loop()
@@ -32,7 +31,7 @@
 
     # ---- What the connections do
 
-    def made(self, sock: socket.socket) -> asyncio.Protocol:
+    def made(self, sock: socket.socket) -> asyncio.BufferedProtocol:
         """The connection on a socket that was accepted."""
         raise NotImplementedError
 
@@ -114,7 +113,7 @@
             sock.setblocking(False)
             with suppress(OSError):  # it can be served without
                 sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.receives)
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVES)
             await self.loop.connect_accepted_socket(lambda: self.made(sock), sock)
         except OSError:
             sock.close()
--- a/brackenloft/net/replies.py
+++ b/brackenloft/net/replies.py
@@ -16,13 +16,15 @@
 from brackenloft.net.streams import Stream
 
 STALLED_S = 15.0  # a client that takes no byte of its answers for so long is gone; a burst may save as much
+REPLY = 256  # bytes that a reply takes beside its own, while those before it are owed
 WRITE_RATE = 4 * 1024  # bytes a second that a client takes at least of answers that pile up here
 
 
-class Replies(asyncio.Protocol):
+class Replies(asyncio.BufferedProtocol):
     """What is owed on a connection, and what of it is still to be written."""
 
     socket: socket.socket
+    waits_turn: bool  # what it has read waits until others have been read
 
     def __init__(self, clients: BufferAccount) -> None:
         self.clients = clients
@@ -84,8 +86,9 @@
     # ---- Replies out
 
     def _reply(self, answer: bytes) -> None:
-        self.slots.append(Slot(self, answer, size=len(answer)))
-        self.hold(len(answer))
+        size = len(answer) + REPLY
+        self.slots.append(Slot(self, answer, size=size))
+        self.hold(size)
         self.flush()
 
     def flush(self) -> None:
@@ -105,7 +108,7 @@
             self._count_unsent()
         if self.reading:
             return
-        if self.paused and (not self.ending or self.unparsed):
+        if self.paused and not self.waits_turn and (not self.ending or self.unparsed):
             self._read()
         elif not self.slots:
             self._rests()
--- a/brackenloft/net/resp.py
+++ b/brackenloft/net/resp.py
@@ -21,6 +21,7 @@
     rb"\$([0-9]{1,3})\r\n([^\r\n]{1,128})\r\n\$([0-9]{1,3})\r\n([^\r\n]{1,512})\r\n"
 )
 MOST_PARTS = 64  # pieces that are kept apart
+COLLECTED_FROM = 64 * 1024  # bytes of a string that is collected: more than most have
 BULK = re.compile(rb"\$([0-9]{1,7}|-1)\r\n")
 
 
@@ -29,7 +30,12 @@
 
 
 class Bulks:
-    """Reads arrays of bulk strings, each at most as long as ``longest`` says for its place."""
+    """Reads arrays of bulk strings, each at most as long as ``longest`` says for its place.
+
+    ``collects``: a long string is written to its place as it comes, and is a bytearray.
+    """
+
+    collects = False
 
     def __init__(self, longest: Sequence[int], least: int, nullable_from: int) -> None:
         self.longest, self.least, self.nullable_from = longest, least, nullable_from
@@ -39,7 +45,9 @@
         self.left = self.needed = 0  # bytes not done with, and how many there must be before it goes on
         self.count = 0  # elements of the array that is being read, 0 before its header
         self.length: int | None = None  # of the element whose header has been read
-        self.words: list[bytes | None] = []
+        self.words: list[bytes | bytearray | None] = []
+        self.long: bytearray | None = None  # a string that is collected
+        self.collected = 0  # bytes of this array that stand in the buffer no more
 
     def feed(self, data: bytes) -> None:
         """Take in what has come.
@@ -48,6 +56,10 @@
         each piece, and against a piece of a byte that takes fifty.
         """
         self.left += len(data)
+        if self.long is not None:
+            data = self._collect(data)
+            if not data:
+                return
         if not self.buffer:
             self.buffer, self.start, self.place = data, 0, 0
             return
@@ -58,7 +70,7 @@
             self.start = 0
             self.parts.clear()
 
-    def next(self) -> list[bytes | None] | None:
+    def next(self) -> list[bytes | bytearray | None] | None:
         """The next array, or None until it is whole; raises ProtocolError."""
         if self.left < self.needed:
             return None
@@ -80,7 +92,8 @@
 
     def _done(self, end: int) -> None:
         """All before this place is done with."""
-        self.left, self.needed = self.left - (end - self.start), 0
+        self.left, self.needed = self.left - self.collected - (end - self.start), 0
+        self.collected = 0
         self.start = self.place = end
         if not self.left:
             self.buffer, self.start, self.place = b"", 0, 0
@@ -102,17 +115,37 @@
             if length < 0:
                 words.append(None)
             else:
-                end = place + length
+                end = place + length - (0 if self.long is None else len(self.long))
                 if len(buffer) < end + 2:
-                    self.needed = end + 2 - self.start
+                    self.needed = self.collected + end + 2 - self.start
+                    if self.collects and self.long is None and length > COLLECTED_FROM:
+                        self._begin_to_collect()
                     return False
                 if not buffer.startswith(b"\r\n", end):
                     raise ProtocolError("longer than it says")
-                words.append(buffer[place:end])
+                words.append(buffer[place:end] if self.long is None else self.long)
+                self.long = None
                 self.place = place = end + 2
             self.length = None
         return True
 
+    def _begin_to_collect(self) -> None:
+        """Move what has come of a long string to its place, which grows with it."""
+        come = b"".join((self.buffer[self.place :], *self.parts))
+        self.collected += self.place - self.start
+        self.parts.clear()
+        self.buffer, self.start, self.place = b"", 0, 0
+        self.long = bytearray()
+        self.buffer = self._collect(come)
+
+    def _collect(self, data: bytes) -> bytes:
+        """Add to the long string; what is behind it."""
+        assert self.long is not None and self.length is not None
+        taken = min(len(data), self.length - len(self.long))
+        self.long += memoryview(data)[:taken]
+        self.collected += taken
+        return data[taken:]
+
     def _refuse_if_wrong(self, kind: bytes) -> None:
         """No header stands here: whether one may still come of it."""
         rest = self.buffer[self.place : self.place + LONGEST_HEADER]
@@ -123,6 +156,8 @@
 class Commands(Bulks):
     """Commands of clients: name, customer, id, list of names and values, body."""
 
+    collects = True
+
     def __init__(self) -> None:
         super().__init__((64, 64, 128, 512, LONGEST_VALUE), least=1, nullable_from=5)
 
@@ -186,7 +221,7 @@
     def answer(self) -> Answer | None:
         """The next answer, or None until it is whole."""
         if self.count or not self.buffer.startswith(b"-", self.start):
-            return self.next()
+            return cast("list[bytes | None] | None", self.next())  # nothing is collected here
         end = self.buffer.find(b"\r\n", self.start, self.start + LONGEST_LINE)
         if end < 0:
             if self.left >= LONGEST_LINE:
--- a/brackenloft/net/server_connection.py
+++ b/brackenloft/net/server_connection.py
@@ -21,15 +21,14 @@
 from brackenloft.net.address import Address
 from brackenloft.net.attempt import Attempt, Reply
 from brackenloft.net.kernel import unacknowledged
+from brackenloft.net.read_buffer import ReadBuffer
 from brackenloft.net.resp import ProtocolError
 from brackenloft.net.server_protocol import ServerProtocol
 from brackenloft.net.streams import STREAM_FROM, Stream, Streams
 
 log = logging.getLogger(__name__)
 
-# For an answer on its way to a connection, twice that by the kernel. Guards against reads of a quarter of a
-# megabyte on each of many connections whose values nobody takes yet.
-RECEIVES = 32 * 1024
+RECEIVES = 32 * 1024  # bytes that the kernel takes in for a connection before it is read; it doubles them
 RESET_AT_CLOSE = struct.pack("ii", 1, 0)  # struct linger: on, for no time
 STALLED_S = 15.0  # a server that sends nothing of a stream for so long has died
 
@@ -41,6 +40,7 @@
     connect: Callable[[socket.socket, Address], Awaitable[None]]
     protocol: ServerProtocol
     streams: Streams
+    read_buffer: ReadBuffer
     connect_timeout_s: float
     tries: int
     watcher: Callable[[int, bool], None] | None
@@ -54,6 +54,9 @@
     def hold(self, size: int, connection: Connection) -> None:
         """Count bytes held for an answer; raises ProtocolError where there is no memory for it."""
 
+    def room(self, connection: Connection) -> int:
+        """Bytes that may still be held of what comes on a connection."""
+
     def look_at(self, connection: Connection) -> None:
         """Watch the pace of a command or an answer that did not go or come at once."""
 
@@ -84,7 +87,7 @@
     return True
 
 
-class Connection(asyncio.Protocol):
+class Connection(asyncio.BufferedProtocol):
     """One connection to a server: connecting, idle, or with one attempt out."""
 
     def __init__(self, servers: Pool, host: Host, attempt: Attempt) -> None:
@@ -166,7 +169,11 @@
     def _write(self, attempt: Attempt) -> None:
         assert self.transport is not None
         self.handed, attempt.written = False, time.monotonic()
-        self.transport.write(attempt.payload(attempt.written))
+        payload = attempt.payload(attempt.written)
+        if isinstance(payload, bytes):
+            self.transport.write(payload)
+        else:
+            self.transport.writelines(payload)
         self.handed = not self.transport.get_write_buffer_size()
         self.servers.tries += self.handed
         if not self.handed:
@@ -195,7 +202,15 @@
         assert self.transport and self.socket
         return self.transport.get_write_buffer_size() + unacknowledged(self.socket)
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Where the loop reads to; no more at once than there is memory for."""
+        return self.servers.read_buffer.part(self.servers.room(self))
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """So many bytes have come there."""
+        self._received(self.servers.read_buffer.taken(nbytes))
+
+    def _received(self, data: bytes) -> None:
         """An answer, or a part of one; it is judged before the connection is used again.
 
         Guards against answers that can't be read, and against bytes behind an answer or out of turn, which
--- a/brackenloft/net/servers.py
+++ b/brackenloft/net/servers.py
@@ -19,6 +19,7 @@
 from brackenloft.net.attempt import Attempt, Reply
 from brackenloft.net.bites import Bites
 from brackenloft.net.connecting import connect
+from brackenloft.net.read_buffer import ReadBuffer
 from brackenloft.net.resp import Answers, ProtocolError
 from brackenloft.net.server_connection import Connection, Host
 from brackenloft.net.server_protocol import ServerProtocol
@@ -55,6 +56,7 @@
         self.protocol = protocol or ServerProtocol(Answers, decoder)
         self.budget, self.most_held = budget, most_held
         self.streams = Streams(int(most_held * STREAMS_SHARE))
+        self.read_buffer = ReadBuffer()
         self.held = 0  # bytes of answers that are not whole yet
         self.tries = 0  # attempts whose last byte has gone to the kernel
         self.bites = Bites()
@@ -221,15 +223,23 @@
         """Count bytes held for an answer. Guards against answers that together outgrow the memory."""
         connection.held += size
         self.held += size
-        if size <= 0 or self.held <= self.most_held:
+        if size <= 0 or self._room() >= 0:
             return
         holders = {one: one.held for one in self.connections if one.held and not one.stream}
-        for one in relief(self.held, self.most_held, holders):
+        for one in relief(self.held + self.streams.held, self.most_held, holders):
             self.bites.bite("memory of answers", "the answer that holds most is given up")
             if one is connection:
                 raise ProtocolError("more answers than there is memory for")
             one.close(api.Status.ERROR)  # it may have run
 
+    def room(self, connection: Connection) -> int:
+        """Bytes that may still be held of what comes on a connection, which may begin a long value."""
+        held = connection.stream.held if connection.stream else 0
+        return min(self.streams.part() - held, self.streams.most - self.streams.held, self._room())
+
+    def _room(self) -> int:
+        return self.most_held - self.held - self.streams.held
+
     def look_at(self, connection: Connection) -> None:
         """A command or an answer did not go or come at once: its pace is watched if it still does not."""
         self.under_way.add(connection)
--- a/brackenloft/net/streams.py
+++ b/brackenloft/net/streams.py
@@ -37,7 +37,11 @@
 
     def fits(self, held: int) -> bool:
         """Whether a stream that holds so much may read on."""
-        return not held or (self.held < self.most and held < self.most // max(1, len(self.open)))
+        return not held or (self.held < self.most and held < self.part())
+
+    def part(self) -> int:
+        """Bytes that each stream may hold, where all hold as much."""
+        return self.most // max(1, len(self.open))
 
 
 class Stream:
--- a/brackenloft/net/wire.py
+++ b/brackenloft/net/wire.py
@@ -9,12 +9,19 @@
 from brackenloft.answers import Answer, Refused, Served
 
 WAIT = re.compile(rb"(?:^|,)d=")
-Encoder = Callable[[float], bytes]  # from the milliseconds that the gateway waits
+# Bytes as they are written; several pieces are written one behind the other, and never joined.
+Buffers = bytes | tuple[bytes, ...]
+Encoder = Callable[[float], Buffers]  # from the milliseconds that the gateway waits
+JOINED = 16 * 1024  # bytes of a body up to which a copy costs less than a second piece
 
 
-def command(words: Sequence[bytes]) -> bytes:
-    """An array of bulk strings."""
-    return b"*%d\r\n" % len(words) + b"".join(b"$%d\r\n%b\r\n" % (len(word), word) for word in words)
+def command(words: Sequence[bytes]) -> Buffers:
+    """An array of bulk strings. The last one, if it is long, is not copied."""
+    *short, last = words
+    head = b"*%d\r\n" % len(words) + b"".join(b"$%d\r\n%b\r\n" % (len(word), word) for word in short)
+    if len(last) > JOINED:
+        return b"%b$%d\r\n" % (head, len(last)), last, b"\r\n"
+    return b"%b$%d\r\n%b\r\n" % (head, len(last), last)
 
 
 def value_header(size: int) -> bytes:
@@ -39,7 +46,7 @@
     if b"," not in listed[place.end() :]:
         after = b""
 
-    def encode(wait_ms: float) -> bytes:
+    def encode(wait_ms: float) -> Buffers:
         text = b"%b%d%b" % (before, max(1, int(wait_ms)), after)
         return command([name, words[1], words[2], text, *words[4:]])
 
@@ -64,7 +71,7 @@
     ]
     head, tail = f"c={request.class_name},t={request.plan},d=", "," + ",".join(fields)
 
-    def encode(wait_ms: float) -> bytes:
+    def encode(wait_ms: float) -> Buffers:
         listed = f"{head}{max(1, int(wait_ms))}{tail}".encode()
         return command([*words, listed, body] if posts else [*words, listed])
 
--- a/tests/test_net_memory.py
+++ b/tests/test_net_memory.py
@@ -92,6 +92,6 @@
             await until(lambda: not gateway.driver.calls)
             readers = [one.reader for one in (*gateway.clients.connections, *gateway.servers.connections)]
             assert len(readers) == 2
-            assert all(not (one.words or one.buffer or one.parts) for one in readers)
+            assert all(not (one.words or one.buffer or one.parts or one.long) for one in readers)
 
     run(test())
--- a/tests/test_net_process.py
+++ b/tests/test_net_process.py
@@ -62,7 +62,7 @@
 
 
 @asynccontextmanager
-async def program(tmp_path, server: FakeServer):
+async def program(tmp_path, server: FakeServer, settings=SETTINGS, **limits):
     """The running program, the port it listens on and the discovery it watches."""
     discovery, port = await FakeDiscovery().start(), free_port()
     path = tmp_path / "config.json"
@@ -73,9 +73,9 @@
                 "listen": f"127.0.0.1:{port}",
                 "discovery": f"127.0.0.1:{discovery.port}",
                 "seed": "8c1f30d27a5be964",
-                "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+                "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024, **limits},
                 "known": {"generation": 1, "reset": True, "instances": [row("s-1", server.port)]},
-                "settings": SETTINGS,
+                "settings": settings,
             }
         )
     )
