--- a/brackenloft/edge/edge.py
+++ b/brackenloft/edge/edge.py
@@ -358,8 +358,10 @@
         request_id = (
             self._new_id() if call.request_id is None else checks.identifier("request_id", call.request_id)
         )
-        if request_id in self.driver.calls:
-            raise FieldError("request_id", "a request of this id is in hand")
+        try:
+            self.driver.check_new(request_id)
+        except ValueError as error:
+            raise FieldError("request_id", str(error)) from error
         return api.Request(
             request_id=request_id,
             class_name=kind.name,
--- a/brackenloft/handover/channel.py
+++ b/brackenloft/handover/channel.py
@@ -17,6 +17,7 @@
 
 from brackenloft.edge.edge import Edge
 from brackenloft.handover.frames import Document, FrameError, Frames, encode
+from brackenloft.handover.sent import adopt_sent, note_sent
 from brackenloft.handover.state import Adopted, StateError, pending, tell
 from brackenloft.lifecycle import Event, State
 from brackenloft.net.call import Call
@@ -50,15 +51,46 @@
         os.close(self.directory)
 
 
-class Tap:
+class SentIds:
+    """Tells the other process the id of each request that may not run twice, before it is sent on."""
+
+    def __init__(self) -> None:
+        self.waiting: list[str] = []
+        self.line: Line | None = None  # to the other process, once it listens
+
+    def sent(self, call: Call) -> None:
+        """An attempt goes out."""
+        if call.request.is_write:
+            self.waiting.append(call.request_id)
+            self.flush()
+
+    def ended(self, call: Call) -> None:
+        """An attempt has ended, which changes nothing: it may have run."""
+
+    def flush(self) -> None:
+        """Tell what waits. One that does not read any more is found out elsewhere."""
+        if self.line and self.waiting:
+            ids, self.waiting = self.waiting, []
+            with suppress(FrameError):
+                self.line.say({"kind": "sent", "ids": ids})
+
+    def listens(self, line: Line) -> None:
+        """The other process listens from now on."""
+        self.line = line
+        self.flush()
+
+
+class Tap(SentIds):
     """Notes what is charged at this process after its state was told."""
 
     def __init__(self, charged_already: set[str]) -> None:
+        super().__init__()
         self.charged_already = charged_already
         self.rows: list[list[object]] = []
 
     def sent(self, call: Call) -> None:
         """An attempt goes out."""
+        super().sent(call)
         request = call.request
         first = call.sends == 1 and request.request_id not in self.charged_already
         self.rows.append([request.plan, request.customer, 1, request.units if first else 0.0])
@@ -151,14 +183,17 @@
         if edge.lifecycle.state not in (State.READY, State.DRAINING):
             raise FrameError(f"asked while {edge.lifecycle.state.value}")
         names = {number: name for name, number in edge.discovery.roster.numbers.items()}
-        line.say(tell(driver.gateway, names, driver.clock()) | {"list": edge.listed()})
+        now = driver.clock()
+        sent = {"sent": driver.sent_requests.ages(now)}
+        line.say(tell(driver.gateway, names, now) | {"list": edge.listed()} | sent)
         driver.tap = tap = Tap(pending(driver.gateway))
         await line.expect("took")
         edge.lifecycle.happens(Event.HAND)
         log.info("a successor accepts from now on")
         line.say({"kind": "go", "held": edge.budget.keep(HANDED_SPARE)})
-        # The successor says nothing more: its next word is its end.
-        ends = [asyncio.ensure_future(line.hear()), asyncio.ensure_future(self.closing.wait())]
+        tap.listens(line)
+        # The successor says what it sends on; anything else is its end.
+        ends = [asyncio.ensure_future(self._hear_sent(line)), asyncio.ensure_future(self.closing.wait())]
         while not any(end.done() for end in ends):
             await asyncio.wait(ends, timeout=FLUSH_S, return_when=asyncio.FIRST_COMPLETED)
             rows, held = tap.take(), edge.budget.keep(HANDED_SPARE)
@@ -167,6 +202,11 @@
         for end in ends:
             end.cancel()
 
+    async def _hear_sent(self, line: Line) -> None:
+        """Note what the successor sends on, until it says something else or ends."""
+        while (document := await line.hear()) is not None and document["kind"] == "sent":
+            note_sent(self.edge.driver, document.get("ids"))
+
     async def close(self) -> None:
         """Tell the last charges, and listen no more."""
         self.closing.set()
@@ -182,6 +222,7 @@
     def __init__(self, edge: Edge, path: Path) -> None:
         self.edge, self.path = edge, path
         self.following: asyncio.Task[None] | None = None
+        self.tap = SentIds()
 
     async def ask(self) -> bool:
         """Whether a process before this one has handed over; if not, this one starts cold."""
@@ -214,8 +255,14 @@
         if not edge.heard:  # discovery has not spoken here: the list of the process before is the newest
             edge.discovery.told(state.get("list"))
         adopted = Adopted(driver.gateway, state, edge.discovery.roster.numbers, driver.clock())
+        ages = state.get("sent")
+        if ages is not None:
+            adopt_sent(driver, ages)
         line.say({"kind": "took"})
         self._shares(await line.expect("go"))
+        if ages is not None:  # one that tells its own listens to ours
+            driver.tap = self.tap
+            self.tap.listens(line)
         log.info("taken over: %d customers", len(driver.gateway.meter.customers))
         return adopted
 
@@ -229,12 +276,17 @@
         driver = self.edge.driver
         try:
             while (document := await line.hear()) is not None:
+                if document["kind"] == "sent":
+                    note_sent(driver, document.get("ids"))
+                    continue
                 adopted.charged(document.get("rows"), driver.clock())
                 self._shares(document)
         except (FrameError, StateError, OSError) as error:
             log.warning("the process before tells nothing more: %r", error)
         finally:
             adopted.ended()
+            if driver.tap is self.tap:
+                driver.tap = None
             self.edge.budget.whole()
             line.writer.close()
 
--- a/brackenloft/net/attempt.py
+++ b/brackenloft/net/attempt.py
@@ -105,6 +105,7 @@
         The command is let go. Guards against bodies that are kept until the attempt's time is up, as the
         timer that would end it knows the attempt.
         """
+        self.before_write = None
         done, self.done, self.connection, self.encode = self.done, None, None, None
         if done:
             done(reply)
--- a/brackenloft/net/call.py
+++ b/brackenloft/net/call.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Callable
+from math import inf
 from typing import Protocol
 
 from brackenloft import interface as api
@@ -12,6 +14,10 @@
 from brackenloft.net.timers import Handle
 from brackenloft.net.wire import Encoder
 
+log = logging.getLogger(__name__)
+
+UNSURE_S = 0.08  # after which a client is looked for: an attempt may begin 0.1 s after it has left
+
 
 class CallListener(Protocol):
     """Who is told of attempts, as another process counts them too."""
@@ -56,6 +62,9 @@
         "door",
         "weigh",
         "left",
+        "unsure",
+        "came_at",
+        "may_have_run",
     )
 
     def __init__(
@@ -71,15 +80,30 @@
         self.door = ""  # through which its servers are spoken to, where it is not RESP2
         self.weigh: Callable[[Reply], None] | None = None  # tells what a good answer has cost
         self.left: Callable[[], bool] | None = None  # whether its client has gone, though nobody was told yet
+        self.unsure: Callable[[], bool] | None = None  # whether it may have gone, and nobody can tell
+        self.came_at = inf  # by time.monotonic()
         self.request_id = request_id
         self.encode: Encoder | None = encode  # holds the body; None once nothing is sent
         self.on_answer: Callable[[Answer], None] | None = on_answer  # None once it has ended
         self.deadline, self.sends, self.answered = 0.0, 0, False
+        self.may_have_run = False  # an attempt has ended, and is not known never to have run
         self.out: dict[int, Attempt | None] = {}  # None: at the host itself
         self.timers: list[Handle] = []
         self.tally: Tally  # of its class, from when it is taken
         self.request: api.Request
 
+    def may_be_unwanted(self, now: float) -> bool:
+        """Whether its client may have left since it came, and the kernel can't tell; by time.monotonic()."""
+        return self.unsure is not None and now - self.came_at >= UNSURE_S and self.unsure()
+
+    def read_cost(self, reply: Reply) -> None:
+        """Have the cost of a good answer told by its value, where there is something that can."""
+        try:
+            if self.weigh and reply.value is not None:
+                self.weigh(reply)
+        except Exception:  # what it cost is not known: the guess stands, and the answer is as good as it was
+            log.exception("the cost of an answer can't be told")
+
     def drop_command(self) -> None:
         """Release the command with its body: no further attempt is written."""
         self.encode = None
@@ -91,4 +115,4 @@
         by nobody, until the cyclic garbage collector comes by.
         """
         self.drop_command()
-        self.on_answer = self.on_open = self.left = self.weigh = self.stream = None
+        self.on_answer = self.on_open = self.left = self.unsure = self.weigh = self.stream = None
--- a/brackenloft/net/client.py
+++ b/brackenloft/net/client.py
@@ -10,51 +10,35 @@
 from dataclasses import replace
 from typing import cast
 
-from brackenloft.admission.rate import Pace
 from brackenloft.answers import FAILED
 from brackenloft.net import wire
 from brackenloft.net.call import Call
-from brackenloft.net.client_closing import Closing
 from brackenloft.net.client_owner import ClientOwner
+from brackenloft.net.client_reading import AGED_S, CALL, Reading
 from brackenloft.net.client_state import ConnectionEvent
-from brackenloft.net.kernel import age_s, has_gone, unread
-from brackenloft.net.requests import CommandError
+from brackenloft.net.kernel import has_gone, may_hide_end, unread
 from brackenloft.net.resp import Commands, ProtocolError
 from brackenloft.net.slots import Slot
 from brackenloft.net.streams import STREAM_FROM
-from brackenloft.obligations import Breach, CloseReason, Dues
+from brackenloft.obligations import CloseReason, Dues
 
 log = logging.getLogger(__name__)
 
-MOST_PIPELINED = 64  # commands of one connection in hand; what comes behind waits in the kernel
-MOST_IN_HAND = 256 * 1024  # bytes of one connection's commands and replies in hand, beside CALL; the same
 MOST_ERRORS = 16  # bad commands in a row, after which a connection is closed: no use comes of more
-AGED_S = 0.05  # from which the time that a request has waited in the kernel counts: the loop's turns are less
-# Bytes that a request in hand takes beside its command: 5.7 kB were seen with an attempt out. Guards against
-# requests without number that are counted with no more than their own few bytes.
-CALL = 6 * 1024
 
 
-class Client(Closing):
-    """One client's connection: the half that reads."""
+class Client(Reading):
+    """One client's connection: what its commands come to."""
 
     clients: ClientOwner[Client]
 
     def __init__(self, clients: ClientOwner[Client], sock: socket.socket) -> None:
-        super().__init__(clients)
-        self.socket = sock
-        self.reader = Commands()
-        self.age_s = 0.0  # of what came first, when it was read
-        self.came_at = time.monotonic()  # about when what was read last had come to the kernel
-        self.paused_at = self.came_at  # reading, the last time
-        self.backlog = False  # something came meanwhile, and was not read yet
+        super().__init__(clients, sock)
         self.asked = self.errors = 0  # requests so far, and bad commands in a row
         self.withheld: deque[bytes] = deque()  # errors behind the end, written only if a request follows
-        self.spoke = self.waits_turn = False
         self.parting = False  # to be closed as soon as nothing is owed on it
         self.within = False  # a part of a command has come, and may be dropped
         self.timer: asyncio.TimerHandle | None = None  # while it lingers
-        self.reads: Pace | None = None  # while it is within a command
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         # uvloop's transports are not asyncio.Transport by class: no isinstance here
@@ -97,66 +81,6 @@
 
     # ---- Commands in
 
-    def get_buffer(self, sizehint: int) -> memoryview:
-        """Where the loop reads to; no more at once than there is memory for."""
-        return self.clients.read_buffer.part(self.clients.room())
-
-    def buffer_updated(self, nbytes: int) -> None:
-        """So many bytes have come there."""
-        self._received(self.clients.read_buffer.taken(nbytes))
-
-    def _received(self, data: bytes) -> None:
-        if self.half_closed:  # reading has stopped by then: nothing would answer what comes
-            self.clients.obligations.breach(Breach.READ_TOO_LATE, self.name())
-            return
-        if not self.spoke and not self.reader.left:
-            self.clients.roll.stirs(self)
-            self.age_s = age_s(self.socket)
-        self._note_arrival()
-        if self.reads:
-            self.reads.moved(len(data), time.monotonic())
-        self.reader.feed(data)
-        self.hold(len(data), in_hand=False)
-        self._read()
-
-    def _note_arrival(self) -> None:
-        """Reckon when what has just been read came to the kernel, early rather than late.
-
-        Guards against telling a server a time that the client spent in front of a paused connection.
-        """
-        now = time.monotonic()
-        self.came_at = now
-        if not self.spoke:
-            self.came_at -= self.age_s
-        elif self.backlog:
-            self.came_at = min(now - age_s(self.socket), self.paused_at + AGED_S)
-        elif self._may_have_waited():
-            self.came_at -= age_s(self.socket)
-        self.backlog = False
-
-    def _may_have_waited(self) -> bool:
-        """Whether the loop was held up before it read this, or may have been with nothing in hand."""
-        lag = self.clients.driver.lag
-        return not lag.watching or lag.held_up()
-
-    def _full(self) -> bool:
-        """Whether no more commands may be in hand now; who has none may always have one."""
-        some, clients = len(self.slots), self.clients
-        if clients.closing:
-            return False  # nothing more is read, and each command is answered at once
-        if self.stuck or self.in_hand > MOST_IN_HAND + CALL * some:
-            return True
-        if not some:
-            return False
-        stream = self.slots[0].stream
-        if stream and stream.begun:
-            return True  # what it is read now could not be answered if the rest of the value never came
-        return (
-            some >= MOST_PIPELINED
-            or clients.held >= clients.most_held
-            or (clients.parked.count > 0 and some >= clients.depth())
-        )
-
     def _read(self) -> None:
         """Read commands, but no more than may be in hand at once, and not so many that others wait.
 
@@ -177,6 +101,7 @@
                 break
             took += 1
             self.spoke = True
+            self.came_at = self.arrivals.take(before - self.reader.left)
             self._take(command, before - self.reader.left)
         self.reading = False
         self.within = within
@@ -198,46 +123,6 @@
         self.throttle()
         self._read()
 
-    def take_turn(self) -> None:
-        """Go on with what was read, unless its client has left meanwhile: that is not read while it waits."""
-        self.waits_turn = False
-        if self.transport is None:
-            return
-        if has_gone(self.socket):
-            self.departed()
-        else:
-            self._read()
-
-    def throttle(self) -> None:
-        """Read on, or no further, as there is room."""
-        if self.transport is None or self.transport.is_closing():
-            return
-        pause = (
-            self.ending
-            or self.half_closed
-            or self.clients.closing
-            or self.waits_turn
-            or self._full()
-            or not self.clients.may_send_on(self)
-        )
-        if pause != self.paused:
-            self.paused = pause
-            self._note_pause(pause)
-            if self.reads:
-                (self.reads.pause if pause else self.reads.resume)(time.monotonic())
-            (self.transport.pause_reading if pause else self.transport.resume_reading)()
-        if pause and not self.waits_turn:  # that lasts for a turn of the loop alone
-            self.clients.departures.watch(self, self.socket)
-        else:
-            self.clients.departures.forget(self)
-
-    def _note_pause(self, pause: bool) -> None:
-        now = time.monotonic()
-        if pause and not self.backlog:
-            self.paused_at = now
-        elif not pause and now - self.paused_at >= AGED_S:
-            self.backlog = unread(self.socket)
-
     def cut_off(self) -> None:
         """End it for the memory that it holds: at once, or after an error where it takes what it is sent."""
         self.within = False
@@ -278,17 +163,16 @@
         A connection that waited in the listener's backlog, or a process that stood still, brings a command
         and the FIN behind it in one turn of the loop, and the FIN is read later in that turn or in the next.
         While the loop's lag is watched, ``Driver`` asks the kernel where the loop was held up. Guards against
-        attempts for clients that have gone; costs one ``poll`` for a connection's first request, or for a
-        request that finds nothing in hand.
+        attempts for clients that have gone; costs one ``poll`` for a connection's first request, for one that
+        finds nothing in hand, and for one that waited here behind others.
         """
-        return not self.asked or not self.clients.driver.lag.watching
+        return not self.asked or not self.fresh or not self.clients.driver.lag.watching
 
     def _call(self, command: list[bytes], size: int) -> None:
         driver = self.clients.driver
         try:
             request, encode = self.clients.requests.read(command)
-            if request.request_id in driver.calls:
-                raise CommandError("a request of this id is in hand")
+            driver.check_new(request.request_id)
         except ValueError as error:
             self.hold(-size, in_hand=False)
             self._refuse(str(error))
@@ -314,7 +198,8 @@
         slot = Slot(self, None, request.request_id, size + CALL)
         self.slots.append(slot)
         slot.call = Call(request.request_id, encode, slot.fill, slot.open)
-        slot.call.left = self.has_left
+        slot.call.left, slot.call.came_at = self.has_left, self.came_at
+        slot.call.unsure = self.may_have_left
         waited_s = time.monotonic() - self.came_at
         if waited_s >= AGED_S:
             request = replace(request, patience_ms=max(0.0, request.patience_ms - waited_s * 1000.0))
@@ -340,6 +225,10 @@
         """Whether the kernel knows that it has gone, though that was not read yet."""
         return self.transport is None or has_gone(self.socket)
 
+    def may_have_left(self) -> bool:
+        """Whether its end could stand behind what was not read yet, where the kernel does not know of it."""
+        return self.transport is not None and may_hide_end(self.socket)
+
     def turned_away(self) -> None:
         """Nothing was sent on for a request. If it was the first one, and places are short, it ends here.
 
--- a/brackenloft/net/client_owner.py
+++ b/brackenloft/net/client_owner.py
@@ -65,6 +65,9 @@
     def room(self) -> int:
         """Bytes that may be read ahead."""
 
+    def may_read_ahead(self) -> bool:
+        """Whether there is memory for what can't be taken yet."""
+
     def relieve(self, reserve: int = 0) -> bool:
         """Free memory where too much is buffered; whether there is room now, with a ``reserve`` in bytes."""
 
--- a/brackenloft/net/clients.py
+++ b/brackenloft/net/clients.py
@@ -19,8 +19,9 @@
 from brackenloft.admission.turns import depth
 from brackenloft.lifecycle import Lifecycle
 from brackenloft.net.bites import Bites
-from brackenloft.net.client import MOST_PIPELINED, Client
+from brackenloft.net.client import Client
 from brackenloft.net.client_closing import FRESH_S
+from brackenloft.net.client_reading import MOST_PIPELINED
 from brackenloft.net.departures import Departures
 from brackenloft.net.driver import Driver
 from brackenloft.net.kernel import waiting_connections
@@ -44,6 +45,8 @@
 IDLE_S = 2.0  # a connection on which no request is open may be closed after that
 SERVED_S = 0.1  # about what it is open for before
 LONG_SHARE = 0.75  # of what may be held, for commands of more than STREAM_FROM and for what is read ahead
+# Bytes of all, and share of what may be held, up to which commands are read that can't be taken yet.
+MOST_AHEAD, AHEAD_SHARE = 8 * 1024 * 1024, 0.25
 SWEEP_S = 0.05  # between two looks at who is overdue
 FINISH_S = 1.5  # while the process empties: for who is within a command, and for commands without a gap: none
 # may be held after 4 s on which a request came within 2 s
@@ -175,7 +178,7 @@
             self.slow.pop(client, None)
         if within and client.reads is None and not client.ending:
             client.reads = Pace(Least(READ_RATE, COMMAND_S, COMMAND_S), time.monotonic())
-            if client.paused:
+            if client.blocked:
                 client.reads.pause(time.monotonic())
         if took:
             self.owing.pop(client, None)
@@ -277,6 +280,10 @@
         """Bytes that may be read ahead, the share of usual commands left free."""
         return int(self.most_held * LONG_SHARE) - self.held
 
+    def may_read_ahead(self) -> bool:
+        """Whether there is memory for what can't be taken yet; while it empties, no more is read than can."""
+        return not self.emptying and self.held < min(MOST_AHEAD, self.most_held * AHEAD_SHARE)
+
     def may_send_on(self, client: Client) -> bool:
         """Whether it is read further, as far as memory goes. Who is not is looked at again at each sweep."""
         most = self.most_held * LONG_SHARE
--- a/brackenloft/net/driver.py
+++ b/brackenloft/net/driver.py
@@ -7,7 +7,6 @@
 import time
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
 from functools import partial
 from typing import Any
 
@@ -15,13 +14,16 @@
 from brackenloft.answers import FAILED, SERVED, Answer, Granted, Opened, Refused, Served, Tally
 from brackenloft.net.attempt import Attempt, Reply
 from brackenloft.net.call import Call, CallListener, Usage
+from brackenloft.net.counters import Counters
 from brackenloft.net.lag import Lag
+from brackenloft.net.sent_requests import SentRequests
 from brackenloft.net.servers import Servers
 from brackenloft.net.streams import Stream
 from brackenloft.net.timers import Timers
 from brackenloft.net.wire import Buffers
 from brackenloft.obligations import Obligations, may_send
 from brackenloft.policy import Gateway
+from brackenloft.policy.attempts import NEVER_RAN
 
 log = logging.getLogger(__name__)
 
@@ -30,18 +32,6 @@
 OWN_SHARE = 0.3  # of an attempt's time lost by the loop, from which a connect that failed is its doing
 
 
-@dataclass(slots=True)
-class Counters:
-    """What became of the requests so far, beside the tallies: each ends in one of these, or is gone."""
-
-    requests: int = 0
-    held: int = 0  # not sent on or answered at once
-    attempts: int = 0  # sent on to servers
-    gone: int = 0  # the client left, or the host cancelled, before the answer
-    stalls: int = 0  # times that the loop was held up by more than LATE_MS
-    stalled_ms: float = 0.0
-
-
 class Driver:
     """Drives one ``Gateway``: hands it events one after the other and carries out what it decides."""
 
@@ -50,6 +40,7 @@
         self.calls: dict[str, Call] = {}
         self.doors: dict[str, Servers] = {}  # connections to the same servers in other protocols, by name
         self.counters = Counters()
+        self.sent_requests = SentRequests()
         self.obligations = Obligations()
         self.tap: CallListener | None = None
         self.counting: Usage | None = None
@@ -118,6 +109,13 @@
         if not call.answered and not call.out:
             self.counters.held += 1
 
+    def check_new(self, request_id: str) -> None:
+        """ValueError: a request of this id is in hand, or was sent on before and may have run."""
+        if request_id in self.calls:
+            raise ValueError("a request of this id is in hand")
+        if self.sent_requests.may_have_run(request_id, self.clock()):
+            raise ValueError("a request of this id may have run")
+
     def turn_away(self, class_name: str) -> Refused:
         """Refuse a request that is not taken at all, for want of room; the answer."""
         answer = Refused()
@@ -196,7 +194,7 @@
         if action.timeout_ms:
             wait = min(wait, action.timeout_ms)
         self._notice_departure(call)
-        if not may_send(not call.answered, wait):
+        if not may_send(not call.answered, wait) or call.may_be_unwanted(time.monotonic()):
             self._outcome(call, number, action.server, Reply(api.Status.NOT_SENT), 0.0)
             return
         if self.counting and number == 0:
@@ -223,6 +221,12 @@
         if call.left and not call.answered and self.lag.held_up() and call.left():
             self.client_gone(call.request_id)
 
+    def _before_write(self, call: Call, attempt: Attempt) -> None:
+        """Stop an attempt that has waited for a connection, if its client has gone or may have."""
+        self._notice_departure(call)
+        if attempt.done and call.may_be_unwanted(time.monotonic()):
+            self.servers.stop(attempt, api.Status.CANCELLED, api.Status.NOT_SENT)
+
     def _start(self, call: Call, number: int, action: api.Send, wait_ms: float) -> None:
         server = action.server
 
@@ -231,8 +235,7 @@
             latency_ms = self._taken_ms(attempt)
             if self.tap:
                 self.tap.ended(call)
-            if call.weigh and reply.value is not None:
-                self._weigh(call, reply)
+            call.read_cost(reply)
             self._outcome(call, number, server, reply, latency_ms, attempt.streams)
 
         now = time.monotonic()
@@ -241,8 +244,10 @@
         attempt = Attempt(encode, done, due, self._opened if call.on_open else None)
         attempt.request_id, attempt.number, attempt.server = call.request_id, number, server
         attempt.write_by = now + action.write_within_ms / 1000.0
-        attempt.before_write = partial(self._notice_departure, call) if call.left else None
+        attempt.before_write = partial(self._before_write, call, attempt) if call.left else None
         self.counters.attempts += 1
+        if call.request.is_write:
+            self.sent_requests.note(call.request_id, self.clock())
         call.out[number] = attempt
         if self.tap:
             self.tap.sent(call)
@@ -254,13 +259,6 @@
         assert call.encode, "nothing is written once it was dropped"
         return call.encode(left_ms)
 
-    def _weigh(self, call: Call, reply: Reply) -> None:
-        try:
-            if call.weigh:
-                call.weigh(reply)
-        except Exception:  # what it cost is not known: the guess stands, and the answer is as good as it was
-            log.exception("the cost of an answer can't be told")
-
     def _close_idle(self, action: api.CloseIdle) -> None:
         for servers in (self.servers, *self.doors.values()):
             servers.close_idle(action.server)
@@ -328,6 +326,7 @@
         streamed: bool = False,
     ) -> None:
         """The outcome of an attempt; a good answer goes to the client first, if it still waits."""
+        call.may_have_run = call.may_have_run or reply.status not in NEVER_RAN
         if call.stream and streamed:
             latency_ms = call.first_ms
             self._end_stream(call, call.stream, reply)
@@ -377,6 +376,8 @@
             for handle in call.timers:
                 self.timers.cancel(handle)
             call.timers.clear()
+            if not call.may_have_run:
+                self.sent_requests.forget(call.request_id)
             call.release()
 
     def _cancel(self, action: api.Cancel) -> None:
--- a/brackenloft/net/kernel.py
+++ b/brackenloft/net/kernel.py
@@ -13,6 +13,8 @@
 MOST_WAITING = 1 << 16  # more than a listener's queue holds
 INFO_SIZE, INFO_UNACKED, INFO_LAST_DATA, INFO_NUMBER = 104, 24, 52, struct.Struct("=I")
 OUT_QUEUE = struct.Struct("=i")
+SO_MEMINFO, MEMORY = 55, struct.Struct("=II")  # asm-generic/socket.h
+WINDOW_PARTS = 4  # of the receive queue's limit, one of which is taken before the window closes for sure
 
 
 def age_s(sock: socket.socket) -> float:
@@ -48,6 +50,20 @@
     return False
 
 
+def may_hide_end(sock: socket.socket) -> bool:
+    """Whether unread bytes may keep the peer's end from coming: its window is, or may be, closed.
+
+    Linux, SO_MEMINFO of socket(7): bytes that the receive queue takes, and its limit. The window closes at
+    about half of that. False where that can't be told.
+    """
+    try:
+        info = sock.getsockopt(socket.SOL_SOCKET, SO_MEMINFO, MEMORY.size)
+        taken, limit = MEMORY.unpack(info)
+    except (OSError, struct.error):  # closed here already, or no such option on this system
+        return False
+    return bool(taken * WINDOW_PARTS >= limit)
+
+
 def has_gone(sock: socket.socket) -> bool:
     """Whether the peer has closed it, or it was reset, also behind bytes that are not read yet."""
     if not hasattr(select, "POLLRDHUP"):
--- a/brackenloft/net/replies.py
+++ b/brackenloft/net/replies.py
@@ -108,7 +108,7 @@
             self._count_unsent()
         if self.reading:
             return
-        if self.paused and not self.waits_turn and (not self.ending or self.unparsed):
+        if not self.waits_turn and (self.unparsed or (self.paused and not self.ending)):
             self._read()
         elif not self.slots:
             self._rests()
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -371,3 +371,55 @@
     )
     out = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True).stdout
     assert out.strip() == "[]"
+
+
+UNSAFE = {
+    **PROCESS_SETTINGS,
+    "services": [
+        *PROCESS_SETTINGS["services"],
+        {**PROCESS_SETTINGS["services"][0], "name": "buy", "effect": "unsafe"},
+    ],
+}
+
+
+# Guards against a request that runs at both processes of an upgrade, as its client came again.
+def test_id_that_one_process_has_sent_on_does_not_run_at_the_other_one(tmp_path):
+    async def test():
+        servers = [await FakeServer(lambda words: None).start() for _ in range(6)]  # room for all of these
+        server = servers[0]
+        for other in servers[1:]:  # one record of all
+            other.commands, other.by, other.writers = server.commands, server.by, server.writers
+            other.news = server.news
+        ports = {f"s-{number}": each.port for number, each in enumerate(servers)}
+        made = Platform(tmp_path, command(), ROOT, UNSAFE, ports)
+        try:
+            await made.start()
+            early, kept, kept_too = [await made.connect() for _ in range(3)]
+            for peer, text in (
+                (early, call(1, "buy", wait=30_000)),
+                (kept, call(11, wait=30_000)),
+                (kept_too, call(12, wait=30_000)),
+            ):
+                before = len(server.commands)
+                peer.send(text)
+                await server.until(lambda before=before: len(server.commands) > before)
+            reading = server.writers[server.by[2]]
+            early.writer.close()
+            await made.start()  # the first one serves whom it has, the second one accepts
+            new = await made.connect()
+            assert (await new.ask(call(1, "buy", wait=30_000))).startswith("-ERR")
+            kept.send(call(2, "buy", wait=30_000))
+            await server.until(lambda: len(server.commands) == 4)
+            kept.writer.close()
+            assert (await new.ask(call(2, "buy", wait=30_000))).startswith("-ERR")
+            new.send(call(3, "buy", wait=30_000))
+            await server.until(lambda: len(server.commands) == 5)
+            new.writer.close()
+            kept_too.send(call(3, "buy", wait=30_000))
+            reading.write(array(b"v"))
+            assert await kept_too.reply() == b"v" and (await kept_too.reply()).startswith("-ERR")
+            assert [int(words[2], 16) for words in server.commands] == [1, 11, 12, 2, 3]
+        finally:
+            await made.close()
+
+    run(test())
--- a/tests/test_net_clients.py
+++ b/tests/test_net_clients.py
@@ -9,7 +9,7 @@
 from brackenloft.lifecycle import Event, State
 from brackenloft.net import client
 from brackenloft.net import clients as module
-from brackenloft.net.client import MOST_PIPELINED
+from brackenloft.net.client_reading import MOST_PIPELINED
 from brackenloft.net.resp import LONGEST_VALUE
 
 GOOD = "c=read,t=free,d=4000,units=1,spread=2,first=0"
--- a/tests/test_net_departures.py
+++ b/tests/test_net_departures.py
@@ -10,6 +10,8 @@
 from fakes import SETTINGS, FakeServer, array, call, node, resp, run, until
 
 from brackenloft import Plan
+from brackenloft.net import call as net_call
+from brackenloft.net import clients as net_clients
 from brackenloft.net import read_turns
 from brackenloft.net import servers as net_servers
 from brackenloft.net.kernel import has_gone
@@ -30,8 +32,11 @@
         peer.writer.close()
 
 
+@pytest.mark.parametrize("ahead", [0, net_clients.MOST_AHEAD])
 @pytest.mark.parametrize("how", ["close", "half-close", "reset", "unread bytes before its end"])
-def test_client_that_leaves_while_its_request_is_parked_and_it_is_not_read_is_not_sent_on(how):
+def test_client_that_leaves_while_its_request_is_parked_is_not_sent_on(how, ahead, monkeypatch):
+    monkeypatch.setattr(net_clients, "MOST_AHEAD", ahead)  # with none it is not read meanwhile
+
     async def test():
         server = FakeServer(lambda words: None)
         async with node(server, plans=ONE_AT_A_TIME) as gateway:
@@ -39,7 +44,8 @@
             first.send(call(1, "buy", plan="one"))
             await server.until(lambda: len(server.commands) == 1)
             second.send(call(2, "buy", plan="one"))  # waits for the customer's only place
-            await until(lambda: any(client.paused for client in gateway.clients.connections))
+            await until(lambda: any(client.blocked for client in gateway.clients.connections))
+            assert any(client.paused for client in gateway.clients.connections) == (not ahead)
             leave(second, how)
             await until(lambda: f"{2:016x}" not in gateway.driver.calls)
             assert gateway.edge.counters()["gone"] == 1  # not given up as nobody took it
@@ -277,3 +283,86 @@
             assert not {int(words[2], 16) for words in server.commands} & set(range(2, 7))
 
     run(test())
+
+
+def pipeline(first, count):
+    return b"".join(call(number, "buy", plan="one") for number in range(first, first + count))
+
+
+async def leave_behind(sock, text, how):
+    """Send all of it, so that the end stands behind more than the gateway's window takes, and leave."""
+    await asyncio.get_running_loop().sock_sendall(sock, text)
+    if how == "half-close":
+        sock.shutdown(socket.SHUT_WR)
+    else:
+        sock.close()
+
+
+# Guards against attempts for a client that has left, whose end stands behind thousands of unread requests.
+@pytest.mark.parametrize("room", ["read ahead", "memory short"])
+@pytest.mark.parametrize("how", ["close", "half-close"])
+def test_client_that_leaves_behind_thousands_of_unread_requests_has_none_sent_on(how, room, monkeypatch):
+    if room == "memory short":
+        monkeypatch.setattr(net_clients, "MOST_AHEAD", 0)
+
+    async def test():
+        server = FakeServer(lambda words: None)
+        async with node(server, plans=ONE_AT_A_TIME) as gateway:
+            other = await gateway.peer()
+            other.send(call(9000, "buy", plan="one"))
+            await server.until(lambda: server.commands)  # the customer's place is taken
+            sock = socket.socket()
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1 << 20)
+            sock.setblocking(False)
+            await asyncio.get_running_loop().sock_connect(sock, gateway.clients.listener.getsockname())
+            await until(lambda: len(gateway.clients.connections) == 2)
+            await leave_behind(sock, pipeline(1, 2000), how)
+            if room == "memory short":
+                await until(lambda: any(client.may_have_left() for client in gateway.clients.connections))
+                await until(
+                    lambda: any(client.slots and client.paused for client in gateway.clients.connections)
+                )
+                monkeypatch.setattr(net_call, "UNSURE_S", 0.0)  # it has waited long enough
+            else:
+                await until(lambda: len(gateway.clients.connections) == 1)
+            server.writers[0].write(array(b"v"))  # the place is free: the next one could go
+            assert await other.reply() == b"v"
+            await until(lambda: len(gateway.clients.connections) == 1 and not gateway.driver.calls)
+            assert len(server.commands) == 1
+            sock.close()
+
+    run(test())
+
+
+# Guards against a second run of a request whose id comes again after its client has left.
+@pytest.mark.parametrize("limits", [SETTINGS.limits, NO_CANCELS])
+@pytest.mark.parametrize("kind", ["buy", "post"])
+def test_id_that_comes_again_after_its_client_has_left_does_not_run_twice(kind, limits):
+    async def test():
+        server = FakeServer(lambda words: None if int(words[2], 16) == 1 else array(b"v"))
+        async with node(server, limits=limits) as gateway:
+            first = await gateway.peer()
+            first.send(call(1, kind))
+            await server.until(lambda: server.commands)
+            first.writer.close()
+            await until(lambda: not gateway.clients.connections)
+            again = await gateway.peer()
+            assert (await again.ask(call(1, kind))).startswith("-ERR")
+            assert await again.ask(call(2, kind)) == b"v"
+            assert (await again.ask(call(2, kind))).startswith("-ERR")  # it has been served
+            assert [int(words[2], 16) for words in server.commands] == [1, 2]
+
+    run(test())
+
+
+# Guards against failing a request that comes again, though all that it came to is known never to have run.
+def test_id_that_comes_again_after_it_was_refused_is_served():
+    async def test():
+        server = FakeServer(lambda words: b"-BUSY\r\n")
+        async with node(server) as gateway:
+            peer = await gateway.peer()
+            assert await peer.ask(call(1, "buy")) == "-BUSY"
+            server.answer = lambda words: array(b"v")
+            assert await peer.ask(call(1, "buy")) == b"v"
+
+    run(test())
--- a/tests/test_net_pipelined.py
+++ b/tests/test_net_pipelined.py
@@ -9,7 +9,7 @@
 from fakes import SETTINGS, FakeServer, array, call, node, run, until
 
 from brackenloft import ListKind
-from brackenloft.net.client import CALL, MOST_PIPELINED
+from brackenloft.net.client_reading import CALL, MOST_PIPELINED
 from brackenloft.policy import servers as policy
 
 READS = 200
