Hold a long value back for a second at most; no least rate before its length is known

Cause: gathering had no bound in time, so that replies behind a value never depended on its rest; the least rate of answers began with the header's first byte.

Change: gathered for 1 s at most, until 0.1 s before the client's time, and up to the budget; then passed on.

--- a/brackenloft/graphql/nodes.py
+++ b/brackenloft/graphql/nodes.py
@@ -116,6 +116,10 @@
         """No value is passed on before it is whole: it is to be read first."""
         return None
 
+    def may_be_long(self, least: int) -> bool:
+        """Nor is it passed on, however long."""
+        return False
+
     def piece(self, data: bytes) -> bytes:
         """Nor a piece of it."""
         raise ProtocolError("no value is passed on in pieces")
--- a/brackenloft/net/call.py
+++ b/brackenloft/net/call.py
@@ -12,7 +12,7 @@
 from brackenloft.net.attempt import Attempt, Reply
 from brackenloft.net.streams import Stream
 from brackenloft.net.timers import Handle
-from brackenloft.net.wire import Encoder
+from brackenloft.net.wire import Buffers, Encoder
 
 log = logging.getLogger(__name__)
 
@@ -96,6 +96,16 @@
         """Whether its client may have left since it came, and the kernel can't tell; by time.monotonic()."""
         return self.unsure is not None and now - self.came_at >= UNSURE_S and self.unsure()
 
+    def command(self, left_ms: float) -> Buffers:
+        """The command as it is written to a server that has so many milliseconds."""
+        assert self.encode, "nothing is written once it was dropped"
+        return self.encode(left_ms)
+
+    def tell(self, answer: Answer) -> None:
+        """Tell the one answer, unless nobody waits for it."""
+        if self.on_answer:
+            self.on_answer(answer)
+
     def read_cost(self, reply: Reply) -> None:
         """Have the cost of a good answer told by its value, where there is something that can."""
         try:
--- a/brackenloft/net/replies.py
+++ b/brackenloft/net/replies.py
@@ -134,12 +134,12 @@
         return True
 
     def _may_begin(self, stream: Stream) -> bool:
-        """Whether a part of a value may go to the client: it is whole, or nothing else is owed behind it.
+        """Whether a part of a value may go to the client: it is whole, hurried, or nothing is owed behind it.
 
         Guards against replies that can't follow a value whose rest never comes. Once it has begun, no further
         command is read before its end.
         """
-        if stream.ended or (len(self.slots) == 1 and not self.unparsed):
+        if stream.ended or stream.hurried or (len(self.slots) == 1 and not self.unparsed):
             return True
         stream.gather()
         return False
--- a/brackenloft/net/resp.py
+++ b/brackenloft/net/resp.py
@@ -210,6 +210,12 @@
         self.value_left, self.length = length, 0  # an empty value is left for the reader, and its end
         return length, self.piece(come)
 
+    def may_be_long(self, least: int) -> bool:
+        """Whether a value of more than ``least`` bytes may come, by what has come so far."""
+        if self.words or (not self.count and self.buffer.startswith(b"-", self.start)):
+            return False
+        return self.length is None or self.length > least
+
     def piece(self, data: bytes) -> bytes:
         """Of what has come, the part that belongs to the value; the rest is fed."""
         part = data[: self.value_left] if len(data) > self.value_left else data
--- a/brackenloft/net/server_connection.py
+++ b/brackenloft/net/server_connection.py
@@ -198,6 +198,10 @@
             self.pace.moved(max(0, before - self.undelivered), now)
         return self.pace.too_slow(now)
 
+    def may_begin_long(self) -> bool:
+        """Whether what has come of its answer may be the header of a long value, which has no least rate."""
+        return self.handed and self.stream is None and self.reader.may_be_long(STREAM_FROM)
+
     def _count_undelivered(self) -> int:
         assert self.transport and self.socket
         return self.transport.get_write_buffer_size() + unacknowledged(self.socket)
--- a/brackenloft/net/server_protocol.py
+++ b/brackenloft/net/server_protocol.py
@@ -23,6 +23,9 @@
     def opening(self, least: int) -> tuple[int, bytes] | None:
         """Size and first bytes of a long value that begins to come, where it can be passed on."""
 
+    def may_be_long(self, least: int) -> bool:
+        """Whether a value of more than ``least`` bytes may come, by what has come so far."""
+
     def piece(self, data: bytes) -> bytes:
         """What of this belongs to that value."""
 
--- a/brackenloft/net/servers.py
+++ b/brackenloft/net/servers.py
@@ -256,6 +256,8 @@
             busy = connection.reader.left or connection.stream
             if connection.closed or (connection.handed and not busy):
                 self.under_way.discard(connection)
+            elif connection.pace is None and connection.may_begin_long():
+                continue  # its first bytes have until the attempt's time
             elif connection.pace is None:
                 connection.pace = Pace(Least(SLOW_RATE, SLOW_S, SLOW_S), now)
             elif connection.too_slow(now, late):
--- a/brackenloft/net/streams.py
+++ b/brackenloft/net/streams.py
@@ -15,6 +15,15 @@
 STREAM_FROM = 64 * 1024  # bytes of a value that is passed on as it comes: the protocol's usual longest
 
 
+# Held back for the replies behind it, a value is for so long at most, and until so long before its time.
+GATHER_MS, GATHER_MARGIN_MS = 1000.0, 100.0
+
+
+def gather_ms(left_ms: float) -> float:
+    """How long a value that begins to come is gathered, if its client waits for so long."""
+    return max(0.0, min(GATHER_MS, left_ms - GATHER_MARGIN_MS))
+
+
 class Source(Protocol):
     """The server's connection."""
 
@@ -47,7 +56,19 @@
 class Stream:
     """One long value. ``sink`` is called when there is something to take, an end or a failure."""
 
-    __slots__ = ("size", "streams", "source", "sink", "pieces", "held", "ended", "failed", "begun", "gathers")
+    __slots__ = (
+        "size",
+        "streams",
+        "source",
+        "sink",
+        "pieces",
+        "held",
+        "ended",
+        "failed",
+        "begun",
+        "gathers",
+        "hurried",
+    )
 
     def __init__(self, size: int, source: Source, streams: Streams) -> None:
         self.size, self.source, self.streams = size, source, streams
@@ -57,6 +78,7 @@
         self.ended = self.failed = False
         self.begun = False  # some of it has gone to the client
         self.gathers = False  # none of it goes to the client before all of it is here
+        self.hurried = False  # it goes as it comes, whatever is owed behind it
         streams.open.add(self)
 
     def _hold(self, size: int) -> None:
@@ -70,10 +92,9 @@
         self.pieces.append(piece)
         self._hold(len(piece))
         self.sink()
-        if self.gathers:
-            if self.streams.held >= self.streams.most:
-                self.source.abandon()
-        elif not self.streams.fits(self.held):
+        if self.gathers and self.streams.held >= self.streams.most:
+            self.hurry()
+        if not self.gathers and not self.streams.fits(self.held):
             self.source.pause()
 
     def end(self) -> None:
@@ -100,12 +121,21 @@
     def gather(self) -> None:
         """Other replies are owed behind it, which a part of it would take along if the rest never came.
 
-        It is given up, and fails, if all that is gathered outgrows the budget.
+        It is gathered until it is hurried, or all that is gathered outgrows the budget.
         """
         if not self.gathers and not self.ended:
             self.gathers = True
             self.source.resume()
 
+    def hurry(self) -> None:
+        """It is held back no longer, once it is its turn.
+
+        Guards against cutting off what the server still gives when its client's time is up.
+        """
+        if not self.begun and not self.ended and not self.failed:
+            self.hurried, self.gathers = True, False
+            self.sink()
+
     def take(self) -> bytes:
         """The next piece."""
         taken = self.pieces.popleft()
