--- a/brackenloft/edge/edge.py
+++ b/brackenloft/edge/edge.py
@@ -168,6 +168,7 @@
 
     def told(self, news: api.ServerList, addresses: dict[int, Address]) -> None:
         """A list of servers, from any source."""
+        news = self.servers.with_replaced(news, addresses)
         self._update(news, addresses)
         self.driver.post(news)
         if news.kind is not api.ListKind.CACHED:
--- a/brackenloft/net/call.py
+++ b/brackenloft/net/call.py
@@ -101,8 +101,10 @@
         assert self.encode, "nothing is written once it was dropped"
         return self.encode(left_ms)
 
-    def tell(self, answer: Answer) -> None:
-        """Tell the one answer, unless nobody waits for it."""
+    def answer(self, answer: Answer) -> None:
+        """Count the one answer, and tell it unless nobody waits for it."""
+        self.answered = True
+        self.tally.count(answer)
         if self.on_answer:
             self.on_answer(answer)
 
--- a/brackenloft/net/driver.py
+++ b/brackenloft/net/driver.py
@@ -188,9 +188,9 @@
         if call is None:
             log.error("sent after its end: %r", action)
             return
-        number, now = call.sends, self.clock()
+        number = call.sends
         call.sends += 1
-        wait = call.deadline - now
+        wait = call.deadline - self.clock()
         if action.timeout_ms:
             wait = min(wait, action.timeout_ms)
         self._notice_departure(call)
@@ -362,9 +362,7 @@
             self._drop_if_done(call)
 
     def _answer(self, call: Call, answer: Answer) -> None:
-        call.answered = True
-        call.tally.count(answer)
-        call.tell(answer)
+        call.answer(answer)
         self.ended.append(call)
 
     def _drop_if_done(self, call: Call) -> None:
--- a/brackenloft/net/servers.py
+++ b/brackenloft/net/servers.py
@@ -9,7 +9,9 @@
 from collections import deque
 from collections.abc import Awaitable, Callable, Mapping
 from contextlib import suppress
+from dataclasses import replace
 from functools import partial
+from math import inf
 
 from brackenloft import interface as api
 from brackenloft.admission.budget import Budget, Side
@@ -68,6 +70,27 @@
         self.connections: set[Connection] = set()
         self.sweeper = self.loop.call_later(SWEEP_S, self._sweep)
 
+    def with_replaced(self, news: api.ServerList, addresses: Mapping[int, Address]) -> api.ServerList:
+        """The news, and the end of each server at whose address they name another one that is ready.
+
+        A process that comes up at the address of one that has gone may be told before that end is. Guards
+        against work for the old one that goes to the new one: to another group, or more than its share.
+        """
+        if news.kind is not api.ListKind.CHANGES:
+            return news  # a whole list names all that there are
+        named = {entry.server for entry in news.entries}
+        started = {
+            addresses[entry.server]: entry.started_ms
+            for entry in news.entries
+            if entry.state is api.ServerState.READY
+        }
+        replaced = tuple(
+            api.ServerEntry(number, "", state=api.ServerState.GONE)
+            for number, host in self.hosts.items()
+            if number not in named and host.started <= started.get(host.address, -inf)
+        )
+        return replace(news, entries=replaced + news.entries) if replaced else news
+
     def update(self, news: api.ServerList, addresses: Mapping[int, Address]) -> None:
         """Take over discovery's news; connections that it makes useless are closed."""
         listed = {entry.server for entry in news.entries}
--- a/brackenloft/policy/servers.py
+++ b/brackenloft/policy/servers.py
@@ -124,7 +124,9 @@
         server = self.servers.get(entry.server)
         if entry.state is api.ServerState.GONE:
             self._remove([entry.server])
-        elif server is None:
+        elif server is None or (server.zone, server.cell) != (entry.zone, entry.cell):
+            # One that moved is another: what may have run at the old place stays known by it.
+            self._remove([entry.server])
             server = self.servers[entry.server] = Server(entry)
             server.counts_from = counts_from(self.now, entry.started_ms, self.watched)
         else:
--- a/tests/test_net_servers.py
+++ b/tests/test_net_servers.py
@@ -311,6 +311,31 @@
     run(test())
 
 
+# Guards against work for a server that has gone, sent to the process that came up at its address.
+@pytest.mark.parametrize(("started_ms", "left"), [((0.0, 5.0), {2}), ((0.0, 0.0), {2}), ((9.0, 5.0), {1, 2})])
+def test_server_whose_address_another_one_has_now_gets_nothing_more(started_ms, left):
+    async def test():
+        server = FakeServer()
+        async with node() as gateway:
+            await server.start()
+            gateway.told(server.entry(1, started_ms=started_ms[0]))
+            ends = Ends()
+            gateway.servers.start(1, ends.attempt())
+            assert await ends.status() is Status.OK
+            (connection,) = gateway.servers.connections
+            gateway.told(server.entry(2, zone="b", started_ms=started_ms[1]), kind=ListKind.CHANGES)
+            assert set(gateway.servers.hosts) == set(gateway.driver.gateway.fleet.servers) == left
+            assert connection.closed == (1 not in left)
+            gateway.servers.start(1, ends.attempt())
+            assert await ends.status() is (Status.OK if 1 in left else Status.CONNECT_FAILED)
+            gateway.servers.start(2, ends.attempt())
+            assert await ends.status() is Status.OK
+            gateway.told(server.entry(2, zone="b", state=ServerState.DRAINING), kind=ListKind.CHANGES)
+            assert set(gateway.servers.hosts) == left
+
+    run(test())
+
+
 def test_connections_are_bounded_and_idle_ones_make_room():
     async def test():
         server, other = FakeServer(), FakeServer(lambda words: None)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -94,6 +94,18 @@
         assert set(rig.sent[name]) <= group and len(rig.sent[name]) == 2
 
 
+# Guards against a repeat in another group, because its first server has moved there meanwhile.
+@pytest.mark.parametrize(("class_name", "moved"), [("keyed", entry(1, "b")), ("keyed-cell", entry(1))])
+def test_keyed_stays_in_the_group_in_which_it_may_have_run_though_its_server_moves(class_name, moved):
+    for seed in range(10):
+        rig = Rig(seed=seed)
+        rig.servers(entry(1, cell=1))
+        name = rig.ask(class_name=class_name)
+        rig.servers(moved, entry(2, moved.zone, cell=2), entry(3, cell=1), kind=ListKind.CHANGES)
+        rig.finish(name, Status.ERROR)
+        assert rig.sent[name] == [1, 3]
+
+
 def test_keyed_is_failed_outside_its_window(rig):
     name = rig.ask(class_name="keyed", patience=3900.0)
     rig.gateway.flights[name].tried.clear()  # the window alone decides
