Hold a long value back for 0.4 s, whatever its client's time; nothing behind half a value

Cause: until 0.1 s before the client's time a value was passed on, at once where no time was left; servers that break off at once then took the replies behind along.

Change: 0.4 s alone, so that first bytes are less than half a second late. What stands behind a value that breaks off in part is dropped and counted as a breach: it was written behind the part, and would be taken for the value's rest.

--- a/brackenloft/net/client.py
+++ b/brackenloft/net/client.py
@@ -20,7 +20,7 @@
 from brackenloft.net.resp import Commands, ProtocolError
 from brackenloft.net.slots import Slot
 from brackenloft.net.streams import STREAM_FROM
-from brackenloft.obligations import CloseReason, Dues
+from brackenloft.obligations import Breach, CloseReason, Dues
 
 log = logging.getLogger(__name__)
 
@@ -70,6 +70,21 @@
             self.clients.obligations.closes(self.name(), Dues(), CloseReason.PEER_LEFT)
             self.transport.close()
 
+    def _drop_replies_behind(self) -> None:
+        """The first reply is a value that broke off in part: what stood behind it would be taken for its rest.
+
+        These requests get no answer, which is a violation; it is counted as one.
+        """
+        first = self.slots.popleft()
+        if self.slots or self.unparsed:
+            self.clients.obligations.breach(Breach.CLOSED_UNANSWERED, self.name())
+        for slot in self.slots:
+            self.hold(-slot.size)
+        self._withdraw()
+        self.hold(-self.reader.left, in_hand=False)
+        self.reader = Commands()
+        self.slots.append(first)
+
     def _withdraw(self) -> None:
         """Nobody waits for the answers any more."""
         slots, self.slots = self.slots, deque()
--- a/brackenloft/net/driver.py
+++ b/brackenloft/net/driver.py
@@ -18,7 +18,7 @@
 from brackenloft.net.lag import Lag
 from brackenloft.net.sent_requests import SentRequests
 from brackenloft.net.servers import Servers
-from brackenloft.net.streams import Stream, gather_ms
+from brackenloft.net.streams import GATHER_MS, Stream
 from brackenloft.net.timers import Timers
 from brackenloft.net.wire import Buffers
 from brackenloft.obligations import Obligations, may_send
@@ -269,7 +269,7 @@
         call.stream, call.first_ms = stream, self._taken_ms(attempt)
         self.post(api.StreamStarted(call.request_id, attempt.number, attempt.server, call.first_ms))
         call.on_open(Opened(stream))
-        self._later(call, gather_ms(call.deadline - self.clock()), Stream.hurry, stream)
+        self._later(call, GATHER_MS, Stream.hurry, stream)
         return True
 
     def _taken_ms(self, attempt: Attempt) -> float:
--- a/brackenloft/net/replies.py
+++ b/brackenloft/net/replies.py
@@ -59,6 +59,9 @@
         """Nothing was sent on for a request."""
         raise NotImplementedError
 
+    def _drop_replies_behind(self) -> None:
+        raise NotImplementedError
+
     def _rests(self) -> None:
         raise NotImplementedError
 
@@ -155,6 +158,7 @@
             return
         slot.stream = None
         self._happens(ConnectionEvent.END)
+        self._drop_replies_behind()
 
     def pause_writing(self) -> None:
         """The client does not take its answers: it is read no further, and given up after a while.
--- a/brackenloft/net/streams.py
+++ b/brackenloft/net/streams.py
@@ -15,13 +15,9 @@
 STREAM_FROM = 64 * 1024  # bytes of a value that is passed on as it comes: the protocol's usual longest
 
 
-# Held back for the replies behind it, a value is for so long at most, and until so long before its time.
-GATHER_MS, GATHER_MARGIN_MS = 1000.0, 100.0
-
-
-def gather_ms(left_ms: float) -> float:
-    """How long a value that begins to come is gathered, if its client waits for so long."""
-    return max(0.0, min(GATHER_MS, left_ms - GATHER_MARGIN_MS))
+GATHER_MS = (
+    400.0  # for which a value is held back for the replies behind it: an answer half a second late is lost
+)
 
 
 class Source(Protocol):
--- a/tests/test_net_streams.py
+++ b/tests/test_net_streams.py
@@ -400,3 +400,25 @@
             assert await peer.reply() == LONG
 
     run(test())
+
+
+# Guards against replies written behind half a value, which a client would take for the rest of it.
+def test_value_that_breaks_off_after_it_has_begun_ends_the_connection_behind_it():
+    async def test():
+        server = FakeServer(lambda words: None if words[2].endswith(b"1") else array(b"behind"))
+        async with node(server) as gateway:
+            peer = await gateway.peer()
+            peer.send(call(1), call(2), call(3))
+            await server.until(lambda: len(server.commands) == 3)
+            number = next(
+                n for n, words in zip(server.by, server.commands, strict=True) if words[2].endswith(b"1")
+            )
+            server.writers[number].write(HEAD + LONG[:5000])
+            start = b"$%d\r\n%b" % (len(LONG), LONG[:5000])
+            assert await peer.reader.readexactly(len(start)) == start
+            server.writers[number].close()
+            assert await peer.reader.read() == b""
+            await until(lambda: not gateway.driver.calls and not gateway.clients.connections)
+            assert gateway.clients.held == 0 and sum(gateway.driver.obligations.breaches.values()) == 1
+
+    run(test())
