--- a/brackenloft/edge/edge.py
+++ b/brackenloft/edge/edge.py
@@ -360,7 +360,7 @@
             self._new_id() if call.request_id is None else checks.identifier("request_id", call.request_id)
         )
         try:
-            self.driver.check_new(request_id)
+            self.driver.check_new(request_id, kind.effect is not api.Effect.SAFE)
         except ValueError as error:
             raise FieldError("request_id", str(error)) from error
         return api.Request(
--- a/brackenloft/net/client.py
+++ b/brackenloft/net/client.py
@@ -71,7 +71,7 @@
             self.transport.close()
 
     def _drop_replies_behind(self) -> None:
-        """The first reply is a value that broke off in part: what stood behind it would be taken for its rest.
+        """The first reply is a value that broke off: what stood behind it would be taken for its rest.
 
         These requests get no answer, which is a violation; it is counted as one.
         """
@@ -187,7 +187,7 @@
         driver = self.clients.driver
         try:
             request, encode = self.clients.requests.read(command)
-            driver.check_new(request.request_id)
+            driver.check_new(request.request_id, request.is_write)
         except ValueError as error:
             self.hold(-size, in_hand=False)
             self._refuse(str(error))
--- a/brackenloft/net/driver.py
+++ b/brackenloft/net/driver.py
@@ -109,11 +109,11 @@
         if not call.answered and not call.out:
             self.counters.held += 1
 
-    def check_new(self, request_id: str) -> None:
-        """ValueError: a request of this id is in hand, or was sent on before and may have run."""
+    def check_new(self, request_id: str, is_write: bool) -> None:
+        """ValueError: a request of this id is in hand, or may have run where that is not safe to repeat."""
         if request_id in self.calls:
             raise ValueError("a request of this id is in hand")
-        if self.sent_requests.may_have_run(request_id, self.clock()):
+        if is_write and self.sent_requests.may_have_run(request_id, self.clock()):
             raise ValueError("a request of this id may have run")
 
     def turn_away(self, class_name: str) -> Refused:
--- a/brackenloft/net/streams.py
+++ b/brackenloft/net/streams.py
@@ -13,11 +13,8 @@
 from typing import Protocol
 
 STREAM_FROM = 64 * 1024  # bytes of a value that is passed on as it comes: the protocol's usual longest
-
-
-GATHER_MS = (
-    400.0  # for which a value is held back for the replies behind it: an answer half a second late is lost
-)
+# For which a value is held back for the replies behind it: an answer half a second late is lost.
+GATHER_MS = 400.0
 
 
 class Source(Protocol):
