--- a/tests/test_net_process.py
+++ b/tests/test_net_process.py
@@ -61,9 +61,8 @@
             await asyncio.sleep(0.01)
 
 
-@asynccontextmanager
-async def program(tmp_path, server: FakeServer, settings=SETTINGS, **limits):
-    """The running program, the port it listens on and the discovery it watches."""
+async def configured(tmp_path, server: FakeServer, settings=SETTINGS, **limits):
+    """The environment that a program is started with, the port it listens on and the discovery it watches."""
     discovery, port = await FakeDiscovery().start(), free_port()
     path = tmp_path / "config.json"
     path.write_text(
@@ -86,15 +85,29 @@
         "EDGE_LISTEN": f"127.0.0.1:{port}",
         "EDGE_DISCOVERY": f"127.0.0.1:{discovery.port}",
     }
+    return env, port, discovery
+
+
+@asynccontextmanager
+async def started(env):
+    """The running program."""
     process = await asyncio.create_subprocess_shell(command(), cwd=ROOT, env=env)
     try:
-        yield process, port, discovery
+        yield process
     finally:
         if process.returncode is None:
             process.kill()
         await process.wait()
 
 
+@asynccontextmanager
+async def program(tmp_path, server: FakeServer, settings=SETTINGS, **limits):
+    """The running program, the port it listens on and the discovery it watches."""
+    env, port, discovery = await configured(tmp_path, server, settings, **limits)
+    async with started(env) as process:
+        yield process, port, discovery
+
+
 def test_starts_is_ready_once_it_has_a_list_and_serves(tmp_path):
     async def test():
         server = await FakeServer(lambda words: array(b"v")).start()
