Bound the kernel's buffers of peers' sockets, and divide the memory by the measured program

Callers saw: a process with 192 MB whose sockets alone held 430 to 590 MB beside 600 slow clients; usual clients' requests went with it.

Cause: nobody bounded SO_SNDBUF, so that the kernel took up to 4 MB of a long answer for a client that reads slowly. The kernel bounds the number of writes, not their size: one write of 64 kB went whole into a buffer of 4.6 kB (48 kB queued). The program counted itself as 20 MB and was resident with 26.

Change: both buffers are set on the listener, or before connecting; long replies are written in parts; one pace counts until a client has caught up, as it pauses more often now. admission/memory.py divides what the measured program leaves into connections (with their socket buffers), both sides' buffers and customers; fewer connections where the memory is too little.

tests/test_net_closing.py waited until all replies were in the transport; they wait as replies now, so it waits until all are answered.

--- a/brackenloft/__main__.py
+++ b/brackenloft/__main__.py
@@ -18,10 +18,12 @@
 import uvloop
 
 from brackenloft import interface as api
+from brackenloft.admission.memory import MemoryPlan, plan_memory
 from brackenloft.edge.calls import Room
 from brackenloft.edge.edge import Edge
 from brackenloft.net.address import Address
-from brackenloft.net.allocator import return_freed_memory
+from brackenloft.net.process_memory import release_file_pages, resident_bytes, return_freed_memory
+from brackenloft.net.resp import LONGEST_VALUE
 from brackenloft.settings import settings_from
 
 if TYPE_CHECKING:
@@ -35,9 +37,8 @@
 # have asked once and may not be closed for 2 s, and some say nothing
 ASKING = 3  # clients hold a third of the descriptors for requests at most: theirs run out before ours
 MEGABYTE = 1 << 20
-PROGRAM = 20 * MEGABYTE  # the program itself, 14 seen, and what a list of servers and its customers take
-HELD_SHARE = 0.4  # of the rest of the memory, for what clients have sent; as much for servers' answers
-LEAST_HELD = 2 * MEGABYTE
+PROGRAM = 26 * MEGABYTE  # the program itself, where the system does not tell
+GROWTH = 2 * MEGABYTE  # of the program once it serves: a list of servers, pages that are read again
 CUSTOMER = 600  # bytes that one takes, 570 seen; they have what clients and servers leave of the rest
 LEAST_CUSTOMERS = 2000  # some seconds' worth at 500 requests a second, each by another
 LOG_SPAN_S, LOG_LINES = 10.0, 50  # so many lines in so long
@@ -129,30 +130,42 @@
     edge.watch(address)
 
 
-def _ours(config: Config) -> int:
-    """Bytes beside the program."""
-    ours = config.memory - PROGRAM
-    # A successor runs beside it for a while, and they count together.
-    return ours if config.accept is None else (ours - PROGRAM) // 2
+def _peer_descriptors(config: Config) -> int:
+    """Descriptors for clients and servers."""
+    return max(2, config.descriptors - OTHER_DESCRIPTORS - (OPERATORS if config.admin else 0))
 
 
-def _settings(config: Config) -> api.Settings:
+def _memory_plan(config: Config) -> MemoryPlan:
+    """What the memory beside the program is divided into.
+
+    A successor runs beside this process for a while, and they count together.
+    """
+    program = resident_bytes(PROGRAM) + GROWTH
+    free = config.memory - program if config.accept is None else config.memory // 2 - program
+    return plan_memory(free, _peer_descriptors(config), LONGEST_VALUE)
+
+
+def _settings(config: Config, plan: MemoryPlan) -> api.Settings:
     """With as many customers known at once as the memory holds.
 
     Guards against customers without number, each of whom stays known until its bucket has drained.
     """
-    rows = int(_ours(config) * (1.0 - 2.0 * HELD_SHARE)) // CUSTOMER
-    limits = replace(config.settings.limits, max_customers=max(LEAST_CUSTOMERS, rows))
-    return replace(config.settings, limits=limits)
+    rows = max(LEAST_CUSTOMERS, plan.customers // CUSTOMER)
+    return replace(config.settings, limits=replace(config.settings.limits, max_customers=rows))
 
 
-def _room(config: Config) -> Room:
+def _room(config: Config, plan: MemoryPlan) -> Room:
     """What the platform's limits leave for clients and servers."""
-    budget = max(2, config.descriptors - OTHER_DESCRIPTORS - (OPERATORS if config.admin else 0))
+    budget = max(2, plan.connections)
     for_servers, for_clients = max(1, int(budget * SERVERS_SHARE)), max(1, int(budget * CLIENTS_SHARE))
-    held = max(LEAST_HELD, int(_ours(config) * HELD_SHARE))
-    lent = budget - for_servers - for_clients
-    return Room(for_servers, for_clients, held, asking=max(1, config.descriptors // ASKING), lent=lent)
+    return Room(
+        server_connections=for_servers,
+        client_connections=for_clients,
+        lent=budget - for_servers - for_clients,
+        held=plan.buffered,
+        asking=max(1, config.descriptors // ASKING),
+        socket_buffer=plan.socket_buffer,
+    )
 
 
 def _span_s(settings: api.Settings) -> float:
@@ -219,7 +232,9 @@
     loop.add_signal_handler(signal.SIGINT, stop.set)
     loop.add_signal_handler(signal.SIGHUP, again.set)
     signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
-    edge = Edge(_settings(config), _room(config), config.seed).open()
+    plan = _memory_plan(config)
+    log.info("memory: %s", plan)
+    edge = Edge(_settings(config, plan), _room(config, plan), config.seed).open()
     shut, succession = _open(config, edge)
     edge.known(config.known)
     edge.watch(config.discovery)
@@ -260,6 +275,7 @@
         config = Config.load(dict(os.environ))
         gc.freeze()
         return_freed_memory()
+        release_file_pages()
         uvloop.run(serve(config))
     except SystemExit as error:
         log.error("not started: %s", error)
--- a/brackenloft/edge/calls.py
+++ b/brackenloft/edge/calls.py
@@ -12,6 +12,7 @@
 from brackenloft.answers import Answer, Granted
 from brackenloft.checks import FieldError
 from brackenloft.net.attempt import Reply
+from brackenloft.net.limits import SOCKET_BUFFER
 
 MEGABYTE = 1 << 20
 
@@ -26,9 +27,10 @@
 
     ``server_connections`` and ``client_connections`` are descriptors kept for the two sides, ``lent`` more
     that either may use while the other does not. ``held`` bytes are kept at most for each of the two sides
-    (what clients have sent, what servers have answered); ``in_hand`` requests of the host itself are open at
-    once, beyond which they are refused. ``asking``: connections for requests that clients open at most by
-    themselves, None for as many as are taken.
+    (what clients have sent, what servers have answered), and ``socket_buffer`` bytes are asked of the kernel
+    for each direction of a connection; ``in_hand`` requests of the host itself are open at once, beyond which
+    they are refused. ``asking``: connections for requests that clients open at most by themselves, None for
+    as many as are taken.
     """
 
     server_connections: int = 256
@@ -37,6 +39,7 @@
     in_hand: int = 10_000
     asking: int | None = None
     lent: int = 0
+    socket_buffer: int = SOCKET_BUFFER
 
     def __post_init__(self) -> None:
         for name, value in asdict(self).items():
--- a/brackenloft/edge/edge.py
+++ b/brackenloft/edge/edge.py
@@ -30,6 +30,7 @@
 from brackenloft.net.clock import Clock
 from brackenloft.net.discovery import Discovery
 from brackenloft.net.driver import Driver
+from brackenloft.net.limits import BufferLimits
 from brackenloft.net.resp import LONGEST_VALUE
 from brackenloft.net.server_protocol import ServerProtocol
 from brackenloft.net.servers import Servers
@@ -72,12 +73,13 @@
         spare = SPARE if room.lent else 0
         floors = {Side.CLIENTS: room.client_connections, Side.SERVERS: room.server_connections}
         self.budget = Budget(total, floors, spare)
-        self.servers = Servers(self.settings, self.budget, room.held)
+        self.buffers = BufferLimits(room.held, room.socket_buffer)
+        self.servers = Servers(self.settings, self.budget, self.buffers)
         self.driver = Driver(Gateway(self.settings, self.seed), self.servers, Clock())
         self.lifecycle = Lifecycle(self._turn)
         self.watchers: list[Callable[[State], None]] = []  # told of each state that the lifecycle turns to
         self.clients = Clients(
-            self.driver, self.settings, self.budget, room.held, room.asking or 0, self.lifecycle
+            self.driver, self.settings, self.budget, self.buffers, room.asking or 0, self.lifecycle
         )
         self._emptier: asyncio.TimerHandle | None = None
         self.discovery = Discovery(self._news)
@@ -149,7 +151,7 @@
         self._check_open()
         if name in self.driver.doors:
             raise ValueError(f"the door {name!r} is open already")
-        door = self.driver.doors[name] = Servers(self.settings, self.budget, self.room.held, protocol)
+        door = self.driver.doors[name] = Servers(self.settings, self.budget, self.buffers, protocol)
         self._door_address[name] = address
         known = {number: host for number, host in self.servers.hosts.items() if host.ready}
         door.update(
--- a/brackenloft/lab/conformance/wire.py
+++ b/brackenloft/lab/conformance/wire.py
@@ -17,6 +17,7 @@
 from brackenloft.net.call import Call
 from brackenloft.net.clock import Clock
 from brackenloft.net.driver import Driver
+from brackenloft.net.limits import BufferLimits
 from brackenloft.net.servers import Servers
 from brackenloft.policy import Gateway
 from brackenloft.standins.peer import array, resp
@@ -58,7 +59,7 @@
         self.loop = asyncio.get_running_loop()
         self.news, self.over = asyncio.Event(), False
         budget = Budget(2 * ROOM, {Side.CLIENTS: ROOM, Side.SERVERS: ROOM}, 0)
-        self.servers = Servers(SETTINGS, budget, MOST_HELD)
+        self.servers = Servers(SETTINGS, budget, BufferLimits(MOST_HELD))
         self.driver = Driver(cast(Gateway, Decisions(self.played, self.news)), self.servers, Clock())
         self.nodes = [
             Node(number, Nodes(), 1.0, lambda: 0.0, lambda *_: None) for number in range(len(script.nodes))
--- a/brackenloft/net/client_closing.py
+++ b/brackenloft/net/client_closing.py
@@ -129,8 +129,8 @@
             return 0  # a value passed on in part is never cut off for memory; the streams have a budget
         if self.within and self in self.clients.intake:
             return 0  # nor a long command: those wait their turn
-        return max(0, self.held - self.in_hand)
+        return self.held if self._takes_nothing() else max(0, self.held - self.in_hand)
 
     def _takes_nothing(self) -> bool:
         """Whether all that is owed on it waits for the peer to take it."""
-        return self.stuck and not self.slots
+        return self.stuck and all(slot.answer is not None and not slot.stream for slot in self.slots)
--- a/brackenloft/net/client_owner.py
+++ b/brackenloft/net/client_owner.py
@@ -22,6 +22,7 @@
     """The count of bytes that are buffered for all connections."""
 
     held: int
+    most_unsent: int  # bytes that a transport takes at once, and buffers before no more are written
 
 
 class ClientOwner(BufferAccount, Protocol[ClientT]):
@@ -36,7 +37,6 @@
     departures: Departures[ClientT]
     stuck: dict[ClientT, None]
     most_held: int
-    most_unsent: int
     read_buffer: ReadBuffer
     turns: ReadTurns
     asking: int
--- a/brackenloft/net/clients.py
+++ b/brackenloft/net/clients.py
@@ -25,6 +25,7 @@
 from brackenloft.net.departures import Departures
 from brackenloft.net.driver import Driver
 from brackenloft.net.kernel import waiting_connections
+from brackenloft.net.limits import BufferLimits
 from brackenloft.net.listener import Listener
 from brackenloft.net.read_buffer import ReadBuffer
 from brackenloft.net.read_turns import ReadTurns
@@ -37,9 +38,6 @@
 
 COMMAND_S = 2.0  # for a first command, from connecting on, and for the rest of one that has begun
 READ_RATE = 16 * 1024  # bytes a second of a command that takes longer than COMMAND_S: a poor link brings more
-# Bytes of answers that a connection's transport buffers before no more are written: a quarter of the memory,
-# where all places are taken by clients that do not read.
-MOST_UNSENT, LEAST_UNSENT, UNSENT_PARTS = 64 * 1024, 4 * 1024, 4
 LATE_S = 0.025  # a sweep so late says that the loop was held up: nobody is too slow for that
 SHORT = 0.5  # share of the places taken from which they are given up as soon as may be
 IDLE_S = 2.0  # a connection on which no request is open may be closed after that
@@ -62,15 +60,14 @@
         driver: Driver,
         settings: api.Settings,
         budget: Budget,
-        most_held: int,
+        limits: BufferLimits,
         usual: int,
         lifecycle: Lifecycle,
     ) -> None:
-        super().__init__(budget, lifecycle)
-        self.driver, self.requests, self.most_held = driver, Requests(settings), most_held
+        super().__init__(budget, lifecycle, limits.socket_buffer)
+        self.driver, self.requests, self.most_held = driver, Requests(settings), limits.held
         self.parked = driver.gateway.parked
-        fits = most_held // (UNSENT_PARTS * max(1, budget.limit(Side.CLIENTS)))
-        self.most_unsent = max(LEAST_UNSENT, min(MOST_UNSENT, fits))
+        self.most_unsent = limits.socket_buffer
         self.read_buffer = ReadBuffer()
         self.bites = Bites()
         self.departures: Departures[Client] = Departures(asyncio.get_running_loop(), Client.departed)
@@ -383,7 +380,7 @@
 
     def delivered(self) -> bool:
         """Whether the peers' machines have all answers."""
-        return all(client.transport is None or not client.dues().undelivered for client in self.connections)
+        return not any(client.undelivered() or client.slots for client in self.connections)
 
     def abort(self) -> None:
         """Close what is left, at the very end."""
--- a/brackenloft/net/kernel.py
+++ b/brackenloft/net/kernel.py
@@ -17,6 +17,17 @@
 WINDOW_PARTS = 4  # of the receive queue's limit, one of which is taken before the window closes for sure
 
 
+def bound_buffers(sock: socket.socket, size: int) -> None:
+    """Bound what the kernel holds of a socket in each direction to about twice the size, in bytes.
+
+    socket(7): SO_RCVBUF, SO_SNDBUF. Set before a connection comes up, on its socket or on the one that
+    listens: a receive buffer that is made smaller later leaves a window that stalls.
+    """
+    with suppress(OSError):  # it can be served without
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size)
+
+
 def age_s(sock: socket.socket) -> float:
     """How long what came last has lain in the kernel; 0 where that can't be told.
 
--- a/brackenloft/net/listener.py
+++ b/brackenloft/net/listener.py
@@ -9,20 +9,20 @@
 
 from brackenloft.admission.budget import Budget, Side
 from brackenloft.lifecycle import Lifecycle
+from brackenloft.net.kernel import bound_buffers
 from brackenloft.net.momentary import tried_again
 
 log = logging.getLogger(__name__)
 
 BACKLOG = 1024  # connections that wait in the kernel: all that come while there is no room
-RECEIVES = 32 * 1024  # bytes that the kernel takes in for a connection before it is read; it doubles them
 ACCEPTS = 32  # connections accepted before the others have their turn
 
 
 class Listener:
     """Accepts while there is room; who comes meanwhile waits in the kernel."""
 
-    def __init__(self, budget: Budget, lifecycle: Lifecycle) -> None:
-        self.budget, self.lifecycle = budget, lifecycle
+    def __init__(self, budget: Budget, lifecycle: Lifecycle, socket_buffer: int) -> None:
+        self.budget, self.lifecycle, self.socket_buffer = budget, lifecycle, socket_buffer
         self.loop = asyncio.get_running_loop()
         self.listener: socket.socket | None = None
         self.tasks: set[asyncio.Task[None]] = set()
@@ -62,6 +62,7 @@
     def _listen_on(self, listener: socket.socket) -> tuple[str, int]:
         self.listener = listener
         self.listener.setblocking(False)
+        bound_buffers(self.listener, self.socket_buffer)  # connections inherit them, from their first byte on
         self._accept_more()
         address: tuple[str, int] = self.listener.getsockname()
         return address
@@ -113,7 +114,6 @@
             sock.setblocking(False)
             with suppress(OSError):  # it can be served without
                 sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVES)
             await self.loop.connect_accepted_socket(lambda: self.made(sock), sock)
         except OSError:
             sock.close()
--- a/brackenloft/net/replies.py
+++ b/brackenloft/net/replies.py
@@ -36,7 +36,10 @@
         self.stuck = self.paused = self.reading = False
         self.writes: Pace | None = None  # while it is stuck
         self.unsent = 0  # bytes of answers that it has not taken, while it is stuck
-        self.undelivered_before = 0  # as ``undelivered`` was when its pace was looked at last
+        self.written = 0  # bytes of replies that the transport has taken
+        self.taken_before = (
+            0  # bytes that the peer's machine had acknowledged when its pace was looked at last
+        )
 
     # ---- What the other half does
 
@@ -104,9 +107,8 @@
                 break
             if slot.answer is None:
                 break
-            self.hold(-self.slots.popleft().size)
-            if slot.answer:
-                self.transport.write(slot.answer)
+            if not self._write_reply(slot, slot.answer):
+                break
         if self.stuck:
             self._count_unsent()
         if self.reading:
@@ -117,6 +119,28 @@
             self._rests()
         self._leave_if_done()
 
+    def _write_reply(self, slot: Slot, answer: bytes | memoryview) -> bool:
+        """Write a reply, in parts where it is long; whether it is done with.
+
+        Guards against a reply that the kernel takes whole, whatever its buffer: it bounds the number of
+        writes that it takes, not their size.
+        """
+        part = self.clients.most_unsent
+        while len(answer) > part:
+            self._write(slot.take(part))
+            if self.stuck:
+                return False
+            answer = answer[part:]
+        self.hold(-self.slots.popleft().size)
+        if answer:
+            self._write(answer)
+        return True
+
+    def _write(self, data: bytes | memoryview) -> None:
+        assert self.transport
+        self.written += len(data)
+        self.transport.write(data)
+
     def _pass_on(self, slot: Slot, stream: Stream) -> bool:
         """Write what has come of a long value whose turn it is; whether its slot is done with."""
         assert self.transport
@@ -126,14 +150,14 @@
         if not stream.begun:
             if not self._may_begin(stream):
                 return False
-            self.transport.write(slot.begin(stream))
+            self._write(slot.begin(stream))
             self.throttle()
         while stream.pieces and not self.stuck:
-            self.transport.write(stream.take())
+            self._write(stream.take())
         if stream.pieces or not stream.ended:
             return False
         stream.streams.open.discard(stream)
-        self.transport.write(b"\r\n")
+        self._write(b"\r\n")
         return True
 
     def _may_begin(self, stream: Stream) -> bool:
@@ -166,10 +190,11 @@
         Guards against a slow reader whose answers pile up here.
         """
         self.stuck = True
-        self.writes = Pace(Least(WRITE_RATE, STALLED_S, STALLED_S), time.monotonic())
+        if self.writes is None:
+            self.writes = Pace(Least(WRITE_RATE, STALLED_S, STALLED_S), time.monotonic())
+            self.taken_before = self._taken()
         self._is_stuck()
         self._count_unsent()
-        self.undelivered_before = self.undelivered()
         self.throttle()
 
     def _count_unsent(self) -> int:
@@ -190,17 +215,25 @@
         self.writes.excuse(late)
         if not self.writes.too_slow(now):
             return False
-        before, self.undelivered_before = self.undelivered_before, self.undelivered()
-        self.writes.moved(max(0, before - self.undelivered_before), now)
+        before, self.taken_before = self.taken_before, self._taken()
+        self.writes.moved(max(0, self.taken_before - before), now)
         return self.writes.too_slow(now)
 
+    def _taken(self) -> int:
+        """Bytes of replies that the peer's machine has acknowledged."""
+        return self.written - self.undelivered()
+
     def undelivered(self) -> int:
-        """Bytes of replies that the peer's machine has not acknowledged."""
-        unwritten = self.transport.get_write_buffer_size() if self.transport else 0
+        """Bytes of replies that the transport has taken and the peer's machine has not acknowledged."""
+        if self.transport is None:
+            return 0
+        unwritten = self.transport.get_write_buffer_size()
         return unwritten + unacknowledged(self.socket)
 
     def resume_writing(self) -> None:
-        self.stuck, self.writes = False, None
+        self.stuck = False
         self._takes_again()
         self._count_unsent()
         self.flush()
+        if not self.stuck:
+            self.writes = None  # it has caught up; until then one pace counts
--- a/brackenloft/net/server_connection.py
+++ b/brackenloft/net/server_connection.py
@@ -20,7 +20,7 @@
 from brackenloft.admission.rate import Least, Pace
 from brackenloft.net.address import Address
 from brackenloft.net.attempt import Attempt, Reply
-from brackenloft.net.kernel import unacknowledged
+from brackenloft.net.kernel import bound_buffers, unacknowledged
 from brackenloft.net.read_buffer import ReadBuffer
 from brackenloft.net.resp import ProtocolError
 from brackenloft.net.server_protocol import ServerProtocol
@@ -28,7 +28,6 @@
 
 log = logging.getLogger(__name__)
 
-RECEIVES = 32 * 1024  # bytes that the kernel takes in for a connection before it is read; it doubles them
 RESET_AT_CLOSE = struct.pack("ii", 1, 0)  # struct linger: on, for no time
 STALLED_S = 15.0  # a server that sends nothing of a stream for so long has died
 
@@ -41,6 +40,7 @@
     protocol: ServerProtocol
     streams: Streams
     read_buffer: ReadBuffer
+    socket_buffer: int
     connect_timeout_s: float
     tries: int
     watcher: Callable[[int, bool], None] | None
@@ -120,7 +120,7 @@
             sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVES)
+            bound_buffers(sock, self.servers.socket_buffer)
             try:
                 async with asyncio.timeout(self.servers.connect_timeout_s):
                     await self.servers.connect(sock, self.host.address)
--- a/brackenloft/net/servers.py
+++ b/brackenloft/net/servers.py
@@ -21,6 +21,7 @@
 from brackenloft.net.attempt import Attempt, Reply
 from brackenloft.net.bites import Bites
 from brackenloft.net.connecting import connect
+from brackenloft.net.limits import BufferLimits
 from brackenloft.net.read_buffer import ReadBuffer
 from brackenloft.net.resp import Answers, ProtocolError
 from brackenloft.net.server_connection import Connection, Host
@@ -47,7 +48,7 @@
         self,
         settings: api.Settings,
         budget: Budget,
-        most_held: int,
+        limits: BufferLimits,
         protocol: ServerProtocol | None = None,
     ) -> None:
         self.loop = asyncio.get_running_loop()
@@ -56,8 +57,8 @@
         self.idle_limit_s = settings.limits.connection_idle_ms / 1000.0 * IDLE_SHARE
         decoder = RespReplyDecoder(settings.load_fields, settings.largest_units)
         self.protocol = protocol or ServerProtocol(Answers, decoder)
-        self.budget, self.most_held = budget, most_held
-        self.streams = Streams(int(most_held * STREAMS_SHARE))
+        self.budget, self.most_held, self.socket_buffer = budget, limits.held, limits.socket_buffer
+        self.streams = Streams(int(limits.held * STREAMS_SHARE))
         self.read_buffer = ReadBuffer()
         self.held = 0  # bytes of answers that are not whole yet
         self.tries = 0  # attempts whose last byte has gone to the kernel
--- a/brackenloft/net/slots.py
+++ b/brackenloft/net/slots.py
@@ -31,7 +31,7 @@
     def __init__(
         self,
         connection: ReplyWriter,
-        answer: bytes | None = None,
+        answer: bytes | memoryview | None = None,
         request_id: str = "",
         size: int = 0,
     ) -> None:
@@ -53,6 +53,13 @@
         self._resize(0)
         return wire.value_header(stream.size)
 
+    def take(self, size: int) -> memoryview:
+        """The next bytes of a reply that is longer. It counts as held until all of it is written."""
+        assert self.answer is not None
+        rest = memoryview(self.answer)
+        self.answer = rest[size:]
+        return rest[:size]
+
     def fill(self, answer: Answer) -> None:
         """The command's one answer."""
         if self.call and not self.call.sends:
--- a/tests/host.py
+++ b/tests/host.py
@@ -16,7 +16,7 @@
 import uvloop
 from fastapi import FastAPI
 
-from brackenloft.__main__ import ACCEPT_S, Config, _address, _room, _span_s
+from brackenloft.__main__ import ACCEPT_S, Config, _address, _memory_plan, _room, _span_s
 from brackenloft.edge import Edge
 
 
@@ -79,7 +79,7 @@
         except (OSError, ValueError, AttributeError) as error:
             logging.error("%r", error)
 
-    edge = Edge(config.settings, _room(config), config.seed)
+    edge = Edge(config.settings, _room(config, _memory_plan(config)), config.seed)
     app = application(edge, opened, _span_s(config.settings), ACCEPT_S)
     server = Server(uvicorn.Config(app, port=0, log_level="error"))
     loop.add_signal_handler(signal.SIGTERM, lambda: server.leave.set())
--- a/tests/slow_crowd.py
+++ b/tests/slow_crowd.py
@@ -24,10 +24,13 @@
 RECEIVED_AT, QUEUED_AT = 0, 5  # in sk_meminfo: bytes not read yet, bytes written and not acknowledged
 
 
-def socket_bytes(port: int) -> int:
-    """Bytes that the kernel holds in the TCP sockets of this port of the machine, those that listen aside."""
+def socket_bytes(port: int, peers_port: int = 0) -> int:
+    """Bytes that the kernel holds in the TCP sockets of a port, or of those connected to one; 0 for any.
+
+    Sockets that listen hold none.
+    """
     wanted = struct.pack("=BBBBI", socket.AF_INET, socket.IPPROTO_TCP, 1 << (MEMORY_INFO - 1), 0, 0xFFFFFFFF)
-    wanted += struct.pack("!H", port) + bytes(38) + b"\xff" * 8
+    wanted += struct.pack("!HH", port, peers_port) + bytes(36) + b"\xff" * 8
     total = 0
     with socket.socket(socket.AF_NETLINK, socket.SOCK_RAW, NETLINK_SOCK_DIAG) as netlink:
         netlink.send(struct.pack("=IHHII", HEADER + len(wanted), SOCK_DIAG_BY_FAMILY, DUMP, 1, 0) + wanted)
--- a/tests/test_memory_total.py
+++ b/tests/test_memory_total.py
@@ -42,13 +42,14 @@
 
 
 class Watch:
-    """The most that a process and the kernel, in its clients' sockets, have held together."""
+    """The most that a process and the kernel, in its sockets, have held together."""
 
-    def __init__(self, pid, port):
-        self.pid, self.port, self.sockets, self.most = pid, port, 0, 0
+    def __init__(self, pid, port, server):
+        self.pid, self.port, self.servers_port, self.sockets, self.most = pid, port, server.port, 0, 0
 
     def look(self):
-        self.sockets = max(self.sockets, now := socket_bytes(self.port))
+        now = socket_bytes(self.port) + socket_bytes(0, self.servers_port)
+        self.sockets = max(self.sockets, now)
         self.most = max(self.most, status_bytes(self.pid, "VmRSS") + now, status_bytes(self.pid, "VmHWM"))
 
 
@@ -62,7 +63,7 @@
         limits = {"memory_mb": memory_mb, "sockets": DESCRIPTORS}
         async with program(tmp_path, server, KINDS, **limits) as (process, port, _):
             assert await (await connect(port)).ask(call(1)) == b"v"
-            watch, answers = Watch(process.pid, port), []
+            watch, answers = Watch(process.pid, port, server), []
             async with crowd(port, "again"):
                 for number in range(2, 2 + USUAL):
                     usual = await connect(port)
@@ -92,7 +93,7 @@
             for _ in range(STARTS):
                 async with started(env) as process:
                     await connect(port)
-                    watch = Watch(process.pid, port)
+                    watch = Watch(process.pid, port, server)
                     for _ in range(LOOKS):
                         watch.look()
                         await asyncio.sleep(LOOK_S)
--- a/tests/test_net_closing.py
+++ b/tests/test_net_closing.py
@@ -91,7 +91,7 @@
         async with node(FakeServer(lambda words: array(VALUE))) as gateway:
             sock, client = await narrow(gateway)
             sock.send(b"".join(call(number) for number in range(1, 5)) + bad)
-            await until(lambda: client.ending and not client.slots)
+            await until(lambda: client.ending and all(slot.answer is not None for slot in client.slots))
             got = await all_of(sock)
             assert (got.startswith(4 * REPLY + b"-ERR ")) is True
             await until(lambda: not gateway.clients.connections)
