An id that comes to both processes of an upgrade runs once: asked at the write

Cause: three gaps. The word 'sent' went to the kernel at the end of the loop's turn (uvloop collects small writes), after the request itself; it was noted only when a task came to its turn; and it was asked for when a request was taken, never again when it was written. The check before a write stood in three places that each knew a part (time, key window, client).

Change: handover/line.py writes at once, hands on what it reads at once, and poll() reads what lies in the kernel. net/send_check.py is the one place that is asked, as an attempt is started and at each write: client, time, key window, the other process. Both say, then look, then write, so that both can't miss each other. Reasons are logged and counted (attempts_withheld in the metrics, and memory_held). For unsafe and keyed requests the kernel is asked at each write whether the client has left, not only after a held up loop.

--- a/brackenloft/handover/channel.py
+++ b/brackenloft/handover/channel.py
@@ -16,7 +16,8 @@
 from pathlib import Path
 
 from brackenloft.edge.edge import Edge
-from brackenloft.handover.frames import Document, FrameError, Frames, encode
+from brackenloft.handover.frames import Document, FrameError
+from brackenloft.handover.line import SENT, STEP_S, Line
 from brackenloft.handover.sent import adopt_sent, note_sent
 from brackenloft.handover.state import Adopted, StateError, pending, tell
 from brackenloft.lifecycle import Event, State
@@ -24,11 +25,8 @@
 
 log = logging.getLogger(__name__)
 
-STEP_S = 1.0  # for each step of the other side, of 6 s in which the new process has to say yes
 FLUSH_S = 0.02  # between two tellings of what was charged: as late as a meter's reading is many times over
-READ = 256 * 1024
 HANDED_SPARE = 16  # descriptors that the old process may still take beyond what it holds: a burst of attempts
-MOST_WAITING = 1024 * 1024  # bytes that a successor which does not read may leave here
 STALE_S = 10.0  # after a predecessor that could not be asked: longer than it may live on
 
 
@@ -72,7 +70,12 @@
         if self.line and self.waiting:
             ids, self.waiting = self.waiting, []
             with suppress(FrameError):
-                self.line.say({"kind": "sent", "ids": ids})
+                self.line.say({"kind": SENT, "ids": ids})
+
+    def catch_up(self) -> None:
+        """Read what the other process has said so far."""
+        if self.line:
+            self.line.poll()
 
     def listens(self, line: Line) -> None:
         """The other process listens from now on."""
@@ -105,37 +108,6 @@
         return rows
 
 
-class Line:
-    """Frames both ways on one connection."""
-
-    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.reader, self.writer, self.frames = reader, writer, Frames()
-        self.found: list[Document] = []
-
-    async def hear(self) -> Document | None:
-        """The next document, None at the end; FrameError, OSError."""
-        while not self.found:
-            data = await self.reader.read(READ)
-            if not data:
-                return None
-            self.found = self.frames.feed(data)
-        return self.found.pop(0)
-
-    async def expect(self, kind: str) -> Document:
-        """The next document, which is of this kind; FrameError, OSError, TimeoutError."""
-        async with asyncio.timeout(STEP_S):
-            document = await self.hear()
-        if document is None or document["kind"] != kind:
-            raise FrameError(f"no {kind}")
-        return document
-
-    def say(self, document: Document) -> None:
-        """Write it; FrameError if it is too long, or the other side does not read."""
-        if self.writer.transport.get_write_buffer_size() > MOST_WAITING:
-            raise FrameError("the other side does not read")
-        self.writer.write(encode(document))
-
-
 class Offer:
     """Answers a successor of this process, one at a time."""
 
@@ -158,24 +130,31 @@
             sock.listen(1)
             fresh.replace(self.path)
             sock.setblocking(False)
-            self.server = await asyncio.start_unix_server(self._successor, sock=sock)
+            self.server = await self.edge.loop.create_unix_server(self._line, sock=sock)
         except OSError:
             sock.close()
             raise
         return self
 
-    async def _successor(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    def _line(self) -> Line:
+        return Line(lambda document: note_sent(self.edge.driver, document.get("ids")), self._begin)
+
+    def _begin(self, line: Line) -> None:
         if self.talking is None:
-            self.talking = asyncio.current_task()
-            try:
-                await self._talk(Line(reader, writer))
-            except (FrameError, OSError, TimeoutError) as error:
-                log.warning("the successor: %r", error)
-            finally:
-                self.talking, self.edge.driver.tap = None, None
-                self.edge.budget.whole()
-                self.edge.lifecycle.happens(Event.KEEP)
-        writer.close()
+            self.talking = self.edge.loop.create_task(self._successor(line))
+        else:
+            line.close()
+
+    async def _successor(self, line: Line) -> None:
+        try:
+            await self._talk(line)
+        except (FrameError, StateError, OSError, TimeoutError) as error:
+            log.warning("the successor: %r", error)
+        finally:
+            self.talking, self.edge.driver.tap = None, None
+            self.edge.budget.whole()
+            self.edge.lifecycle.happens(Event.KEEP)
+            line.close()
 
     async def _talk(self, line: Line) -> None:
         edge, driver = self.edge, self.edge.driver
@@ -192,8 +171,8 @@
         log.info("a successor accepts from now on")
         line.say({"kind": "go", "held": edge.budget.keep(HANDED_SPARE)})
         tap.listens(line)
-        # The successor says what it sends on; anything else is its end.
-        ends = [asyncio.ensure_future(self._hear_sent(line)), asyncio.ensure_future(self.closing.wait())]
+        # The successor says only what it sends on; anything else is its end.
+        ends = [asyncio.ensure_future(line.hear()), asyncio.ensure_future(self.closing.wait())]
         while not any(end.done() for end in ends):
             await asyncio.wait(ends, timeout=FLUSH_S, return_when=asyncio.FIRST_COMPLETED)
             rows, held = tap.take(), edge.budget.keep(HANDED_SPARE)
@@ -202,11 +181,6 @@
         for end in ends:
             end.cancel()
 
-    async def _hear_sent(self, line: Line) -> None:
-        """Note what the successor sends on, until it says something else or ends."""
-        while (document := await line.hear()) is not None and document["kind"] == "sent":
-            note_sent(self.edge.driver, document.get("ids"))
-
     async def close(self) -> None:
         """Tell the last charges, and listen no more."""
         self.closing.set()
@@ -233,7 +207,7 @@
             try:
                 adopted = await self._take(line)
             except BaseException:
-                line.writer.close()
+                line.close()
                 raise
         except (FrameError, StateError, OSError, TimeoutError) as error:
             log.warning("nothing is taken over, this process starts cold: %r", error)
@@ -246,7 +220,11 @@
     async def _connect(self) -> Line:
         with Short(self.path) as name:
             async with asyncio.timeout(STEP_S):
-                return Line(*await asyncio.open_unix_connection(name))
+                _, line = await self.edge.loop.create_unix_connection(self._line, name)
+                return line
+
+    def _line(self) -> Line:
+        return Line(lambda document: note_sent(self.edge.driver, document.get("ids")))
 
     async def _take(self, line: Line) -> Adopted:
         edge, driver = self.edge, self.edge.driver
@@ -276,9 +254,6 @@
         driver = self.edge.driver
         try:
             while (document := await line.hear()) is not None:
-                if document["kind"] == "sent":
-                    note_sent(driver, document.get("ids"))
-                    continue
                 adopted.charged(document.get("rows"), driver.clock())
                 self._shares(document)
         except (FrameError, StateError, OSError) as error:
@@ -288,7 +263,7 @@
             if driver.tap is self.tap:
                 driver.tap = None
             self.edge.budget.whole()
-            line.writer.close()
+            line.close()
 
     def close(self) -> None:
         """Follow no more."""
--- a/brackenloft/handover/sent.py
+++ b/brackenloft/handover/sent.py
@@ -32,11 +32,11 @@
         found.append((_id(row[0]), float(row[1])))
     now = driver.clock()
     for request_id, age_ms in found:
-        driver.sent_requests.note(request_id, now - age_ms)
+        driver.sent_requests.note(request_id, now - age_ms, elsewhere=True)
 
 
 def note_sent(driver: Driver, ids: Any) -> None:
     """Those that are sent on now. Raises StateError."""
     now = driver.clock()
     for request_id in [_id(value) for value in _rows(ids)]:
-        driver.sent_requests.note(request_id, now)
+        driver.sent_requests.note(request_id, now, elsewhere=True)
--- a/brackenloft/net/attempt.py
+++ b/brackenloft/net/attempt.py
@@ -11,7 +11,7 @@
 from brackenloft import interface as api
 from brackenloft.net.streams import Stream
 from brackenloft.net.wire import Buffers, Encoder
-from brackenloft.obligations import may_send, told_ms
+from brackenloft.obligations import SendFacts, Withheld, told_ms, why_withheld
 
 
 @dataclass(slots=True)
@@ -55,7 +55,8 @@
         "request_id",
         "number",
         "server",
-        "before_write",
+        "ask",
+        "withheld",
     )
 
     def __init__(
@@ -75,7 +76,8 @@
         self.done: Callable[[Reply], None] | None = done
         self.connection: Carrier | None = None
         self.waits = False  # for a connection of its host
-        self.before_write: Callable[[], None] | None = None  # may stop it, at the last moment
+        self.ask: Callable[[float], Withheld | None] | None = None  # of who has the request in hand
+        self.withheld = api.Status.NOT_SENT  # how it ends if it may not be written
 
     def payload(self, now: float) -> Buffers:
         """The command as it is written at this time, by time.monotonic(): it tells what is left then.
@@ -89,15 +91,25 @@
         """What is left of its time; ``now`` by time.monotonic()."""
         return (self.due - now) * 1000.0
 
-    def may_be_written(self, now: float) -> bool:
-        """Whether there is time left, the client's and of the servers' memory; by time.monotonic()."""
-        return may_send(True, self.left_ms(now)) and now < self.write_by
+    def window_ms(self, now: float) -> float:
+        """What is left until it has to be whole with its server; ``now`` by time.monotonic()."""
+        return (self.write_by - now) * 1000.0
 
-    def still_wanted(self) -> bool:
-        """Whether it is to be written now; ``before_write`` may have stopped it."""
-        if self.before_write:
-            self.before_write()
-        return self.done is not None
+    def may_write(self, now: float) -> bool:
+        """Whether it is to be written now: the one question before each write. One that may not has ended.
+
+        ``now`` by time.monotonic().
+        """
+        if self.done is None:
+            return False
+        if self.ask:
+            why = self.ask(now)
+        else:
+            why = why_withheld(SendFacts(left_ms=self.left_ms(now), window_ms=self.window_ms(now)))
+        if why:
+            elsewhere = why is Withheld.SENT_ELSEWHERE
+            self.withheld = api.Status.CANCELLED if elsewhere else api.Status.NOT_SENT
+        return why is None and self.done is not None
 
     def finish(self, reply: Reply) -> None:
         """Tell the outcome, the first only.
@@ -105,7 +117,7 @@
         The command is let go. Guards against bodies that are kept until the attempt's time is up, as the
         timer that would end it knows the attempt.
         """
-        self.before_write = None
+        self.ask = None
         done, self.done, self.connection, self.encode = self.done, None, None, None
         if done:
             done(reply)
--- a/brackenloft/net/call.py
+++ b/brackenloft/net/call.py
@@ -28,6 +28,9 @@
     def ended(self, call: Call) -> None:
         """It has ended."""
 
+    def catch_up(self) -> None:
+        """Learn what the other process has sent on so far."""
+
 
 class Usage(Protocol):
     """Who is told of what customers use, where gateways count together."""
--- a/brackenloft/net/driver.py
+++ b/brackenloft/net/driver.py
@@ -16,12 +16,13 @@
 from brackenloft.net.call import Call, CallListener, Usage
 from brackenloft.net.counters import Counters
 from brackenloft.net.lag import Lag
+from brackenloft.net.send_check import SendCheck
 from brackenloft.net.sent_requests import SentRequests
 from brackenloft.net.servers import Servers
 from brackenloft.net.streams import GATHER_MS, Stream
 from brackenloft.net.timers import Timers
 from brackenloft.net.wire import Buffers
-from brackenloft.obligations import Obligations, may_send
+from brackenloft.obligations import Obligations
 from brackenloft.policy import Gateway
 from brackenloft.policy.attempts import NEVER_RAN
 
@@ -42,7 +43,6 @@
         self.counters = Counters()
         self.sent_requests = SentRequests()
         self.obligations = Obligations()
-        self.tap: CallListener | None = None
         self.counting: Usage | None = None
         self.tallies = {kind.name: Tally() for kind in gateway.settings.classes}
         self.events: deque[api.Event] = deque()
@@ -51,6 +51,7 @@
         self.loop = asyncio.get_running_loop()
         self.timers = Timers(self.loop, clock, LATE_MS)
         self.lag = Lag(self.loop, LATE_MS, self._stalled, lambda: bool(self.calls))
+        self.check = SendCheck(self.lag, self.sent_requests, self.obligations, self.client_gone)
         self.actions: dict[type, Callable[[Any], None]] = {
             api.Send: self._send,
             api.Refuse: self._refuse,
@@ -61,6 +62,15 @@
             api.CloseIdle: self._close_idle,
         }
 
+    @property
+    def tap(self) -> CallListener | None:
+        """Who is told of attempts, and tells what another process sends on."""
+        return self.check.other
+
+    @tap.setter
+    def tap(self, other: CallListener | None) -> None:
+        self.check.other = other
+
     # ---- Events in
 
     def post(self, event: api.Event) -> None:
@@ -113,7 +123,7 @@
         """ValueError: a request of this id is in hand, or may have run where that is not safe to repeat."""
         if request_id in self.calls:
             raise ValueError("a request of this id is in hand")
-        if is_write and self.sent_requests.may_have_run(request_id, self.clock()):
+        if is_write and self.check.may_have_run(request_id, self.clock()):
             raise ValueError("a request of this id may have run")
 
     def turn_away(self, class_name: str) -> Refused:
@@ -193,8 +203,7 @@
         wait = call.deadline - self.clock()
         if action.timeout_ms:
             wait = min(wait, action.timeout_ms)
-        self._notice_departure(call)
-        if not may_send(not call.answered, wait) or call.may_be_unwanted(time.monotonic()):
+        if not self.check.may_start(call, wait):
             self._outcome(call, number, action.server, Reply(api.Status.NOT_SENT), 0.0)
             return
         if self.counting and number == 0:
@@ -212,20 +221,6 @@
         if action.write_within_ms < wait:
             self._later(call, action.write_within_ms, self._end_write_window, attempt)
 
-    def _notice_departure(self, call: Call) -> None:
-        """Withdraw the request if its client has gone, though the loop has yet to read that.
-
-        Guards against an attempt for a client whose end is read later in this turn of the loop.
-        """
-        if call.left and not call.answered and self.lag.held_up() and call.left():
-            self.client_gone(call.request_id)
-
-    def _before_write(self, call: Call, attempt: Attempt) -> None:
-        """Stop an attempt that has waited for a connection, if its client has gone or may have."""
-        self._notice_departure(call)
-        if attempt.done and call.may_be_unwanted(time.monotonic()):
-            self.servers.stop(attempt, api.Status.CANCELLED, api.Status.NOT_SENT)
-
     def _start(self, call: Call, number: int, action: api.Send, wait_ms: float) -> None:
         server = action.server
 
@@ -243,7 +238,7 @@
         attempt = Attempt(encode, done, due, self._opened if call.on_open else None)
         attempt.request_id, attempt.number, attempt.server = call.request_id, number, server
         attempt.write_by = now + action.write_within_ms / 1000.0
-        attempt.before_write = partial(self._before_write, call, attempt) if call.left else None
+        attempt.ask = partial(self.check.why_withheld, call, attempt)
         self.counters.attempts += 1
         if call.request.is_write:
             self.sent_requests.note(call.request_id, self.clock())
--- a/brackenloft/net/sent_requests.py
+++ b/brackenloft/net/sent_requests.py
@@ -17,19 +17,23 @@
 
     def __init__(self) -> None:
         self.sent_at: OrderedDict[str, float] = OrderedDict()
+        self.elsewhere: set[str] = set()  # of these, those that another process of this gateway has sent on
 
-    def note(self, request_id: str, now: float) -> None:
-        """It is sent on."""
+    def note(self, request_id: str, now: float, elsewhere: bool = False) -> None:
+        """It is sent on, here or by another process of this gateway."""
         self.sent_at[request_id] = now
+        if elsewhere:
+            self.elsewhere.add(request_id)
         while self.sent_at and (len(self.sent_at) > MOST_REMEMBERED or self._oldest() < now - REMEMBERED_MS):
-            self.sent_at.popitem(last=False)
+            self.elsewhere.discard(self.sent_at.popitem(last=False)[0])
 
     def _oldest(self) -> float:
         return next(iter(self.sent_at.values()))
 
     def forget(self, request_id: str) -> None:
-        """It has not run, for sure."""
-        self.sent_at.pop(request_id, None)
+        """It has not run here, for sure."""
+        if request_id not in self.elsewhere:
+            self.sent_at.pop(request_id, None)
 
     def may_have_run(self, request_id: str, now: float) -> bool:
         """Whether it was sent on, here or at another process of this gateway."""
--- a/brackenloft/net/server_connection.py
+++ b/brackenloft/net/server_connection.py
@@ -170,11 +170,10 @@
         elif self.epoch != self.host.epoch or not self.host.ready:
             # Guards against a first byte to a server that began to drain, left or moved meanwhile.
             self.close(api.Status.CONNECT_FAILED)
-        elif not self.attempt.may_be_written(time.monotonic()):
-            # Guards against a send after its time, by a loop that was held up while this one came up.
-            self.close(api.Status.NOT_SENT)
-        elif self.attempt.still_wanted():
+        elif self.attempt.may_write(time.monotonic()):
             self._write(self.attempt)
+        else:  # it was held up while it came up, or is stopped already
+            self.close(self.attempt.withheld if self.attempt else api.Status.NOT_SENT)
 
     # ---- An attempt
 
--- a/brackenloft/net/servers.py
+++ b/brackenloft/net/servers.py
@@ -152,14 +152,10 @@
         """Send what waits for a connection, as far as there are any."""
         while host.waiting:
             attempt = host.waiting[0]
-            if attempt.done is None:
-                host.waiting.popleft()  # stopped meanwhile
+            if not attempt.may_write(time.monotonic()):  # or it was stopped meanwhile
+                host.waiting.popleft().waits = False
+                attempt.finish(Reply(attempt.withheld))
                 continue
-            if not attempt.may_be_written(time.monotonic()):
-                host.waiting.popleft().finish(Reply(api.Status.NOT_SENT))
-                continue
-            if not attempt.still_wanted():
-                continue  # stopped just now, and taken out above
             connection = self._rested(host)
             if connection is None and (host.coming_up >= COMING_UP or self._short(host)):
                 if host.idle and host.timer is None:
--- a/brackenloft/obligations.py
+++ b/brackenloft/obligations.py
@@ -13,6 +13,7 @@
 from collections import Counter
 from dataclasses import dataclass
 from enum import StrEnum
+from math import inf
 
 log = logging.getLogger(__name__)
 
@@ -67,9 +68,38 @@
     return max(LEAST_TOLD_MS, left_ms)
 
 
-def may_send(wanted: bool, left_ms: float) -> bool:
-    """Whether an attempt may be written: somebody waits for it, and its time is not over."""
-    return wanted and left_ms > 0.0
+class Withheld(StrEnum):
+    """Why an attempt is not written."""
+
+    UNWANTED = "nobody waits for it"
+    UNSURE = "its client may have left"
+    NO_TIME = "no time is left"
+    KEY_FORGOTTEN = "servers may have forgotten its key"
+    SENT_ELSEWHERE = "another process has sent it"
+
+
+@dataclass(frozen=True, slots=True)
+class SendFacts:
+    """What is true of an attempt at the moment in which it would be written."""
+
+    wanted: bool = True  # somebody waits for it
+    unsure: bool = False  # its client may have left, and the kernel can't tell
+    left_ms: float = inf  # of its client's time, and the attempt's
+    window_ms: float = inf  # for which servers still drop a repeat
+    elsewhere: bool = False  # another process of this gateway has sent it
+
+
+def why_withheld(facts: SendFacts) -> Withheld | None:
+    """Why an attempt may not be written now; None: it may."""
+    if not facts.wanted:
+        return Withheld.UNWANTED
+    if facts.left_ms <= 0.0:
+        return Withheld.NO_TIME
+    if facts.window_ms <= 0.0:
+        return Withheld.KEY_FORGOTTEN
+    if facts.elsewhere:
+        return Withheld.SENT_ELSEWHERE
+    return Withheld.UNSURE if facts.unsure else None
 
 
 class Obligations:
@@ -78,6 +108,7 @@
     def __init__(self) -> None:
         self.closed: Counter[str] = Counter()
         self.breaches: Counter[str] = Counter()
+        self.withheld: Counter[str] = Counter()
 
     def closes(self, name: str, dues: Dues, reason: CloseReason) -> None:
         """A client's connection is closed."""
@@ -89,6 +120,11 @@
         elif dues.undelivered:
             self.breach(Breach.CLOSED_UNDELIVERED, f"{name}: {reason.value}, {dues}")
 
+    def withholds(self, name: str, why: Withheld) -> None:
+        """An attempt is not written."""
+        self.withheld[why.value] += 1
+        log.info("an attempt of %s is withheld: %s", name, why.value)
+
     def sends(self, name: str, wanted: bool, left_ms: float) -> None:
         """An attempt is written."""
         if not wanted:
--- a/brackenloft/ops/station.py
+++ b/brackenloft/ops/station.py
@@ -39,5 +39,7 @@
         )
         obligations = edge.driver.obligations
         figures["connections_closed"] = dict(obligations.closed)
+        figures["attempts_withheld"] = dict(obligations.withheld)
+        figures["memory_held"] = {kind.value: size for kind, size in edge.memory.held.items()}
         figures["breaches"] = dict(obligations.breaches)
         return figures | {name: read() for name, read in self.more.items()}
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -281,13 +281,53 @@
                 line = await heir._connect()
                 line.say({"kind": "hello"})
                 assert (await line.expect("state"))["kind"] == "state"
-                line.writer.close()
+                line.close()
         for sock in sockets:
             sock.close()
 
     run(test())
 
 
+# Guards against an id that runs at both processes of an upgrade, as neither has read the other one's word.
+def test_id_that_comes_to_both_processes_in_one_turn_of_the_loop_runs_once_at_most(tmp_path):
+    async def test():
+        async with world(tmp_path) as (server, held, old):
+            kept = await connected(held)
+            kept.send(call(9))
+            await server.until(lambda: len(server.commands) == 1)
+            async with gateway(server, tmp_path, held) as (new, succession, accept):
+                await succession.begin(accept)
+                late = await connected(held)
+                assert await late.ask(call(1)) == b"v"
+                for number in range(10, 19):
+                    kept.send(call(number, "buy"))
+                    late.send(call(number, "buy"))
+                    assert isinstance(await late.reply(), bytes | str)
+                await until(lambda: not new.driver.calls and len(old.driver.calls) == 1)
+                ran = [int(words[2], 16) for words in server.commands]
+                assert max(ran.count(number) for number in range(10, 19)) <= 1
+
+    run(test())
+
+
+# Guards against a word that the other process has written, and that is read only behind a client's request.
+def test_what_the_other_process_has_said_is_read_without_a_turn_of_the_loop(tmp_path):
+    async def test():
+        async with (
+            world(tmp_path) as (server, held, old),
+            gateway(server, tmp_path, held) as (new, succession, accept),
+        ):
+            await succession.begin(accept)
+            for number, (one, other) in enumerate([(new, old), (old, new)]):
+                name = f"{number:016x}"
+                one.driver.tap.waiting.append(name)
+                one.driver.tap.flush()
+                with pytest.raises(ValueError, match="may have run"):
+                    other.driver.check_new(name, is_write=True)
+
+    run(test())
+
+
 def test_a_second_successor_and_one_that_asks_too_early_are_turned_away(tmp_path):
     async def test():
         async with world(tmp_path) as (_, _held, old):
@@ -303,7 +343,7 @@
             first.say({"kind": "hello"})
             assert (await first.expect("state"))["kind"] == "state"
             assert await second.hear() is None
-            first.writer.close()
+            first.close()
             await until(lambda: old.driver.tap is None)
 
     run(test())
--- a/tests/test_obligations.py
+++ b/tests/test_obligations.py
@@ -9,9 +9,11 @@
     CloseReason,
     Dues,
     Obligations,
+    SendFacts,
+    Withheld,
     may_close,
-    may_send,
     told_ms,
+    why_withheld,
 )
 
 OWED = [
@@ -55,5 +57,10 @@
 
 
 def test_attempt_goes_out_while_it_is_wanted_and_in_time_and_tells_what_is_left():
-    assert may_send(True, 0.5) and not may_send(True, 0.0) and not may_send(False, 5.0)
+    assert why_withheld(SendFacts(left_ms=0.5)) is None
+    assert why_withheld(SendFacts(left_ms=0.0)) is Withheld.NO_TIME
+    assert why_withheld(SendFacts(wanted=False, left_ms=5.0)) is Withheld.UNWANTED
+    assert why_withheld(SendFacts(window_ms=0.0)) is Withheld.KEY_FORGOTTEN
+    assert why_withheld(SendFacts(elsewhere=True)) is Withheld.SENT_ELSEWHERE
+    assert why_withheld(SendFacts(unsure=True)) is Withheld.UNSURE
     assert told_ms(250.0) == 250.0 and told_ms(-3.0) > 0.0
