Say why a connection is closed unread, and how far a client was that is turned away

Change: closed_unread in the metrics and a line of the log; the line of a client that is turned away names it and counts its requests. Seen with prints in its place, beside 600 slow clients whose process also played the usual ones: who was closed with no answer had sent nothing by then (no request, nothing unread), as its own process was late.

--- a/brackenloft/net/client.py
+++ b/brackenloft/net/client.py
@@ -150,7 +150,7 @@
 
     def _break(self, why: str) -> None:
         """What can't be read is answered and the connection closed, after the replies before it."""
-        log.info("a client is turned away: %s", why)
+        log.info("a client is turned away: %s (%s, after %d requests)", why, self.name(), self.asked)
         self._happens(ConnectionEvent.END)
         self.hold(-self.reader.left, kind=Held.COMMANDS)
         self.reader = Commands()
--- a/brackenloft/net/client_closing.py
+++ b/brackenloft/net/client_closing.py
@@ -99,7 +99,7 @@
         """End the connection now, whatever is still to be written on it."""
         if self.transport is None or self.transport.is_closing():
             return
-        self.clients.obligations.closes(self.name(), self.dues(), reason)
+        self.clients.obligations.closes(self.name(), self.dues(), reason, unread(self.socket))
         if not self.half_closed:
             self._happens(ConnectionEvent.END)
         self.transport.abort()
--- a/brackenloft/obligations.py
+++ b/brackenloft/obligations.py
@@ -107,12 +107,16 @@
 
     def __init__(self) -> None:
         self.closed: Counter[str] = Counter()
+        self.closed_unread: Counter[str] = Counter()
         self.breaches: Counter[str] = Counter()
         self.withheld: Counter[str] = Counter()
 
-    def closes(self, name: str, dues: Dues, reason: CloseReason) -> None:
-        """A client's connection is closed."""
+    def closes(self, name: str, dues: Dues, reason: CloseReason, unread: bool = False) -> None:
+        """A client's connection is closed; ``unread``: over bytes that nobody read, which are sent again."""
         self.closed[reason.value] += 1
+        if unread:
+            self.closed_unread[reason.value] += 1
+            log.info("%s is closed over bytes that were not read: %s, %s", name, reason.value, dues)
         if reason in PEERS_OWN:
             return
         if dues.unheard():
