--- /dev/null
+++ b/brackenloft/lab/overload/scenario.py
@@ -0,0 +1,48 @@
+"""What a run plays: the kind and size of the crowd, the gateway's limits, its restarts."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+from enum import StrEnum
+
+
+class CrowdKind(StrEnum):
+    """What the bad clients do."""
+
+    NONE = "none"
+    WRITE = "write"
+    HALF = "half"
+    HEADS = "heads"
+    READERS = "readers"
+    GARBLE = "garble"
+    CHURN = "churn"
+    PIPELINE = "pipeline"
+    ALL = "all"
+
+
+ALL_KINDS = tuple(kind for kind in CrowdKind if kind not in (CrowdKind.NONE, CrowdKind.ALL))
+MEMORIES_MB, SOCKETS, CROWDS = (32, 48, 64, 192), (256, 1024), (60, 100, 300, 600, 900)
+RESTART_SHARE = 0.25  # of the drawn runs
+
+
+@dataclass(frozen=True, slots=True)
+class Scenario:
+    """One run. ``restart_at_s``: when the process is told to end and replaced; 0 for never."""
+
+    seed: int
+    kind: CrowdKind = CrowdKind.ALL
+    crowd: int = 300
+    memory_mb: int = 32
+    sockets: int = 1024
+    seconds: float = 10.0
+    restart_at_s: float = 0.0
+
+    @staticmethod
+    def drawn(seed: int, seconds: float) -> Scenario:
+        """Limits, crowd and restarts of a seed."""
+        chance = random.Random(f"overload {seed}")
+        kind, memory_mb = chance.choice(list(CrowdKind)), chance.choice(MEMORIES_MB)
+        crowd, sockets = chance.choice(CROWDS), chance.choice(SOCKETS)
+        restarts = chance.random() < RESTART_SHARE
+        return Scenario(seed, kind, crowd, memory_mb, sockets, seconds, seconds / 2 if restarts else 0.0)
