Ask for memory before a command is read or a request taken; cut nobody off for it

Callers saw: connections ended in the middle of an answer, or with whole commands unanswered, and -ERR out of memory for posts of 30 kB, beside clients that wrote long posts slowly.

Cause: memory was handed out first and taken back later. 'relieve' compared what clients hold with a limit that one half written post of 4 MiB, which has a reserve of its own, passed by itself, and then cut off whoever was within a command or had an answer longer than the socket's buffer on its way.

Mend: a command's whole size is granted before it is read on; without a grant it waits in the kernel, and is refused with -BUSY when its client's time is up or a connection waits for its place. Usual commands and unanswered requests have a share of their own; long commands, long values and further commands of a connection leave a quarter of the memory. While memory is short, answers over 8 KiB go through a window. The reserve counts for whom it serves. Connections that wait for memory are accepted into a queue in which who has left takes no place and who has written a usual command goes first. relieve, cut_off and TAKES_NOTHING are gone.

--- a/brackenloft/__main__.py
+++ b/brackenloft/__main__.py
@@ -157,6 +157,7 @@
 def _room(config: Config, plan: MemoryPlan) -> Room:
     """What the platform's limits leave for clients and servers."""
     budget = max(2, plan.connections)
+    spare = max(0, _peer_descriptors(config) - budget)
     for_servers, for_clients = max(1, int(budget * SERVERS_SHARE)), max(1, int(budget * CLIENTS_SHARE))
     return Room(
         server_connections=for_servers,
@@ -166,6 +167,7 @@
         asking=max(1, config.descriptors // ASKING),
         socket_buffer=plan.socket_buffer,
         memory=plan.peers,
+        spare_descriptors=spare,
     )
 
 
--- a/brackenloft/admission/account.py
+++ b/brackenloft/admission/account.py
@@ -10,13 +10,20 @@
 from enum import StrEnum
 from math import inf
 
+# Of the limit, left to connections, usual commands and short answers by those who could do with less: long
+# commands, long values, and further commands of a connection that has some in hand.
+HEADROOM_SHARE = 0.25
+
 
 class Held(StrEnum):
     """What is held for a peer."""
 
     CONNECTION = "connections"  # the connection itself
     COMMANDS = "commands"  # read from a client and not taken yet, in part or whole
-    IN_HAND = "in hand"  # commands taken, and replies that are not written yet
+    GRANTED = "granted"  # parts of commands that have yet to come
+    RESERVE = "reserve"  # less by the long command that is kept beside the limit
+    IN_HAND = "in hand"  # commands taken
+    REPLIES = "replies"  # that are not written yet
     UNSENT = "unsent"  # replies that wait in a client's transport
     ANSWERS = "answers"  # of servers, not whole yet
     STREAMS = "streams"  # parts of long values on their way from a server to a client
@@ -27,10 +34,11 @@
 class MemoryAccount:
     """What is held for all peers, by kind, against a ``limit``."""
 
-    __slots__ = ("limit", "held", "total")
+    __slots__ = ("limit", "headroom", "held", "total")
 
     def __init__(self, limit: float = inf) -> None:
         self.limit = limit
+        self.headroom = 0.0 if limit == inf else limit * HEADROOM_SHARE
         self.held = dict.fromkeys(Held, 0)
         self.total = 0
 
@@ -43,6 +51,10 @@
         """How much more may be held; below 0 where it is too much already."""
         return self.limit - self.total
 
+    def left_beside_headroom(self) -> float:
+        """The same for those who could do with less."""
+        return self.left() - self.headroom
+
 
 class PeerAccount:
     """What is held for one peer, as a part of the account of all."""
--- a/brackenloft/edge/calls.py
+++ b/brackenloft/edge/calls.py
@@ -21,6 +21,9 @@
     """The edge is not open (yet, or any more); nothing was done."""
 
 
+MAY_BE_ZERO = ("lent", "spare_descriptors")
+
+
 @dataclass(frozen=True, slots=True)
 class Room:
     """What an edge may take of the host's process.
@@ -31,7 +34,8 @@
     for each direction of a connection; ``in_hand`` requests of the host itself are open at once, beyond which
     they are refused. ``memory`` bytes are held at most for all peers together, connections and the kernel's
     buffers included; None for no such bound. ``asking``: connections for requests that clients open at most
-    by themselves, None for as many as are taken.
+    by themselves, None for as many as are taken. ``spare_descriptors``: beside those of the two sides, for
+    connections that wait for memory.
     """
 
     server_connections: int = 256
@@ -42,10 +46,11 @@
     lent: int = 0
     socket_buffer: int = SOCKET_BUFFER
     memory: int | None = None
+    spare_descriptors: int = 0
 
     def __post_init__(self) -> None:
         for name, value in asdict(self).items():
-            if value is not None and not (value > 0 or name == "lent" and value == 0):
+            if value is not None and not (value > 0 or name in MAY_BE_ZERO and value == 0):
                 raise FieldError(name, f"not above 0: {value!r}")
 
 
--- a/brackenloft/edge/edge.py
+++ b/brackenloft/edge/edge.py
@@ -76,7 +76,7 @@
         floors = {Side.CLIENTS: room.client_connections, Side.SERVERS: room.server_connections}
         self.budget = Budget(total, floors, spare)
         self.memory = MemoryAccount(inf if room.memory is None else room.memory)
-        self.buffers = BufferLimits(room.held, room.socket_buffer, self.memory)
+        self.buffers = BufferLimits(room.held, room.socket_buffer, self.memory, room.spare_descriptors)
         self.servers = Servers(self.settings, self.budget, self.buffers)
         self.driver = Driver(Gateway(self.settings, self.seed), self.servers, Clock())
         self.lifecycle = Lifecycle(self._turn)
@@ -133,7 +133,7 @@
 
     def _busy(self) -> bool:
         clients = self.clients
-        return bool(clients.connections or clients.listener or self._own or self.granted_now)
+        return bool(clients.connections or clients.queue or clients.listener or self._own or self.granted_now)
 
     def _end(self) -> None:
         self.is_open = False
--- a/brackenloft/lab/overload/gateway.py
+++ b/brackenloft/lab/overload/gateway.py
@@ -64,10 +64,11 @@
     async def _says_pong(self) -> None:
         end = time.monotonic() + READY_S
         while time.monotonic() < end:
-            with suppress(OSError):
+            with suppress(OSError, TimeoutError):
                 reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
                 writer.write(b"*1\r\n$4\r\nPING\r\n")
-                answer = await reader.read(len(PONG))
+                async with asyncio.timeout(READY_S):
+                    answer = await reader.read(len(PONG))
                 writer.close()
                 if answer == PONG:
                     return
--- a/brackenloft/net/client.py
+++ b/brackenloft/net/client.py
@@ -8,10 +8,11 @@
 import time
 from collections import deque
 from dataclasses import replace
+from math import inf
 from typing import cast
 
 from brackenloft.admission.account import Held
-from brackenloft.answers import FAILED
+from brackenloft.answers import FAILED, Refused
 from brackenloft.net import wire
 from brackenloft.net.call import Call
 from brackenloft.net.client_owner import ClientOwner
@@ -40,6 +41,7 @@
         self.parting = False  # to be closed as soon as nothing is owed on it
         self.within = False  # a part of a command has come, and may be dropped
         self.timer: asyncio.TimerHandle | None = None  # while it lingers
+        self.waits_until: float | None = None  # the client of a command that waits to be read whole
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         # uvloop's transports are not asyncio.Transport by class: no isinstance here
@@ -80,7 +82,7 @@
         if self.slots or self.unparsed:
             self.clients.obligations.breach(Breach.CLOSED_UNANSWERED, self.name())
         for slot in self.slots:
-            self.hold(-slot.size)
+            slot.release()
         self._withdraw()
         self.hold(-self.reader.left, kind=Held.COMMANDS)
         self.reader = Commands()
@@ -116,17 +118,15 @@
                 within = before > 0
                 break
             took += 1
-            self.spoke = True
+            self.spoke, self.waits_until = True, None
             self.came_at = self.arrivals.take(before - self.reader.left)
             self._take(command, before - self.reader.left)
         self.reading = False
         self.within = within
         if within:
-            if max(self.reader.left, self.reader.needed) > STREAM_FROM:  # by what its header promises
-                self.clients.intake.begins(self)
-            self.clients.relieve()
-        elif self in self.clients.intake:
-            self.clients.next_long(self)
+            self.clients.is_within(self)
+        else:
+            self.clients.is_whole(self)
         if took == most and not self.waits_turn:
             self.waits_turn = True
             self.clients.turns.wait(self)
@@ -139,26 +139,29 @@
         self.throttle()
         self._read()
 
-    def cut_off(self) -> None:
-        """End it for the memory that it holds: at once, or after an error where it takes what it is sent."""
-        self.within = False
-        if self.stuck:
-            self.account.change(Held.UNSENT, 0)
-            self.close(CloseReason.TAKES_NOTHING)
-        elif not self.ending:
-            self._break("out of memory")
-
-    def _break(self, why: str) -> None:
+    def _break(self, why: str, reply: bytes = b"") -> None:
         """What can't be read is answered and the connection closed, after the replies before it."""
         log.info("a client is turned away: %s (%s, after %d requests)", why, self.name(), self.asked)
         self._happens(ConnectionEvent.END)
         self.hold(-self.reader.left, kind=Held.COMMANDS)
-        self.reader = Commands()
-        self.clients.next_long(self)
+        self.reader, self.within = Commands(), False
+        self.clients.is_whole(self)
         self.clients.sort(self, within=True, took=False)
-        self._reply(f"-ERR {why}\r\n".encode("ascii", "replace"))
+        self._reply(reply or f"-ERR {why}\r\n".encode("ascii", "replace"))
         self.throttle()
 
+    def time_is_up(self, now: float) -> bool:
+        """Whether the time of a command that waits to be read whole is over; ``now`` by time.monotonic()."""
+        if self.waits_until is None:
+            wait_ms = wire.wait_ms(self.reader.words)
+            self.waits_until = inf if wait_ms is None else self.came_at + wait_ms / 1000.0
+        return now >= self.waits_until
+
+    def refuse_waiting(self) -> None:
+        """Refuse a command that was never read whole. Its rest can't be told from a next one: the end."""
+        if not self.ending:
+            self._break("no memory in time", wire.answer_line(Refused()))
+
     def _take(self, command: list[bytes], size: int) -> None:
         name = command[0].upper()
         if name in (b"CALL.GET", b"CALL.POST"):
@@ -208,10 +211,10 @@
             # Guards against commands in hand that together outgrow the memory.
             self._reply(wire.answer_line(driver.turn_away(request.class_name)))
             return
-        self.hold(-size, kind=Held.COMMANDS)
-        self.hold(size + CALL)
         slot = Slot(self, None, request.request_id, size + CALL)
         self.slots.append(slot)
+        self.hold(size + CALL, Held.IN_HAND)
+        self.hold(-size, kind=Held.COMMANDS)
         slot.call = Call(request.request_id, encode, slot.fill, slot.open)
         slot.call.left, slot.call.came_at = self.has_left, self.came_at
         slot.call.unsure = self.may_have_left
@@ -227,10 +230,15 @@
             )
         driver.request(slot.call, request, request.patience_ms)
 
-    def long_held(self) -> int:
-        """Bytes of long commands here, those that are in hand and one that is not whole yet."""
-        unread = self.account.of(Held.COMMANDS) if self in self.clients.intake else 0
-        return unread + sum(slot.size for slot in self.slots if slot.size > STREAM_FROM and slot.call)
+    def hold(self, size: int, kind: Held) -> None:
+        """Count bytes that are held for this connection, or less of them."""
+        super().hold(size, kind)
+        if size < 0 and kind is Held.IN_HAND:
+            self.clients.release_reserve()
+
+    def long_in_hand(self) -> int:
+        """Bytes of long commands in hand."""
+        return sum(slot.size for slot in self.slots if slot.kind is Held.IN_HAND and slot.size > STREAM_FROM)
 
     def unheard(self) -> bool:
         """Whether nothing was read on it so far, though something has come."""
--- a/brackenloft/net/client_closing.py
+++ b/brackenloft/net/client_closing.py
@@ -11,7 +11,6 @@
 import time
 from typing import Any
 
-from brackenloft.admission.account import Held
 from brackenloft.net.client_owner import ClientOwner
 from brackenloft.net.client_state import ConnectionEvent
 from brackenloft.net.kernel import unacknowledged, unread
@@ -117,21 +116,3 @@
             return False
         self.close(CloseReason.ROOM)
         return True
-
-    def loose(self) -> int:
-        """Bytes that would be free if it were cut off: what it does not take, and a part of a command."""
-        if (
-            self.transport is None
-            or self.transport.is_closing()
-            or not (self._takes_nothing() or self.within)
-        ):
-            return 0
-        if self.slots and self.slots[0].stream:
-            return 0  # a value passed on in part is never cut off for memory; the streams have a budget
-        if self.within and self in self.clients.intake:
-            return 0  # nor a long command: those wait their turn
-        return self.held if self._takes_nothing() else self.account.of(Held.COMMANDS, Held.UNSENT)
-
-    def _takes_nothing(self) -> bool:
-        """Whether all that is owed on it waits for the peer to take it."""
-        return self.stuck and all(slot.answer is not None and not slot.stream for slot in self.slots)
--- a/brackenloft/net/client_memory.py
+++ b/brackenloft/net/client_memory.py
@@ -1,20 +1,25 @@
-"""How much of what clients send is read and taken, by the memory that is left."""
+"""How much of what clients send is read and taken, by the memory that is left.
+
+Room is asked for before it is used: a command waits in the kernel until all of it fits, and is refused before
+it is taken where its request does not. What was taken is never given up for memory.
+"""
 
 from __future__ import annotations
 
+import time
 from collections import OrderedDict
 from typing import TYPE_CHECKING
 
 from brackenloft.admission.account import Held
 from brackenloft.admission.budget import Budget
-from brackenloft.admission.intake import Intake
-from brackenloft.admission.room import relief
+from brackenloft.admission.command_admission import Ask, CommandAdmission, CommandRoom
 from brackenloft.lifecycle import Lifecycle
 from brackenloft.net.bites import Bites
+from brackenloft.net.driver import Driver
 from brackenloft.net.limits import BufferLimits
 from brackenloft.net.listener import Listener
+from brackenloft.net.read_buffer import LEAST_READ
 from brackenloft.net.replies import BUFFERED
-from brackenloft.net.resp import LONGEST_VALUE
 from brackenloft.net.streams import STREAM_FROM
 
 if TYPE_CHECKING:
@@ -23,109 +28,148 @@
 LONG_SHARE = 0.75  # of what may be held, for commands of more than STREAM_FROM and for what is read ahead
 # Bytes of all, and share of what may be held, up to which commands are read that can't be taken yet.
 MOST_AHEAD, AHEAD_SHARE = 8 * 1024 * 1024, 0.25
+ANSWER = 16 * 1024  # bytes that a request's answer may take while others are in hand on its connection
 
 
 class ClientMemory(Listener):
-    """Who is read further, whose commands are taken, and who is cut off when the memory is short.
+    """Who is read further, and whose commands are taken, while the memory is short.
 
     Clients may hold ``most_held`` bytes together, and no more than all sides' account has left.
     """
 
     connections: OrderedDict[Client, None]
+    driver: Driver
     emptying: bool
 
     def __init__(self, budget: Budget, lifecycle: Lifecycle, limits: BufferLimits) -> None:
         super().__init__(budget, lifecycle, limits)
         self.most_held = limits.held
         self.bites = Bites()
-        self.intake: Intake[Client] = Intake()  # who is within a long command
+        self.commands: CommandAdmission[Client] = CommandAdmission(STREAM_FROM)
+        self.reserved: Client | None = None  # whose long command has the reserve
+        self.reserved_size = 0
+
+    # ---- What is left
 
     @property
     def held(self) -> int:
-        """Bytes of commands and replies."""
-        return sum(self.memory.held[kind] for kind in BUFFERED)
-
-    def limit(self) -> float:
-        """Bytes of commands and replies that may be held now."""
-        return min(self.most_held, self.held + self.memory.left())
+        """Bytes of commands, granted ones in full, and of replies; without what is in the reserve."""
+        held = self.memory.held
+        return sum(held[kind] for kind in BUFFERED) + held[Held.GRANTED] + held[Held.RESERVE]
 
-    def has_room(self) -> bool:
-        """Whether what is held leaves room for more."""
-        return self.held < self.limit()
-
-    def room(self) -> int:
-        """Bytes that may be read ahead, the share of usual commands left free."""
-        return int(self.limit() * LONG_SHARE) - self.held
+    def _left(self) -> float:
+        """Bytes of commands and replies that may still be held."""
+        return min(self.most_held - self.held, self.memory.left())
 
-    def room_for(self, client: Client) -> int:
-        """Bytes that may be read of a connection at once: the first long command has a reserve."""
-        first = next(iter(self.intake.rows), None)
-        return LONGEST_VALUE if client is first else self.room()
+    def _left_for_more(self) -> float:
+        """The same for those who could do with less."""
+        return min(self.most_held - self.held, self.memory.left_beside_headroom())
 
-    def may_read_ahead(self) -> bool:
-        """Whether there is memory for what can't be taken yet; while it empties, no more is read than can."""
-        return not self.emptying and self.held < min(MOST_AHEAD, self.limit() * AHEAD_SHARE)
-
-    def may_send_on(self, client: Client) -> bool:
-        """Whether it is read further, as far as memory goes. Who is not is looked at again at each sweep."""
-        most = self.limit() * LONG_SHARE
-        room = self.held < most
-        if not self.intake.may_read(client, room):
-            return False
-        if self.intake.may_read(client, room, beside=False):
-            return True
-        return self.held - sum(one.held for one in self.intake.rows) < most
+    # ---- Requests
 
-    def long_held(self) -> int:
-        """Bytes of long commands, those that are in hand and those that are not whole yet."""
-        return sum(client.long_held() for client in self.connections)
+    def has_room(self) -> bool:
+        """Whether a connection that has a request in hand may have one more."""
+        answers = ANSWER * self.driver.unanswered
+        return self.held < self.most_held and self.memory.left_beside_headroom() > answers
 
     def may_take(self, size: int) -> bool:
         """Whether there is memory for a command of this size, which has come whole.
 
-        Guards against usual commands that are refused for long ones, of which a few fill the memory: these
-        have a share of it and wait for their turn. What is whole and long had its turn.
+        Usual ones have a share of what may be held, by those that have no answer yet. Guards against refusing
+        them for what slow readers and long commands keep. What is long had its whole size granted.
         """
-        if self.relieve(LONGEST_VALUE if size > STREAM_FROM else 0):
+        if size > STREAM_FROM or self._left() > 0:
             return True
-        usual = self.memory.held[Held.COMMANDS] + self.memory.held[Held.IN_HAND] - self.long_held()
-        return size <= STREAM_FROM and usual <= self.most_held * (1.0 - LONG_SHARE)
-
-    def _memory_for_connections(self) -> float:
-        """Bytes that new connections may take: the reserve of the first long command counts for nobody."""
-        first = next(iter(self.intake.rows), None)
-        return self.memory.left() + (min(first.held, LONGEST_VALUE) if first else 0)
+        long = sum(client.long_in_hand() for client in self.connections)
+        return self.memory.held[Held.IN_HAND] - long <= self.most_held * (1.0 - LONG_SHARE)
 
-    def _cut_the_newest(self, most: int) -> None:
-        """End long commands that wait for their turn, but for the first; they have not been read whole.
+    # ---- Commands that are not whole
 
-        Guards against connections that never come in, for the memory that these hold.
-        """
-        waiting = [client for client in self.intake.rows if not client.ending]
-        for client in waiting[1:][-most:]:
-            self.bites.bite("memory for connections", "the newest long command is cut off")
-            client.cut_off()
+    def room_for(self, client: Client) -> int:
+        """Bytes that may be read of a connection at once."""
+        granted = self.commands.granted.get(client)
+        if granted is not None:
+            return granted - client.reader.left
+        return int(min(self._left_for_more(), STREAM_FROM))
 
-    def next_long(self, client: Client) -> None:
-        """A long command is whole, or its connection ended: others may go on."""
-        if self.intake.done(client):
-            self.loop.call_soon(self._let_in)
+    def may_read_ahead(self) -> bool:
+        """Whether there is memory for what can't be taken yet; while it empties, no more is read than can."""
+        limit = min(MOST_AHEAD, self.most_held * AHEAD_SHARE)
+        return not self.emptying and self.held < limit and self._left_for_more() > 0
 
-    def _let_in(self) -> None:
-        """Let those within a long command send on, as far as there is room, or stop them."""
-        for client in list(self.intake.rows):
+    def may_send_on(self, client: Client) -> bool:
+        """Whether it is read further, as far as memory goes."""
+        return client not in self.commands.waiting
+
+    def is_within(self, client: Client) -> None:
+        """A connection is within a command: it is read further once there is memory for all of it."""
+        size = max(client.reader.left, client.reader.needed)
+        if size <= LEAST_READ:
+            return
+        self.commands.ask(client, Ask(size, client.reader.left))
+        self._grant()
+
+    def has_read(self, client: Client) -> None:
+        """Some of what was granted to a connection has come."""
+        granted = self.commands.granted.get(client)
+        if granted is not None:
+            client.account.change(Held.GRANTED, max(0, granted - client.reader.left))
+
+    def is_whole(self, client: Client) -> None:
+        """A command is whole, or its connection ended: others may go on."""
+        if self.commands.done(client):
+            client.account.change(Held.GRANTED, 0)
+            if self.commands.waiting:
+                self.loop.call_soon(self._grant)
+        self.release_reserve()
+
+    def _grant(self) -> None:
+        """Let commands be read for which there is memory now."""
+        if not self.commands.waiting:
+            return
+        for grant in self.commands.grants(self._room_for_commands()):
+            client, ask = grant.peer, grant.ask
+            if grant.reserved:
+                self.reserved = client
+                self.reserved_size = ask.size
+                self.memory.hold(Held.RESERVE, -ask.size)
+            client.account.change(Held.GRANTED, ask.more)
             client.throttle()
 
-    def relieve(self, reserve: int = 0) -> bool:
-        """Cut off who holds most, if all hold too much; whether there is room now, with a ``reserve``.
-
-        Guards against those who hold little and are turned away for what others keep. What is in hand stays:
-        it is owed.
+    def _room_for_commands(self) -> CommandRoom:
+        """Usual commands have a share of what may be held, whatever else does."""
+        granted = self.commands.granted
+        usual = sum(size for size in granted.values() if size <= STREAM_FROM)
+        long = sum(granted.values()) - usual
+        return CommandRoom(
+            max(self._left(), self.most_held * (1.0 - LONG_SHARE) - usual),
+            min(self._left_for_more(), self.most_held * LONG_SHARE - long),
+            self.reserved is None,
+        )
+
+    def release_reserve(self) -> None:
+        """Have the reserve back, if the command that had it is no longer held."""
+        holder = self.reserved
+        if holder is None or (holder.transport and (holder in self.commands or holder.long_in_hand())):
+            return
+        self.reserved = None
+        self.memory.hold(Held.RESERVE, self.reserved_size)
+        if self.commands.waiting:
+            self.loop.call_soon(self._grant)
+
+    def _refuse_the_newest(self, most: int) -> None:
+        """Refuse long commands that wait for memory, but for the one that has waited longest.
+
+        Guards against connections that never come in, for the places that these hold.
         """
-        if self.held <= self.limit():
-            return True
-        holders = {client: size for client in self.connections if (size := client.loose())}
-        for client in relief(self.held, self.limit(), holders):
-            self.bites.bite("memory", "the client that holds most is cut off")
-            client.cut_off()
-        return self.held <= self.limit() + reserve
+        waiting = [one for one, ask in self.commands.waiting.items() if ask.size > STREAM_FROM]
+        for client in waiting[1:][-most:]:
+            self.bites.bite("memory for connections", "the newest long command that waits is refused")
+            client.refuse_waiting()
+
+    def _end_waits(self) -> None:
+        """Refuse commands that have waited for memory until their client's time was up."""
+        now = time.monotonic()
+        for client in [one for one in self.commands.waiting if one.time_is_up(now)]:
+            self.bites.bite("memory for commands", "one that waited is refused as its time is up")
+            client.refuse_waiting()
--- a/brackenloft/net/client_owner.py
+++ b/brackenloft/net/client_owner.py
@@ -6,7 +6,6 @@
 from typing import Protocol, TypeVar
 
 from brackenloft.admission.account import MemoryAccount
-from brackenloft.admission.intake import Intake
 from brackenloft.admission.roll import Roll
 from brackenloft.net.departures import Departures
 from brackenloft.net.driver import Driver
@@ -34,7 +33,6 @@
     requests: Requests
     parked: Parked
     roll: Roll[ClientT]
-    intake: Intake[ClientT]
     departures: Departures[ClientT]
     stuck: dict[ClientT, None]
     read_buffer: ReadBuffer
@@ -57,8 +55,17 @@
     def rests(self, client: ClientT) -> None:
         """All that came on a connection has been answered."""
 
-    def next_long(self, client: ClientT) -> None:
-        """A long command is whole, or its connection has ended."""
+    def is_within(self, client: ClientT) -> None:
+        """A connection is within a command."""
+
+    def has_read(self, client: ClientT) -> None:
+        """Something has come on a connection."""
+
+    def is_whole(self, client: ClientT) -> None:
+        """A command is whole, or its connection has ended."""
+
+    def release_reserve(self) -> None:
+        """Have the reserve for a long command back, if nothing of it is held any more."""
 
     def may_send_on(self, client: ClientT) -> bool:
         """Whether a connection is read further, as far as memory goes."""
@@ -72,9 +79,6 @@
     def may_read_ahead(self) -> bool:
         """Whether there is memory for what can't be taken yet."""
 
-    def relieve(self, reserve: int = 0) -> bool:
-        """Free memory where too much is buffered; whether there is room now, with a ``reserve`` in bytes."""
-
     def look_after(self) -> None:
         """Sweep until nothing is overdue and there is room."""
 
--- a/brackenloft/net/client_reading.py
+++ b/brackenloft/net/client_reading.py
@@ -66,6 +66,7 @@
             self.reads.moved(len(data), time.monotonic())
         self.reader.feed(data)
         self.hold(len(data), kind=Held.COMMANDS)
+        self.clients.has_read(self)
         if more and not self.waits_turn and self._reads_ahead():
             self.waits_turn = True
             self.clients.turns.wait(self)
--- a/brackenloft/net/clients.py
+++ b/brackenloft/net/clients.py
@@ -107,7 +107,7 @@
             else:
                 self.roll.later(client)  # it has a command to be read
         if self.budget.free(Side.CLIENTS) and not self._places_free():
-            self._cut_the_newest(ROOM)
+            self._refuse_the_newest(ROOM)
 
     def scarcity(self) -> float:
         """The share of the places for requests that is taken, by one's own count or the clients'.
@@ -156,11 +156,13 @@
         self.owing.pop(client, None)
         self.slow.pop(client, None)
         self.stuck.pop(client, None)
-        self.next_long(client)
+        self.is_whole(client)
         self.roll.stirs(client)
         client.account.close()
         self.asking -= client.asked > 0
         self._place_free()
+        if self.queue:
+            self.loop.call_soon(self._admit_queued)
 
     def sort(self, client: Client, within: bool, took: bool) -> None:
         """Note what a connection is at: within a command, at its end, idle, or with requests in hand."""
@@ -206,23 +208,25 @@
             self.owing
             or self.slow
             or self.stuck
-            or self.intake.rows
+            or self.commands.waiting
             or self.emptying
             or self._waits_for_place()
-            or self.held > self.limit()
             or self.short()
         )
 
     def _waits_for_place(self) -> bool:
-        return bool(self.listener and not self.accepting and self.lifecycle.facts.accepts)
+        unheard = self.listener and not self.accepting and self.lifecycle.facts.accepts
+        return bool(unheard or self.queue)
 
     def _sweep(self) -> None:
         self.sweeper = None
         self._end_the_overdue()
         self._cut_the_slow()
-        if self.intake.rows:
-            self._let_in()
-        if self._places_free() > 0:
+        if self.commands.waiting:
+            self._grant()
+            self._end_waits()
+        self._admit_queued()
+        if self._places_to_accept() > 0:
             self._accept_more()
             if self.leaving and self.listener:
                 self._accept()  # it ends once nobody waits in the kernel, of which nothing tells
@@ -249,7 +253,7 @@
                 client.overdue()
 
     def _cut_the_slow(self) -> None:
-        """End who reads or writes below the least rate, and who has most here if it is too much for all."""
+        """End who reads or writes below the least rate."""
         now = time.monotonic()
         late = max(0.0, now - self.swept - SWEEP_S)
         late, self.swept = late if late > LATE_S else 0.0, now
@@ -264,7 +268,6 @@
             if client.takes_too_little(now, late):
                 self.bites.bite("least rate of answers", "a client that takes too little is cut off")
                 client.close(CloseReason.TAKES_TOO_LITTLE)
-        self.relieve()
 
     # ---- The end
 
@@ -323,6 +326,7 @@
         if self.sweeper:
             self.sweeper.cancel()
         self._close_listener()
+        self.queue.close()
         self.departures.close()
         for client in list(self.connections):
             client.close(CloseReason.PROCESS_ENDS)
--- a/brackenloft/net/driver.py
+++ b/brackenloft/net/driver.py
@@ -133,6 +133,11 @@
         self.tallies[class_name].count(answer)
         return answer
 
+    @property
+    def unanswered(self) -> int:
+        """Requests in hand of whose answer nothing has come."""
+        return len(self.calls) - len(self.servers.streams.open)
+
     @property
     def in_progress(self) -> int:
         """Requests taken and not ended."""
--- a/brackenloft/net/listener.py
+++ b/brackenloft/net/listener.py
@@ -10,14 +10,19 @@
 from brackenloft.admission.budget import Budget, Side
 from brackenloft.admission.memory import CONNECTION_BYTES, LEAST_CONNECTIONS, RECEIVED_PARTS
 from brackenloft.lifecycle import Lifecycle
+from brackenloft.net.accept_queue import AcceptQueue
 from brackenloft.net.kernel import bound_buffers
 from brackenloft.net.limits import BufferLimits
 from brackenloft.net.momentary import tried_again
+from brackenloft.net.streams import STREAM_FROM
 
 log = logging.getLogger(__name__)
 
 BACKLOG = 1024  # connections that wait in the kernel: all that come while there is no room
-ACCEPTS = 32  # connections accepted before the others have their turn
+MOST_ACCEPTED = 256  # connections accepted at once: who has left again in the meantime costs little
+ADMITTED = 32  # connections that are admitted before the others have their turn
+MOST_HEARD = 16  # connections that are heard at once, whatever the memory holds
+MOST_QUEUED = 512  # connections that are accepted and wait for memory or their turn; more wait in the kernel
 
 
 class Listener:
@@ -28,7 +33,10 @@
         self.socket_buffer, self.memory = limits.socket_buffer, limits.memory
         self.loop = asyncio.get_running_loop()
         self.listener: socket.socket | None = None
-        self.tasks: set[asyncio.Task[None]] = set()
+        self.tasks: set[asyncio.Task[None]] = set()  # connections that are being admitted
+        self.queue = AcceptQueue(STREAM_FROM)
+        self.spare = limits.spare_descriptors  # for the queue; those beyond take their places already
+        self.queued_places = 0
         self.leaving = self.accepting = self.shared = False
         self.most_left = 0  # connections that are still accepted while leaving
 
@@ -100,34 +108,78 @@
         free only once the loop has closed its descriptor, so this goes on from ``closed``.
         """
         assert self.listener
-        if self._places_free() < 1:
+        if self._places_to_accept() < 1:
             self._accept_no_more()
             self._make_room()
             self.look_after()
-        for _ in range(min(ACCEPTS, self._places_free())):
+        for _ in range(min(MOST_ACCEPTED, self._places_to_accept())):
             if self.leaving and self.most_left <= 0:
                 self._close_listener()
-                return
+                break
             try:
                 sock, _ = self.listener.accept()
             except BlockingIOError:
                 if self.leaving:
                     self._close_listener()
-                return
+                break
             except OSError as error:
                 log.warning("no connection accepted: %r", error)
                 self._accept_no_more()  # until the next sweep
                 self.look_after()
-                return
-            self.budget.take(Side.CLIENTS)
+                break
             self.most_left -= 1
-            task = self.loop.create_task(self._admit(sock))
-            self.tasks.add(task)
-            task.add_done_callback(self.tasks.discard)
+            self._enqueue(sock)
+        self._admit_queued()
+
+    def _enqueue(self, sock: socket.socket) -> None:
+        self.queue.add(sock)
+        if len(self.queue) > self.spare:
+            self.budget.take(Side.CLIENTS)
+            self.queued_places += 1
+
+    def _leaves_queue(self) -> bool:
+        """One has left the queue; whether it had a place."""
+        had = self.queued_places > max(0, len(self.queue) - self.spare)
+        self.queued_places -= had
+        return had
+
+    def _places_to_accept(self) -> int:
+        """Connections that there are descriptors for, while the queue holds those there is no memory for."""
+        spare = max(0, self.spare - len(self.queue))
+        return max(0, min(spare + self.budget.free(Side.CLIENTS), MOST_QUEUED - len(self.queue)))
+
+    def _descriptors_free(self) -> int:
+        """Places that a connection of the queue may have."""
+        return self.budget.free(Side.CLIENTS) + self.queued_places
+
+    def _admit_queued(self) -> None:
+        """Admit those that wait, as far as there is memory.
 
-    def _memory_for_connections(self) -> float:
-        """Bytes that new connections may take."""
-        return self.memory.left()
+        Some of those who have written are heard in any case, and refused where there is no room for what they
+        ask. Guards against refusing them when their time is over.
+        """
+        if not self.queue:
+            return
+        for sock in self.queue.departed():
+            sock.close()
+            if self._leaves_queue():
+                self.budget.give(Side.CLIENTS)
+        while self.queue and len(self.tasks) < ADMITTED and self._places_free() > 0:
+            self._begin_to_admit(self.queue.next())
+        while self.queue.urgent and len(self.tasks) < MOST_HEARD and self._descriptors_free():
+            self._begin_to_admit(self.queue.next())
+        if self.queue and len(self.tasks) >= ADMITTED:
+            self.loop.call_soon(self._admit_queued)
+        elif self.queue:
+            self._make_room()
+            self.look_after()
+
+    def _begin_to_admit(self, sock: socket.socket) -> None:
+        if not self._leaves_queue():
+            self.budget.take(Side.CLIENTS)
+        task = self.loop.create_task(self._admit(sock))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
 
     def _places_free(self) -> int:
         """Connections that there are descriptors and memory for.
@@ -135,8 +187,9 @@
         Some are taken whatever the memory holds. Guards against waiting for memory that nobody gives back.
         """
         cost = CONNECTION_BYTES + RECEIVED_PARTS * self.socket_buffer
-        fit = max(self._memory_for_connections() / cost, LEAST_CONNECTIONS - self.budget.taken[Side.CLIENTS])
-        return int(min(self.budget.free(Side.CLIENTS), max(0, fit)))
+        admitted = self.budget.taken[Side.CLIENTS] - self.queued_places
+        fit = max(self.memory.left() / cost - len(self.tasks), LEAST_CONNECTIONS - admitted)
+        return int(min(self._descriptors_free(), max(0, fit)))
 
     async def _admit(self, sock: socket.socket) -> None:
         try:
--- a/brackenloft/net/replies.py
+++ b/brackenloft/net/replies.py
@@ -19,7 +19,12 @@
 
 STALLED_S = 15.0  # a client that takes no byte of its answers for so long is gone; a burst may save as much
 REPLY = 256  # bytes that a reply takes beside its own, while those before it are owed
-BUFFERED = (Held.COMMANDS, Held.IN_HAND, Held.UNSENT)  # what the process itself buffers for a client
+BUFFERED = (
+    Held.COMMANDS,
+    Held.IN_HAND,
+    Held.REPLIES,
+    Held.UNSENT,
+)  # what the process itself buffers for a client
 WRITE_RATE = 4 * 1024  # bytes a second that a client takes at least of answers that pile up here
 
 
@@ -84,7 +89,7 @@
 
     # ---- Counting
 
-    def hold(self, size: int, kind: Held = Held.IN_HAND) -> None:
+    def hold(self, size: int, kind: Held) -> None:
         """Count bytes that are held for this connection, or less of them."""
         self.account.hold(kind, size)
 
@@ -96,7 +101,7 @@
     @property
     def in_hand(self) -> int:
         """Bytes of commands and replies in slots."""
-        return self.account.of(Held.IN_HAND)
+        return self.account.of(Held.IN_HAND, Held.REPLIES)
 
     @property
     def unsent(self) -> int:
@@ -108,7 +113,7 @@
     def _reply(self, answer: bytes) -> None:
         size = len(answer) + REPLY
         self.slots.append(Slot(self, answer, size=size))
-        self.hold(size)
+        self.hold(size, Held.REPLIES)
         self.flush()
 
     def flush(self) -> None:
@@ -145,7 +150,7 @@
             if self.stuck:
                 return False
             answer = answer[part:]
-        self.hold(-self.slots.popleft().size)
+        self.slots.popleft().release()
         if answer:
             self._write(answer)
         return True
--- a/brackenloft/net/server_connection.py
+++ b/brackenloft/net/server_connection.py
@@ -61,6 +61,9 @@
     def room(self, connection: Connection) -> int:
         """Bytes that may still be held of what comes on a connection."""
 
+    def whole_up_to(self) -> int:
+        """Bytes of a value that is held until it is whole."""
+
     def may_stream(self) -> bool:
         """Whether there is memory for another long value that a client may take slowly."""
 
@@ -284,7 +287,7 @@
         """An answer is not whole yet: a long value is passed on from here, others are held."""
         attempt = self.attempt
         if attempt and attempt.opened and self.stream is None:
-            opening = self.reader.opening(STREAM_FROM)
+            opening = self.reader.opening(self.servers.whole_up_to())
             if opening:
                 self._open(attempt, *opening)
                 return
--- a/brackenloft/net/servers.py
+++ b/brackenloft/net/servers.py
@@ -29,7 +29,7 @@
 from brackenloft.net.server_connection import Connection, Host
 from brackenloft.net.server_protocol import ServerProtocol
 from brackenloft.net.server_replies import RespReplyDecoder
-from brackenloft.net.streams import Streams
+from brackenloft.net.streams import LEAST_WINDOW, STREAM_FROM, Streams
 
 IDLE_SHARE = 0.4  # of the servers' idle limit after which a connection is retired: well before they do
 COMING_UP = 8  # connections to a server that are coming up at once: its accept queue takes many times as many
@@ -40,6 +40,8 @@
 LOOK_S = 0.1  # between two looks at those under way
 LATE_S = 0.025  # a look so late says that the loop was held up: no server is too slow for that
 STREAMS_SHARE = 0.5  # of what may be held of answers, for long values; the rest for those gathered whole
+REPLIES_SHARE = 0.25  # of what may be held, for whole answers while there is no place for a long value
+LEAST_WHOLE = 8 * 1024  # bytes of a value that is held until it is whole, however short the memory is
 STREAMS_MEMORY = 0.5  # of what is held for all peers, for long values with their two connections
 SWEEP_S = 1.0  # between two looks at idle connections
 
@@ -260,20 +262,31 @@
         """Bytes that may still be held of what comes on a connection, which may begin a long value."""
         held = connection.stream.held if connection.stream else 0
         of_streams = min(self.streams.part() - held, self.streams.most - self.streams.held)
-        return int(min(of_streams, self._room(), self.memory.left()))
+        left = min(of_streams, self._room(), self.memory.left_beside_headroom())
+        return int(max(LEAST_WINDOW - held, left))
+
+    def whole_up_to(self) -> int:
+        """Bytes of a value that is held until it is whole; a longer one is passed on as it comes."""
+        if min(self._room(), self.memory.left_beside_headroom()) >= STREAM_FROM:
+            return STREAM_FROM
+        if self._has_stream_place() or self.memory.held[Held.REPLIES] > self.most_held * REPLIES_SHARE:
+            return LEAST_WHOLE
+        return STREAM_FROM
 
     def may_stream(self) -> bool:
         """Whether there is memory for another long value that a client may take slowly.
 
         Guards against slow readers, who may not be cut off, that leave nothing to those who ask for little.
         """
-        parts = (1 + RECEIVED_PARTS + SENT_PARTS) * self.socket_buffer
-        most = self.memory.limit * STREAMS_MEMORY / (2 * CONNECTION_BYTES + parts)
-        if len(self.streams.open) < most:
+        if self._has_stream_place():
             return True
         self.bites.bite("memory of long values", "one is given up as it begins")
         return False
 
+    def _has_stream_place(self) -> bool:
+        parts = (RECEIVED_PARTS + SENT_PARTS) * self.socket_buffer + LEAST_WINDOW
+        return len(self.streams.open) < self.memory.limit * STREAMS_MEMORY / (2 * CONNECTION_BYTES + parts)
+
     def _room(self) -> int:
         return self.most_held - self.held - self.streams.held
 
--- a/brackenloft/net/slots.py
+++ b/brackenloft/net/slots.py
@@ -14,7 +14,7 @@
 class ReplyWriter(Protocol):
     """The connection that a slot's reply is written on."""
 
-    def hold(self, size: int, kind: Held = Held.IN_HAND) -> None:
+    def hold(self, size: int, kind: Held) -> None:
         """Count bytes that are buffered for this connection, or less of them."""
 
     def flush(self) -> None:
@@ -27,7 +27,7 @@
 class Slot:
     """The place of a command's reply in the order of its connection."""
 
-    __slots__ = ("connection", "answer", "request_id", "size", "call", "stream")
+    __slots__ = ("connection", "answer", "request_id", "size", "kind", "call", "stream")
 
     def __init__(
         self,
@@ -38,6 +38,7 @@
     ) -> None:
         self.connection, self.answer, self.request_id = connection, answer, request_id
         self.size = size  # bytes that it holds: the command, later the answer
+        self.kind = Held.IN_HAND if answer is None else Held.REPLIES
         self.call: Call | None = None
         self.stream: Stream | None = None  # what comes behind the answer's header
 
@@ -73,6 +74,12 @@
         self.answer, self.stream, self.call = wire.answer_line(answer), None, None
         self._resize(len(self.answer))
 
+    def release(self) -> None:
+        """It holds nothing any more."""
+        size, self.size = self.size, 0
+        self.connection.hold(-size, self.kind)
+
     def _resize(self, size: int) -> None:
-        self.connection.hold(size - self.size)
-        self.size = size
+        self.release()
+        self.size, self.kind = size, Held.REPLIES
+        self.connection.hold(size, self.kind)
--- a/brackenloft/net/streams.py
+++ b/brackenloft/net/streams.py
@@ -2,8 +2,8 @@
 
 The source brings pieces and is paused while its window is full; the sink takes them when it is the value's
 turn and the client takes more. One budget of bytes is shared by all streams: each may hold its even part of
-it, and one piece in any case. Guards against values that fill the memory, and against servers that are kept
-at an answer, and customers' places with them, for as long as a slow client takes it.
+it, and a least window in any case. Guards against values that fill the memory, and against servers that are
+kept at an answer, and customers' places with them, for as long as a slow client takes it.
 """
 
 from __future__ import annotations
@@ -15,6 +15,9 @@
 from brackenloft.admission.account import Held, MemoryAccount
 
 STREAM_FROM = 64 * 1024  # bytes of a value that is passed on as it comes: the protocol's usual longest
+LEAST_WINDOW = (
+    8 * 1024
+)  # bytes that a stream may hold however short the memory is: a quick client waits for none
 # For which a value is held back for the replies behind it: an answer half a second late is lost.
 GATHER_MS = 400.0
 
@@ -33,16 +36,24 @@
 
 
 class Streams:
-    """The budget of all streams: ``most`` bytes over all, in even parts."""
+    """The budget of all streams: ``most`` bytes over all, in even parts, and ``least_window`` for each."""
 
-    def __init__(self, most: int, memory: MemoryAccount | None = None) -> None:
-        self.most, self.held = most, 0
+    def __init__(
+        self, most: int, memory: MemoryAccount | None = None, least_window: int = LEAST_WINDOW
+    ) -> None:
+        self.most, self.least_window, self.held = most, least_window, 0
         self.memory = memory or MemoryAccount()
         self.open: set[Stream] = set()
 
     def fits(self, held: int) -> bool:
         """Whether a stream that holds so much may read on."""
-        return not held or (self.held < self.most and held < self.part() and self.memory.left() > 0)
+        return held < self.least_window or (
+            self.held < self.most and held < self.part() and not self.is_short()
+        )
+
+    def is_short(self) -> bool:
+        """Whether long values leave no room to others."""
+        return self.memory.left_beside_headroom() <= 0
 
     def hold(self, size: int) -> None:
         """So much more of them is held, or less."""
@@ -93,7 +104,7 @@
         self.pieces.append(piece)
         self._hold(len(piece))
         self.sink()
-        if self.gathers and self.streams.held >= self.streams.most:
+        if self.gathers and (self.streams.held >= self.streams.most or self.streams.is_short()):
             self.hurry()
         if not self.gathers and not self.streams.fits(self.held):
             self.source.pause()
--- a/brackenloft/net/wire.py
+++ b/brackenloft/net/wire.py
@@ -10,6 +10,8 @@
 from brackenloft.answers import Answer, Refused, Served
 
 WAIT = re.compile(rb"(?:^|,)d=")
+WAIT_TIME = re.compile(rb"(?:^|,)d=([0-9]{1,9}(?:\.[0-9]{1,9})?)(?:,|$)")
+LISTED = 3  # the place of the list of names and values in a command
 # Bytes as they are written; several pieces are written one behind the other, and never joined.
 Buffers = bytes | tuple[bytes, ...]
 Encoder = Callable[[float], Buffers]  # from the milliseconds that the gateway waits
@@ -70,6 +72,13 @@
     return encode
 
 
+def wait_ms(words: Sequence[bytes | bytearray | None]) -> float | None:
+    """How long a client will wait, by the words of its command that have come; None where they don't say."""
+    listed = words[LISTED] if len(words) > LISTED else None
+    told = WAIT_TIME.search(listed) if listed else None
+    return float(told[1]) if told else None
+
+
 def decimal(number: float) -> str:
     """A number as the protocol has it: digits, and at most nine behind a point."""
     return f"{number:.9f}".rstrip("0").rstrip(".")
--- a/brackenloft/obligations.py
+++ b/brackenloft/obligations.py
@@ -28,7 +28,6 @@
     ROOM = "room is made"
     PEER_LEFT = "the peer has left"
     TAKES_TOO_LITTLE = "the peer takes too little"
-    TAKES_NOTHING = "the peer takes nothing while memory is short"
     PROCESS_ENDS = "the process ends"
 
 
@@ -42,7 +41,7 @@
     SENT_LATE = "sent after its time"
 
 
-PEERS_OWN = frozenset({CloseReason.PEER_LEFT, CloseReason.TAKES_TOO_LITTLE, CloseReason.TAKES_NOTHING})
+PEERS_OWN = frozenset({CloseReason.PEER_LEFT, CloseReason.TAKES_TOO_LITTLE})
 
 
 @dataclass(frozen=True, slots=True)
