Audit closes by the kernel's figures of the peer, and name each lost request in the log

Operators saw: 0 breaches while clients lost answers, and a log full of garbage in which no loss was told.

Each close over what is owed has a line with the requests' ids, which the ration lets through; figures requests_lost_to_slow_peers and log_lines_left_out.

Class: an oracle that asks the accused.

--- a/brackenloft/__main__.py
+++ b/brackenloft/__main__.py
@@ -53,6 +53,8 @@
 class Ration(logging.Filter):
     """Lets so many lines of the log through in a span, and says how many it left out.
 
+    What is done against a request that was taken is written in any case: ``unrationed`` of the record.
+
     Guards against a peer that fills the log, which counts as memory where it is a file: a line for each
     thing that can't be read, at full speed.
     """
@@ -60,9 +62,12 @@
     def __init__(self) -> None:
         super().__init__()
         self.until, self.passed, self.left_out = -inf, 0, 0
+        self.left_out_in_all = 0
 
     def filter(self, record: logging.LogRecord) -> bool:
         """Whether the line is written."""
+        if getattr(record, "unrationed", False):
+            return True
         if record.created >= self.until:
             if self.left_out:
                 record.msg, record.args = f"{record.getMessage()} ({self.left_out} lines left out before)", ()
@@ -70,9 +75,13 @@
         self.passed += 1
         if self.passed > LOG_LINES:
             self.left_out += 1
+            self.left_out_in_all += 1
         return self.passed <= LOG_LINES
 
 
+RATION = Ration()  # of the log of this process
+
+
 def _address(text: str) -> Address:
     host, _, port = text.rpartition(":")
     return host, int(port)
@@ -187,7 +196,9 @@
         from brackenloft.ops.station import Station
 
         try:
-            shut = Station(edge, config.admin).close
+            station = Station(edge, config.admin)
+            station.more["log_lines_left_out"] = lambda: RATION.left_out_in_all
+            shut = station.close
         except OSError as error:
             raise SystemExit(f"the second address {config.admin[0]}:{config.admin[1]}: {error}") from error
     if config.shared:
@@ -273,7 +284,7 @@
         stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(name)s %(message)s"
     )
     for handler in logging.getLogger().handlers:
-        handler.addFilter(Ration())
+        handler.addFilter(RATION)
     try:
         config = Config.load(dict(os.environ))
         gc.freeze()
--- a/brackenloft/net/client.py
+++ b/brackenloft/net/client.py
@@ -80,7 +80,10 @@
         """
         first = self.slots.popleft()
         if self.slots or self.unparsed:
-            self.clients.obligations.breach(Breach.CLOSED_UNANSWERED, self.name())
+            behind = " ".join(slot.request_id for slot in self.slots)
+            self.clients.obligations.breach(
+                Breach.CLOSED_UNANSWERED, f"{self.name()}: behind a value that broke off, {behind}"
+            )
         for slot in self.slots:
             slot.release()
         self._withdraw()
--- a/brackenloft/net/client_closing.py
+++ b/brackenloft/net/client_closing.py
@@ -13,6 +13,7 @@
 
 from brackenloft.net.client_owner import ClientOwner
 from brackenloft.net.client_state import ConnectionEvent
+from brackenloft.net.close_audit import PeerHistory
 from brackenloft.net.kernel import unacknowledged, unread
 from brackenloft.net.replies import STALLED_S, Replies
 from brackenloft.net.resp import Commands
@@ -35,6 +36,7 @@
     within: bool  # a part of a command has come, and may be dropped
     parting: bool  # to be closed as soon as nothing is owed on it
     timer: asyncio.TimerHandle | None  # while it lingers
+    peer_history: PeerHistory
 
     @property
     def unparsed(self) -> bool:
@@ -87,6 +89,7 @@
         if self.transport is None or self.transport.is_closing():
             return
         now, left = time.monotonic(), unacknowledged(self.socket)
+        self.peer_history.sample()
         if left != undelivered:
             moved_at = now
         if now - since >= LINGER_S and (not left or now - moved_at >= STALLED_S):
@@ -98,7 +101,10 @@
         """End the connection now, whatever is still to be written on it."""
         if self.transport is None or self.transport.is_closing():
             return
-        self.clients.obligations.closes(self.name(), self.dues(), reason, unread(self.socket))
+        requests = [slot.request_id for slot in self.slots if slot.request_id]
+        self.clients.obligations.closes(
+            self.name(), self.dues(), reason, unread(self.socket), self.peer_history.facts(), requests
+        )
         if not self.half_closed:
             self._happens(ConnectionEvent.END)
         self.transport.abort()
--- a/brackenloft/net/client_reading.py
+++ b/brackenloft/net/client_reading.py
@@ -12,6 +12,7 @@
 from brackenloft.net.arrivals import Arrivals
 from brackenloft.net.client_closing import Closing
 from brackenloft.net.client_owner import ClientOwner
+from brackenloft.net.close_audit import PeerHistory
 from brackenloft.net.kernel import age_s, has_gone, unread
 from brackenloft.net.resp import Commands
 from brackenloft.obligations import Breach
@@ -33,6 +34,7 @@
     def __init__(self, clients: ClientOwner[Any], sock: socket.socket) -> None:
         super().__init__(clients)
         self.socket = sock
+        self.peer_history = PeerHistory(sock)
         self.reader = Commands()
         self.age_s = 0.0  # of what came first, when it was read
         self.came_at = time.monotonic()  # about when the command that was taken last had come to the kernel
--- a/brackenloft/net/clients.py
+++ b/brackenloft/net/clients.py
@@ -265,6 +265,7 @@
                 self.bites.bite("least rate of commands", "a client is turned away")
                 client.overdue()
         for client in list(self.stuck):
+            client.peer_history.sample()
             if client.takes_too_little(now, late):
                 self.bites.bite("least rate of answers", "a client that takes too little is cut off")
                 client.close(CloseReason.TAKES_TOO_LITTLE)
--- a/brackenloft/obligations.py
+++ b/brackenloft/obligations.py
@@ -11,6 +11,7 @@
 
 import logging
 from collections import Counter
+from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import StrEnum
 from math import inf
@@ -18,6 +19,10 @@
 log = logging.getLogger(__name__)
 
 LEAST_TOLD_MS = 1.0  # a deadline of nothing is of another form
+# A peer that takes less than this over at least so long may be given up, whatever is owed to it.
+STATED_S, STATED_RATE = 15.0, 4 * 1024  # seconds, bytes a second
+STATED_SLACK_S = 1.0  # between two samples of what a peer has acknowledged
+MOST_NAMED = 16  # requests that a line of the log names
 TOLD_SLACK_MS = 150.0  # by which the deadline that a server is told may exceed what the client has left
 
 
@@ -41,7 +46,7 @@
     SENT_LATE = "sent after its time"
 
 
-PEERS_OWN = frozenset({CloseReason.PEER_LEFT, CloseReason.TAKES_TOO_LITTLE})
+UNRATIONED = {"unrationed": True}  # of a line of the log: it is written however many others there are
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,6 +62,24 @@
         return self.unanswered > 0 or self.unparsed
 
 
+@dataclass(frozen=True, slots=True)
+class PeerFacts:
+    """What the kernel tells of the peer of a connection that is closed."""
+
+    left: bool = False  # it has closed its end, or its machine has reset the connection
+    acknowledged: int = 0  # bytes, over the last ``over_s``
+    over_s: float = 0.0
+
+    def bear_out(self, reason: CloseReason) -> bool:
+        """Whether the peer is the reason."""
+        if reason is CloseReason.PEER_LEFT:
+            return self.left
+        if reason is CloseReason.TAKES_TOO_LITTLE:
+            stated = self.over_s >= STATED_S - STATED_SLACK_S
+            return stated and self.acknowledged < STATED_RATE * self.over_s
+        return False
+
+
 def may_close(dues: Dues) -> bool:
     """Whether a connection may be closed by our own choice."""
     return not dues.unheard() and not dues.undelivered
@@ -109,19 +132,38 @@
         self.closed_unread: Counter[str] = Counter()
         self.breaches: Counter[str] = Counter()
         self.withheld: Counter[str] = Counter()
-
-    def closes(self, name: str, dues: Dues, reason: CloseReason, unread: bool = False) -> None:
-        """A client's connection is closed; ``unread``: over bytes that nobody read, which are sent again."""
+        self.lost = 0  # requests whose clients took too little of their answers
+
+    def closes(
+        self,
+        name: str,
+        dues: Dues,
+        reason: CloseReason,
+        unread: bool = False,
+        peer: PeerFacts = PeerFacts(),  # noqa: B008
+        requests: Sequence[str] = (),
+    ) -> None:
+        """A client's connection is closed; ``unread``: over bytes that nobody read, which are sent again.
+
+        ``peer``: by the kernel, which has to bear out a reason of the peer's own. ``requests``: those that
+        have had no whole answer.
+        """
         self.closed[reason.value] += 1
         if unread:
             self.closed_unread[reason.value] += 1
             log.info("%s is closed over bytes that were not read: %s, %s", name, reason.value, dues)
-        if reason in PEERS_OWN:
+        if not dues.unheard() and not dues.undelivered:
             return
-        if dues.unheard():
-            self.breach(Breach.CLOSED_UNANSWERED, f"{name}: {reason.value}, {dues}")
-        elif dues.undelivered:
-            self.breach(Breach.CLOSED_UNDELIVERED, f"{name}: {reason.value}, {dues}")
+        named = " ".join(requests[:MOST_NAMED])
+        detail = f"{name}: {reason.value}, {dues}, {peer}, {len(requests)} requests: {named}"
+        if peer.bear_out(reason):
+            if not peer.left:
+                self.lost += len(requests)
+                log.warning("requests lost: %s", detail, extra=UNRATIONED)
+        elif dues.unheard():
+            self.breach(Breach.CLOSED_UNANSWERED, detail)
+        else:
+            self.breach(Breach.CLOSED_UNDELIVERED, detail)
 
     def withholds(self, name: str, why: Withheld) -> None:
         """An attempt is not written."""
@@ -138,4 +180,4 @@
     def breach(self, breach: Breach, detail: str) -> None:
         """Count a violation, and tell the people on call."""
         self.breaches[breach.value] += 1
-        log.error("obligation not kept: %s (%s)", breach.value, detail)
+        log.error("obligation not kept: %s (%s)", breach.value, detail, extra=UNRATIONED)
--- a/brackenloft/ops/station.py
+++ b/brackenloft/ops/station.py
@@ -43,4 +43,5 @@
         figures["attempts_withheld"] = dict(obligations.withheld)
         figures["memory_held"] = {kind.value: size for kind, size in edge.memory.held.items()}
         figures["breaches"] = dict(obligations.breaches)
+        figures["requests_lost_to_slow_peers"] = obligations.lost
         return figures | {name: read() for name, read in self.more.items()}
--- a/tests/test_net_process.py
+++ b/tests/test_net_process.py
@@ -29,6 +29,7 @@
 from test_adapter import ENV
 
 from brackenloft import __main__ as program_module
+from brackenloft.obligations import UNRATIONED
 from brackenloft.standins.platform import free_port
 
 ROOT = Path(__file__).parent.parent
@@ -232,3 +233,13 @@
     record = logging.makeLogRecord({"msg": "later", "created": 1000.0 + program_module.LOG_SPAN_S})
     assert ration.filter(record)
     assert record.getMessage() == f"later ({2 * program_module.LOG_LINES} lines left out before)"
+
+
+# Guards against losses that are left out of the log because bad clients fill it.
+def test_line_on_a_request_that_was_lost_is_written_however_many_others_there_are():
+    ration = program_module.Ration()
+    for _ in range(2 * program_module.LOG_LINES):
+        ration.filter(logging.makeLogRecord({"msg": "bad", "created": 1000.0}))
+    assert not ration.filter(logging.makeLogRecord({"msg": "bad", "created": 1000.0}))
+    assert ration.filter(logging.makeLogRecord({"msg": "lost", "created": 1000.0, **UNRATIONED}))
+    assert ration.left_out_in_all == program_module.LOG_LINES + 1
--- a/tests/test_obligations.py
+++ b/tests/test_obligations.py
@@ -3,12 +3,14 @@
 import pytest
 
 from brackenloft.obligations import (
-    PEERS_OWN,
+    STATED_RATE,
+    STATED_S,
     TOLD_SLACK_MS,
     Breach,
     CloseReason,
     Dues,
     Obligations,
+    PeerFacts,
     SendFacts,
     Withheld,
     may_close,
@@ -26,12 +28,36 @@
 
 @pytest.mark.parametrize(("dues", "breach"), OWED)
 @pytest.mark.parametrize("reason", CloseReason)
-def test_close_over_what_is_owed_is_counted_unless_the_peer_is_the_reason(dues, breach, reason):
+def test_close_over_what_is_owed_is_counted_whatever_reason_the_closer_gives(dues, breach, reason):
     obligations = Obligations()
     obligations.closes("a client", dues, reason)
     assert not may_close(dues)
     assert obligations.closed == {reason.value: 1}
-    assert obligations.breaches == ({} if reason in PEERS_OWN else {breach.value: 1})
+    assert obligations.breaches == {breach.value: 1}
+
+
+# Guards against an audit that takes the closer's word for what the peer did.
+@pytest.mark.parametrize(
+    ("reason", "peer", "borne_out"),
+    [
+        (CloseReason.PEER_LEFT, PeerFacts(left=True), True),
+        (CloseReason.PEER_LEFT, PeerFacts(False, 0, STATED_S), False),
+        (CloseReason.TAKES_TOO_LITTLE, PeerFacts(False, STATED_S * STATED_RATE - 1, STATED_S), True),
+        (CloseReason.TAKES_TOO_LITTLE, PeerFacts(False, STATED_S * STATED_RATE, STATED_S), False),
+        (CloseReason.TAKES_TOO_LITTLE, PeerFacts(False, 0, STATED_S / 2), False),
+        (CloseReason.ROOM, PeerFacts(True, 0, STATED_S), False),
+        (CloseReason.PROCESS_ENDS, PeerFacts(False, 0, STATED_S), False),
+    ],
+)
+def test_peer_is_the_reason_of_a_close_only_by_what_the_kernel_tells(reason, peer, borne_out, caplog):
+    obligations = Obligations()
+    obligations.closes("a client", Dues(unanswered=1), reason, peer=peer, requests=["a1b2"])
+    assert bool(obligations.breaches) is not borne_out
+    lost_to_pace = borne_out and not peer.left
+    assert obligations.lost == lost_to_pace
+    named = [record for record in caplog.records if "a1b2" in record.getMessage()]
+    assert bool(named) is (lost_to_pace or not borne_out)
+    assert all(record.unrationed for record in named)
 
 
 @pytest.mark.parametrize("reason", CloseReason)
