A server's queue is not popped twice when asking about an attempt serves it too

Cause: the first attempt stayed in the queue while it was asked whether it may be written; that may withdraw its request, whose connection's next one comes to the same queue and takes it out. Class: a look at the head of a queue that is changed by what follows.

Mend: it is taken out first, and put back where it has to wait. The new test fails with IndexError without the mend.

--- a/brackenloft/net/servers.py
+++ b/brackenloft/net/servers.py
@@ -153,18 +153,19 @@
     def serve_waiting(self, host: Host) -> None:
         """Send what waits for a connection, as far as there are any."""
         while host.waiting:
-            attempt = host.waiting[0]
+            attempt = host.waiting.popleft()  # at once: what is asked about it may bring others here
             if not attempt.may_write(time.monotonic()):  # or it was stopped meanwhile
-                host.waiting.popleft().waits = False
+                attempt.waits = False
                 attempt.finish(Reply(attempt.withheld))
                 continue
             connection = self._rested(host)
             if connection is None and (host.coming_up >= COMING_UP or self._short(host)):
+                host.waiting.appendleft(attempt)
                 if host.idle and host.timer is None:
                     wait = max(LEAST_WAIT_S, host.idle[0].idle_since + REST_S - self.loop.time())
                     host.timer = self.loop.call_later(wait, self._have_rested, host)
                 return
-            host.waiting.popleft().waits = False
+            attempt.waits = False
             if connection:
                 connection.send(attempt)
             else:
--- a/tests/test_net_servers.py
+++ b/tests/test_net_servers.py
@@ -458,6 +458,27 @@
     run(test())
 
 
+# Guards against an attempt that is taken out of the queue twice, as asking about it serves the queue too.
+def test_queue_of_a_server_that_is_served_while_an_attempt_is_asked_about_stays_whole():
+    async def test():
+        async with node(FakeServer()) as gateway:
+            ends, host, asked = Ends(), gateway.servers.hosts[1], []
+
+            def ask(now):
+                if not asked:
+                    asked.append(now)
+                    gateway.servers.serve_waiting(host)
+
+            attempts = [ends.attempt() for _ in range(2)]
+            attempts[0].ask = ask
+            for attempt in attempts:
+                gateway.servers.start(1, attempt)
+            assert [await ends.status() for _ in attempts] == [Status.OK] * 2
+            assert asked and not host.waiting
+
+    run(test())
+
+
 def test_burst_waits_for_connections_and_few_come_up_at_once():
     async def test():
         server = FakeServer()
