--- a/brackenloft/net/accept_queue.py
+++ b/brackenloft/net/accept_queue.py
@@ -66,6 +66,7 @@
 
     def _has_written(self, descriptor: int, now: float) -> None:
         sock = self.rows[Urgency.SILENT][descriptor]
+        self.poll.modify(descriptor, DEPARTED)  # guards against being told of what it wrote again and again
         if self._begins_long(sock):
             self._move(descriptor, Urgency.LONG)
             self.began[descriptor] = now
--- a/brackenloft/net/clients.py
+++ b/brackenloft/net/clients.py
@@ -161,8 +161,7 @@
         client.account.close()
         self.asking -= client.asked > 0
         self._place_free()
-        if self.queue:
-            self.loop.call_soon(self._admit_queued)
+        self.admit_soon()
 
     def sort(self, client: Client, within: bool, took: bool) -> None:
         """Note what a connection is at: within a command, at its end, idle, or with requests in hand."""
--- a/brackenloft/net/listener.py
+++ b/brackenloft/net/listener.py
@@ -37,6 +37,7 @@
         self.queue = AcceptQueue(STREAM_FROM)
         self.spare = limits.spare_descriptors  # for the queue; those beyond take their places already
         self.queued_places = 0
+        self.admitting = False  # in the next turn of the loop
         self.leaving = self.accepting = self.shared = False
         self.most_left = 0  # connections that are still accepted while leaving
 
@@ -158,6 +159,7 @@
         Some of those who have written are heard in any case, and refused where there is no room for what they
         ask. Guards against refusing them when their time is over.
         """
+        self.admitting = False
         if not self.queue:
             return
         for sock in self.queue.departed():
@@ -169,11 +171,17 @@
         while self.queue.urgent and len(self.tasks) < MOST_HEARD and self._descriptors_free():
             self._begin_to_admit(self.queue.next())
         if self.queue and len(self.tasks) >= ADMITTED:
-            self.loop.call_soon(self._admit_queued)
+            self.admit_soon()
         elif self.queue:
             self._make_room()
             self.look_after()
 
+    def admit_soon(self) -> None:
+        """Admit those that wait in the next turn of the loop."""
+        if self.queue and not self.admitting:
+            self.admitting = True
+            self.loop.call_soon(self._admit_queued)
+
     def _begin_to_admit(self, sock: socket.socket) -> None:
         if not self._leaves_queue():
             self.budget.take(Side.CLIENTS)
