Give up who takes nothing for 3 s while others wait for room

Mend: while connections wait, a peer whose machine has acknowledged nothing for 3 s is ended: its own pace, over a stated time, borne out by the kernel's figures in the audit.

--- a/brackenloft/net/clients.py
+++ b/brackenloft/net/clients.py
@@ -263,9 +263,13 @@
                 del self.slow[client]
                 self.bites.bite("least rate of commands", "a client is turned away")
                 client.overdue()
+        room_wanted = self._waits_for_place()
         for client in list(self.stuck):
             client.peer_history.sample()
-            if client.takes_too_little(now, late):
+            if client.takes_nothing(now) and room_wanted and not late:
+                self.bites.bite("least rate of answers", "a client that takes nothing is cut off")
+                client.close(CloseReason.TAKES_NOTHING)
+            elif client.takes_too_little(now, late):
                 self.bites.bite("least rate of answers", "a client that takes too little is cut off")
                 client.close(CloseReason.TAKES_TOO_LITTLE)
 
--- a/brackenloft/net/close_audit.py
+++ b/brackenloft/net/close_audit.py
@@ -35,6 +35,10 @@
         self.socket = sock
         self.samples: deque[tuple[float, int]] = deque()  # times by time.monotonic()
 
+    def restart(self) -> None:
+        """Something is owed to the peer again: what was before does not count."""
+        self.samples.clear()
+
     def sample(self) -> None:
         """Look now, if the last look was some time ago."""
         now = time.monotonic()
@@ -53,4 +57,6 @@
         if count is None or not self.samples:
             return PeerFacts(left)
         since, before = self.samples[0]
-        return PeerFacts(left, count - before, time.monotonic() - since)
+        now = time.monotonic()
+        unmoved = next((at for at, seen in self.samples if seen == count), now)
+        return PeerFacts(left, count - before, now - since, now - unmoved)
--- a/brackenloft/net/replies.py
+++ b/brackenloft/net/replies.py
@@ -13,11 +13,13 @@
 from brackenloft.answers import FAILED
 from brackenloft.net.client_owner import BufferAccount
 from brackenloft.net.client_state import FACTS, FOLLOWS, ConnectionEvent, ConnectionState
+from brackenloft.net.close_audit import PeerHistory
 from brackenloft.net.kernel import unacknowledged
 from brackenloft.net.slots import Slot
 from brackenloft.net.streams import Stream
 
 STALLED_S = 15.0  # a client that takes no byte of its answers for so long is gone; a burst may save as much
+IDLE_S = 3.0  # a client that takes no byte for so long while others wait for room is given up
 REPLY = 256  # bytes that a reply takes beside its own, while those before it are owed
 BUFFERED = (
     Held.COMMANDS,
@@ -32,6 +34,7 @@
     """What is owed on a connection, and what of it is still to be written."""
 
     socket: socket.socket
+    peer_history: PeerHistory
     waits_turn: bool  # what it has read waits until others have been read
 
     def __init__(self, clients: BufferAccount) -> None:
@@ -43,6 +46,7 @@
         self.ending = self.half_closed = False  # as FACTS has them for the state
         self.stuck = self.paused = self.reading = False
         self.writes: Pace | None = None  # while it is stuck
+        self.taken_last, self.taken_at = -1, 0.0  # the same by the last look, and since when
         self.written = 0  # bytes of replies that the transport has taken
         self.taken_before = (
             0  # bytes that the peer's machine had acknowledged when its pace was looked at last
@@ -211,7 +215,8 @@
         self.stuck = True
         if self.writes is None:
             self.writes = Pace(Least(WRITE_RATE, STALLED_S, STALLED_S), time.monotonic())
-            self.taken_before = self._taken()
+            self.taken_before, self.taken_last = self._taken(), -1
+            self.peer_history.restart()
         self.account.change(Held.SENT, SENT_PARTS * self.clients.most_unsent)
         self._is_stuck()
         self._count_unsent()
@@ -237,6 +242,13 @@
         self.writes.moved(max(0, self.taken_before - before), now)
         return self.writes.too_slow(now)
 
+    def takes_nothing(self, now: float) -> bool:
+        """Whether its machine has acknowledged nothing for ``IDLE_S``; ``now`` by time.monotonic()."""
+        taken = self._taken()
+        if taken != self.taken_last:
+            self.taken_last, self.taken_at = taken, now
+        return now - self.taken_at >= IDLE_S
+
     def _taken(self) -> int:
         """Bytes of replies that the peer's machine has acknowledged."""
         return self.written - self.undelivered()
--- a/brackenloft/obligations.py
+++ b/brackenloft/obligations.py
@@ -21,6 +21,7 @@
 LEAST_TOLD_MS = 1.0  # a deadline of nothing is of another form
 # A peer that takes less than this over at least so long may be given up, whatever is owed to it.
 STATED_S, STATED_RATE = 15.0, 4 * 1024  # seconds, bytes a second
+STATED_IDLE_S = 3.0  # of a peer that takes nothing at all, while others wait for room
 STATED_SLACK_S = 1.0  # between two samples of what a peer has acknowledged
 MOST_NAMED = 16  # requests that a line of the log names
 TOLD_SLACK_MS = 150.0  # by which the deadline that a server is told may exceed what the client has left
@@ -33,6 +34,7 @@
     ROOM = "room is made"
     PEER_LEFT = "the peer has left"
     TAKES_TOO_LITTLE = "the peer takes too little"
+    TAKES_NOTHING = "the peer takes nothing while others wait for room"
     PROCESS_ENDS = "the process ends"
 
 
@@ -69,6 +71,7 @@
     left: bool = False  # it has closed its end, or its machine has reset the connection
     acknowledged: int = 0  # bytes, over the last ``over_s``
     over_s: float = 0.0
+    idle_s: float = 0.0  # since it last acknowledged anything, as far as that was looked at
 
     def bear_out(self, reason: CloseReason) -> bool:
         """Whether the peer is the reason."""
@@ -77,6 +80,8 @@
         if reason is CloseReason.TAKES_TOO_LITTLE:
             stated = self.over_s >= STATED_S - STATED_SLACK_S
             return stated and self.acknowledged < STATED_RATE * self.over_s
+        if reason is CloseReason.TAKES_NOTHING:
+            return self.idle_s >= STATED_IDLE_S - STATED_SLACK_S
         return False
 
 
--- a/tests/test_obligations.py
+++ b/tests/test_obligations.py
@@ -3,6 +3,7 @@
 import pytest
 
 from brackenloft.obligations import (
+    STATED_IDLE_S,
     STATED_RATE,
     STATED_S,
     TOLD_SLACK_MS,
@@ -45,6 +46,8 @@
         (CloseReason.TAKES_TOO_LITTLE, PeerFacts(False, STATED_S * STATED_RATE - 1, STATED_S), True),
         (CloseReason.TAKES_TOO_LITTLE, PeerFacts(False, STATED_S * STATED_RATE, STATED_S), False),
         (CloseReason.TAKES_TOO_LITTLE, PeerFacts(False, 0, STATED_S / 2), False),
+        (CloseReason.TAKES_NOTHING, PeerFacts(False, 0, 9.0, STATED_IDLE_S), True),
+        (CloseReason.TAKES_NOTHING, PeerFacts(False, 0, 9.0, STATED_IDLE_S / 2), False),
         (CloseReason.ROOM, PeerFacts(True, 0, STATED_S), False),
         (CloseReason.PROCESS_ENDS, PeerFacts(False, 0, STATED_S), False),
     ],
