--- a/brackenloft/net/server_connection.py
+++ b/brackenloft/net/server_connection.py
@@ -286,11 +286,10 @@
     def _more(self, data: bytes) -> None:
         """An answer is not whole yet: a long value is passed on from here, others are held."""
         attempt = self.attempt
-        if attempt and attempt.opened and self.stream is None:
-            opening = self.reader.opening(self.servers.whole_up_to())
-            if opening:
-                self._open(attempt, *opening)
-                return
+        may_stream = attempt and attempt.opened and self.stream is None
+        if attempt and may_stream and (opening := self.reader.opening(self.servers.whole_up_to())):
+            self._open(attempt, *opening)
+            return
         self.servers.hold(self.reader.left - self.held, self)
         if self.pace:
             self.pace.moved(len(data), time.monotonic())
--- a/tests/test_memory_total.py
+++ b/tests/test_memory_total.py
@@ -7,10 +7,12 @@
 
 import pytest
 from fakes import FakeServer, array, call, run
-from slow_crowd import LONG, LONG_FROM, socket_bytes, status_bytes
+from slow_crowd import LONG, LONG_FROM
 from test_memory_limit import KINDS
 from test_net_process import ROOT, configured, connect, program, started
 
+from brackenloft.lab.overload.memory import socket_bytes, status_bytes
+
 pytestmark = [
     pytest.mark.trials,
     pytest.mark.skipif(not Path("/proc/self/status").exists(), reason="no /proc"),
