Tell of each end of a client's connection: a reason, a count, and a line where it matters

Cause: an end by the transport, by the peer, in the accept queue or in Listener._admit, and a half-close, wrote no line and were counted nowhere; lines on servers spent the ration of the log; what only the loop saw was rationed with them. Change: Obligations.closes is told once of each connection that was accepted, with what was owed, unread and, behind our half-close, when the peer's last byte came by the kernel (a breach if before). Half-closes and those that bytes crossed are counted. LoopErrors counts the loop's reports. A logger has a ration of its own.

--- a/brackenloft/__main__.py
+++ b/brackenloft/__main__.py
@@ -9,6 +9,7 @@
 import os
 import signal
 import sys
+from collections import defaultdict
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, replace
 from math import inf
@@ -22,6 +23,7 @@
 from brackenloft.edge.calls import Room
 from brackenloft.edge.edge import Edge
 from brackenloft.net.address import Address
+from brackenloft.net.loop_errors import LoopErrors
 from brackenloft.net.process_memory import release_file_pages, resident_bytes, return_freed_memory
 from brackenloft.net.resp import LONGEST_VALUE
 from brackenloft.settings import settings_from
@@ -41,7 +43,7 @@
 GROWTH = 4 * MEGABYTE  # of the program once it serves: a list of servers, pages that are read again
 CUSTOMER = 600  # bytes that one takes, 570 seen; they have what clients and servers leave of the rest
 LEAST_CUSTOMERS = 2000  # some seconds' worth at 500 requests a second, each by another
-LOG_SPAN_S, LOG_LINES = 10.0, 50  # so many lines in so long
+LOG_SPAN_S, LOG_LINES = 10.0, 50  # so many lines of a logger in so long
 ACCEPT_S = 0.45  # after SIGTERM: new connections go on coming for 0.4 s
 KILL_S = (3.0, 0.7)  # after SIGTERM comes SIGKILL: the longest deadline, this at most, and so much more
 SIGNALS = {signal.SIGTERM, signal.SIGINT, signal.SIGHUP}
@@ -50,33 +52,43 @@
 SPARE_S = 0.7  # of that time, for a loop that a crowd keeps busy, the last answers and the end of the process
 
 
+@dataclass(slots=True)
+class RationSpan:
+    """What one logger has written in the current span."""
+
+    until: float = -inf
+    passed: int = 0
+    left_out: int = 0
+
+
 class Ration(logging.Filter):
-    """Lets so many lines of the log through in a span, and says how many it left out.
+    """Lets so many lines of each logger through in a span, and says how many it left out.
 
     What is done against a request that was taken is written in any case: ``unrationed`` of the record.
 
     Guards against a peer that fills the log, which counts as memory where it is a file: a line for each
-    thing that can't be read, at full speed.
+    thing that can't be read, at full speed; and against lines on servers that leave none for clients.
     """
 
     def __init__(self) -> None:
         super().__init__()
-        self.until, self.passed, self.left_out = -inf, 0, 0
+        self.spans: dict[str, RationSpan] = defaultdict(RationSpan)  # by logger, of which there are few
         self.left_out_in_all = 0
 
     def filter(self, record: logging.LogRecord) -> bool:
         """Whether the line is written."""
         if getattr(record, "unrationed", False):
             return True
-        if record.created >= self.until:
-            if self.left_out:
-                record.msg, record.args = f"{record.getMessage()} ({self.left_out} lines left out before)", ()
-            self.until, self.passed, self.left_out = record.created + LOG_SPAN_S, 0, 0
-        self.passed += 1
-        if self.passed > LOG_LINES:
-            self.left_out += 1
+        span = self.spans[record.name]
+        if record.created >= span.until:
+            if span.left_out:
+                record.msg, record.args = f"{record.getMessage()} ({span.left_out} lines left out before)", ()
+            span.until, span.passed, span.left_out = record.created + LOG_SPAN_S, 0, 0
+        span.passed += 1
+        if span.passed > LOG_LINES:
+            span.left_out += 1
             self.left_out_in_all += 1
-        return self.passed <= LOG_LINES
+        return span.passed <= LOG_LINES
 
 
 RATION = Ration()  # of the log of this process
@@ -186,7 +198,7 @@
     return min(KILL_S[0], longest_s) + KILL_S[1] - SPARE_S
 
 
-def _open(config: Config, edge: Edge) -> tuple[Callable[[], None], Succession | None]:
+def _open(config: Config, edge: Edge, errors: LoopErrors) -> tuple[Callable[[], None], Succession | None]:
     """Open the addresses that the configuration names; what closes the second one, and the succession.
 
     What it does not name is not imported either.
@@ -198,6 +210,7 @@
         try:
             station = Station(edge, config.admin)
             station.more["log_lines_left_out"] = lambda: RATION.left_out_in_all
+            station.more["loop_errors"] = lambda: errors.count
             shut = station.close
         except OSError as error:
             raise SystemExit(f"the second address {config.admin[0]}:{config.admin[1]}: {error}") from error
@@ -241,6 +254,7 @@
 async def serve(config: Config) -> None:
     """Serve until SIGTERM, then see to what was taken and return."""
     loop = asyncio.get_running_loop()
+    errors = LoopErrors(loop)
     stop, again = asyncio.Event(), asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     loop.add_signal_handler(signal.SIGINT, stop.set)
@@ -249,7 +263,7 @@
     plan = _memory_plan(config)
     log.info("memory: %s", plan)
     edge = Edge(_settings(config, plan), _room(config, plan), config.seed).open()
-    shut, succession = _open(config, edge)
+    shut, succession = _open(config, edge, errors)
     edge.known(config.known)
     edge.watch(config.discovery)
     if succession:
--- a/brackenloft/cli.py
+++ b/brackenloft/cli.py
@@ -227,8 +227,10 @@
 async def _serve_until_told(config: Config, path: Path, parts: Parts) -> int:
     """Until SIGTERM or SIGINT. SIGHUP reads the file's servers again; what else changed is not taken over."""
     from brackenloft.edge import Edge
+    from brackenloft.net.loop_errors import LoopErrors
 
     loop, stop = asyncio.get_running_loop(), asyncio.Event()
+    errors = LoopErrors(loop)
 
     def servers(now: Config) -> None:
         if now.discovery:
@@ -250,6 +252,7 @@
             from brackenloft.ops.station import Station
 
             figures = Station(edge, config.admin).more
+            figures["loop_errors"] = lambda: errors.count
         host, port = edge.listen(*config.listen)
         servers(config)
         membership = _follow(parts.sources, edge, (host, port), figures)
--- a/brackenloft/edge/counters.py
+++ b/brackenloft/edge/counters.py
@@ -26,6 +26,8 @@
     obligations = driver.obligations
     closed = {f"closed: {reason}": count for reason, count in obligations.closed.items()}
     breaches = {f"breach: {breach}": count for breach, count in obligations.breaches.items()}
+    half_closed = {f"half-closed: {reason}": count for reason, count in obligations.half_closed.items()}
+    crossed = {f"crossed: {reason}": count for reason, count in obligations.crossed.items()}
     tallies = driver.tallies.values()
     ended = {field.name: sum(getattr(tally, field.name) for tally in tallies) for field in fields(Tally)}
-    return asdict(driver.counters) | ended | now | bounds | closed | breaches
+    return asdict(driver.counters) | ended | now | bounds | closed | half_closed | crossed | breaches
--- a/brackenloft/net/accept_queue.py
+++ b/brackenloft/net/accept_queue.py
@@ -104,8 +104,3 @@
         self.poll.unregister(descriptor)
         self.began.pop(descriptor, None)
         return next(sock for row in self.rows.values() if (sock := row.pop(descriptor, None)))
-
-    def close(self) -> None:
-        """Close all."""
-        while len(self):
-            self.next().close()
--- a/brackenloft/net/client.py
+++ b/brackenloft/net/client.py
@@ -22,7 +22,7 @@
 from brackenloft.net.resp import Commands, ProtocolError
 from brackenloft.net.slots import Slot
 from brackenloft.net.streams import STREAM_FROM
-from brackenloft.obligations import Breach, CloseReason, Dues
+from brackenloft.obligations import Breach, CloseReason
 
 log = logging.getLogger(__name__)
 
@@ -50,6 +50,7 @@
         self.clients.opened(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
+        self._note_unasked_end(exc)
         self._happens(ConnectionEvent.LOST)
         self.transport = None
         if self.timer:
@@ -59,6 +60,7 @@
 
     def eof_received(self) -> None:
         """The client has gone, whatever it does not take yet: the transport writes that first."""
+        self._note_end(CloseReason.PEER_LEFT)
         self._withdraw()
 
     def departed(self) -> None:
@@ -66,11 +68,12 @@
 
         What it sent before that is not read any more: nobody waits for it.
         """
+        if self.transport and not self.transport.is_closing():
+            self._note_end(CloseReason.PEER_LEFT)
         self._happens(ConnectionEvent.END)
         self.reader = Commands()
         self._withdraw()
-        if self.transport and not self.transport.is_closing():
-            self.clients.obligations.closes(self.name(), Dues(), CloseReason.PEER_LEFT)
+        if self.transport:
             self.transport.close()
 
     def _drop_replies_behind(self) -> None:
@@ -82,7 +85,7 @@
         if self.slots or self.unparsed:
             behind = " ".join(slot.request_id for slot in self.slots)
             self.clients.obligations.breach(
-                Breach.CLOSED_UNANSWERED, f"{self.name()}: behind a value that broke off, {behind}"
+                Breach.CLOSED_UNANSWERED, f"{self.peer_name}: behind a value that broke off, {behind}"
             )
         for slot in self.slots:
             slot.release()
@@ -144,7 +147,7 @@
 
     def _break(self, why: str, reply: bytes = b"") -> None:
         """What can't be read is answered and the connection closed, after the replies before it."""
-        log.info("a client is turned away: %s (%s, after %d requests)", why, self.name(), self.asked)
+        log.info("a client is turned away: %s (%s, after %d requests)", why, self.peer_name, self.asked)
         self._happens(ConnectionEvent.END)
         self.hold(-self.reader.left, kind=Held.COMMANDS)
         self.reader, self.within = Commands(), False
--- a/brackenloft/net/client_closing.py
+++ b/brackenloft/net/client_closing.py
@@ -12,12 +12,12 @@
 from typing import Any
 
 from brackenloft.net.client_owner import ClientOwner
-from brackenloft.net.client_state import ConnectionEvent
+from brackenloft.net.client_state import ConnectionEvent, ConnectionState
 from brackenloft.net.close_audit import PeerHistory
-from brackenloft.net.kernel import unacknowledged, unread
+from brackenloft.net.kernel import age_s, unacknowledged, unread
 from brackenloft.net.replies import STALLED_S, Replies
 from brackenloft.net.resp import Commands
-from brackenloft.obligations import CloseReason, Dues, may_close
+from brackenloft.obligations import CloseReason, Dues, HalfClose, HalfCloseReason, may_close
 
 LINGER_S = 0.3  # from our half-close to the peer's, before the connection is closed all the same
 LINGER_LOOK_S = 0.05  # between two looks at a connection that lingers
@@ -37,6 +37,10 @@
     parting: bool  # to be closed as soon as nothing is owed on it
     timer: asyncio.TimerHandle | None  # while it lingers
     peer_history: PeerHistory
+    peer_name: str  # for the log: its address
+    end_noted = False  # the audit has been told of the end
+    half_close_reason = HalfCloseReason.TURNED_AWAY
+    half_closed_at = 0.0  # by time.monotonic()
 
     @property
     def unparsed(self) -> bool:
@@ -80,8 +84,10 @@
             return
         self._happens(ConnectionEvent.HALF_CLOSE)
         self.transport.write_eof()
+        now = self.half_closed_at = time.monotonic()
+        self.half_close_reason = self._why_half_closed()
+        self.clients.obligations.half_closes(self.half_close_reason)
         self.throttle()
-        now = time.monotonic()
         self._linger(now, now, unacknowledged(self.socket))
 
     def _linger(self, since: float, moved_at: float, undelivered: int) -> None:
@@ -97,22 +103,52 @@
             return
         self.timer = self.clients.loop.call_later(LINGER_LOOK_S, self._linger, since, moved_at, left)
 
+    def _why_half_closed(self) -> HalfCloseReason:
+        if self.state is ConnectionState.LINGERING_ENDED:
+            return HalfCloseReason.TURNED_AWAY
+        if self.clients.closing:
+            return HalfCloseReason.PROCESS_ENDS
+        return HalfCloseReason.PLACES_SHORT if self.parting else HalfCloseReason.PROCESS_EMPTIES
+
     def close(self, reason: CloseReason) -> None:
         """End the connection now, whatever is still to be written on it."""
         if self.transport is None or self.transport.is_closing():
             return
-        requests = [slot.request_id for slot in self.slots if slot.request_id]
-        self.clients.obligations.closes(
-            self.name(), self.dues(), reason, unread(self.socket), self.peer_history.facts(), requests
-        )
+        self._note_end(reason)
         if not self.half_closed:
             self._happens(ConnectionEvent.END)
         self.transport.abort()
 
-    def name(self) -> str:
-        """For the log: the peer's address."""
-        peer = self.transport.get_extra_info("peername") if self.transport else None
-        return f"{peer[0]}:{peer[1]}" if peer else "a client"
+    def _note_end(self, reason: CloseReason, error: Exception | None = None) -> None:
+        """Tell the audit how the connection ends; the first reason counts."""
+        if self.end_noted:
+            return
+        self.end_noted = True
+        requests = [slot.request_id for slot in self.slots if slot.request_id]
+        half_close = None
+        if self.half_closed_at:
+            since_s = time.monotonic() - self.half_closed_at
+            half_close = HalfClose(self.half_close_reason, since_s, age_s(self.socket))
+        self.clients.obligations.closes(
+            self.peer_name,
+            self.dues(),
+            reason,
+            unread(self.socket),
+            self.peer_history.facts(),
+            requests,
+            half_close,
+            error,
+        )
+
+    def _note_unasked_end(self, error: Exception | None) -> None:
+        """The transport ended by itself: the peer has closed or reset it, or nobody knows why."""
+        if self.end_noted:
+            return
+        if not self.peer_history.facts().left:
+            reason = CloseReason.TRANSPORT_FAILED
+        else:
+            reason = CloseReason.PEER_LEFT if error is None else CloseReason.PEER_RESET
+        self._note_end(reason, error if reason is CloseReason.TRANSPORT_FAILED else None)
 
     def drop(self) -> bool:
         """Close it to make room, unless something is owed or a command has come that was not read yet."""
--- a/brackenloft/net/client_reading.py
+++ b/brackenloft/net/client_reading.py
@@ -13,7 +13,7 @@
 from brackenloft.net.client_closing import Closing
 from brackenloft.net.client_owner import ClientOwner
 from brackenloft.net.close_audit import PeerHistory
-from brackenloft.net.kernel import age_s, has_gone, unread
+from brackenloft.net.kernel import age_s, has_gone, peer_name, unread
 from brackenloft.net.resp import Commands
 from brackenloft.obligations import Breach
 
@@ -34,6 +34,7 @@
     def __init__(self, clients: ClientOwner[Any], sock: socket.socket) -> None:
         super().__init__(clients)
         self.socket = sock
+        self.peer_name = peer_name(sock)
         self.peer_history = PeerHistory(sock)
         self.reader = Commands()
         self.age_s = 0.0  # of what came first, when it was read
@@ -58,7 +59,7 @@
 
     def _received(self, data: bytes, more: bool) -> None:
         if self.half_closed:  # reading has stopped by then: nothing would answer what comes
-            self.clients.obligations.breach(Breach.READ_TOO_LATE, self.name())
+            self.clients.obligations.breach(Breach.READ_TOO_LATE, self.peer_name)
             return
         if not self.spoke and not self.reader.left:
             self.clients.roll.stirs(self)
--- a/brackenloft/net/clients.py
+++ b/brackenloft/net/clients.py
@@ -330,7 +330,7 @@
         if self.sweeper:
             self.sweeper.cancel()
         self._close_listener()
-        self.queue.close()
+        self._close_queue()
         self.departures.close()
         for client in list(self.connections):
             client.close(CloseReason.PROCESS_ENDS)
--- a/brackenloft/net/close_audit.py
+++ b/brackenloft/net/close_audit.py
@@ -10,7 +10,7 @@
 import time
 from collections import deque
 
-from brackenloft.net.kernel import has_gone
+from brackenloft.net.kernel import peer_has_ended
 from brackenloft.obligations import STATED_S, PeerFacts
 
 INFO_SIZE, BYTES_ACKED = 128, struct.Struct("=Q")
@@ -53,7 +53,7 @@
 
     def facts(self) -> PeerFacts:
         """As they are now."""
-        left, count = has_gone(self.socket), bytes_acknowledged(self.socket)
+        left, count = peer_has_ended(self.socket), bytes_acknowledged(self.socket)
         if count is None or not self.samples:
             return PeerFacts(left)
         since, before = self.samples[0]
--- a/brackenloft/net/kernel.py
+++ b/brackenloft/net/kernel.py
@@ -28,6 +28,15 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size)
 
 
+def peer_name(sock: socket.socket) -> str:
+    """The peer's address, for the log."""
+    try:
+        host, port = sock.getpeername()
+    except (OSError, ValueError):  # it has left, or is of another family
+        return "a client"
+    return f"{host}:{port}"
+
+
 def age_s(sock: socket.socket) -> float:
     """How long what came last has lain in the kernel; 0 where that can't be told.
 
@@ -57,7 +66,7 @@
 def unread(sock: socket.socket) -> bool:
     """Whether something has come that was not read yet."""
     with suppress(OSError):
-        return bool(sock.recv(1, socket.MSG_PEEK))
+        return bool(sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
     return False
 
 
@@ -87,6 +96,16 @@
     return bool(poll.poll(0))
 
 
+def peer_has_ended(sock: socket.socket) -> bool:
+    """Whether the kernel has the peer's end of an open connection, or a reset; False where it can't tell."""
+    poll = select.poll()
+    try:
+        poll.register(sock, getattr(select, "POLLRDHUP", 0))
+    except (OSError, ValueError):  # closed here already
+        return False
+    return any(not events & select.POLLNVAL for _, events in poll.poll(0))
+
+
 def unacknowledged(sock: socket.socket) -> int:
     """Bytes written, an end among them, that the peer has not acknowledged; 0 where that can't be told.
 
--- a/brackenloft/net/listener.py
+++ b/brackenloft/net/listener.py
@@ -11,10 +11,11 @@
 from brackenloft.admission.memory import CONNECTION_BYTES, LEAST_CONNECTIONS, RECEIVED_PARTS
 from brackenloft.lifecycle import Lifecycle
 from brackenloft.net.accept_queue import AcceptQueue
-from brackenloft.net.kernel import bound_buffers
+from brackenloft.net.kernel import bound_buffers, peer_name, unread
 from brackenloft.net.limits import BufferLimits
 from brackenloft.net.momentary import tried_again
 from brackenloft.net.streams import STREAM_FROM
+from brackenloft.obligations import CloseReason, Dues, Obligations
 
 log = logging.getLogger(__name__)
 
@@ -28,6 +29,8 @@
 class Listener:
     """Accepts while there is room; who comes meanwhile waits in the kernel."""
 
+    obligations: Obligations
+
     def __init__(self, budget: Budget, lifecycle: Lifecycle, limits: BufferLimits) -> None:
         self.budget, self.lifecycle = budget, lifecycle
         self.socket_buffer, self.memory = limits.socket_buffer, limits.memory
@@ -133,6 +136,7 @@
         self._admit_queued()
 
     def _enqueue(self, sock: socket.socket) -> None:
+        sock.setblocking(False)
         self.queue.add(sock)
         if len(self.queue) > self.spare:
             self.budget.take(Side.CLIENTS)
@@ -163,6 +167,7 @@
         if not self.queue:
             return
         for sock in self.queue.departed():
+            self.obligations.closes(peer_name(sock), Dues(), CloseReason.PEER_LEFT_QUEUE)
             sock.close()
             if self._leaves_queue():
                 self.budget.give(Side.CLIENTS)
@@ -201,14 +206,23 @@
 
     async def _admit(self, sock: socket.socket) -> None:
         try:
-            sock.setblocking(False)
             with suppress(OSError):  # it can be served without
                 sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             await self.loop.connect_accepted_socket(lambda: self.made(sock), sock)
-        except OSError:
+        except Exception as error:  # of any kind: the place is free, and the end is told
+            self.obligations.closes(
+                peer_name(sock), Dues(), CloseReason.NOT_ADMITTED, unread(sock), error=error
+            )
             sock.close()
             self._place_free()
 
+    def _close_queue(self) -> None:
+        """Close who was accepted and never read, at the very end."""
+        while self.queue:
+            sock = self.queue.next()
+            self.obligations.closes(peer_name(sock), Dues(), CloseReason.PROCESS_ENDS, unread(sock))
+            sock.close()
+
     def _place_free(self) -> None:
         self.budget.give(Side.CLIENTS)
         self._accept_more()
--- a/brackenloft/obligations.py
+++ b/brackenloft/obligations.py
@@ -24,6 +24,7 @@
 STATED_IDLE_S = 3.0  # of a peer that takes nothing at all, while others wait for room
 STATED_SLACK_S = 1.0  # between two samples of what a peer has acknowledged
 MOST_NAMED = 16  # requests that a line of the log names
+CAME_SLACK_S = 0.02  # of the kernel's figure of when the last byte came, which moves in steps of up to 10 ms
 TOLD_SLACK_MS = 150.0  # by which the deadline that a server is told may exceed what the client has left
 
 
@@ -33,9 +34,22 @@
     DONE = "nothing is owed"
     ROOM = "room is made"
     PEER_LEFT = "the peer has left"
+    PEER_LEFT_QUEUE = "the peer has left before it was read"
+    PEER_RESET = "the peer's machine has reset it"
     TAKES_TOO_LITTLE = "the peer takes too little"
     TAKES_NOTHING = "the peer takes nothing while others wait for room"
     PROCESS_ENDS = "the process ends"
+    NOT_ADMITTED = "the loop did not take it"
+    TRANSPORT_FAILED = "the transport has failed"
+
+
+class HalfCloseReason(StrEnum):
+    """Why our side of a client's connection was ended while the peer's was still open."""
+
+    TURNED_AWAY = "no more commands are taken on it"
+    PLACES_SHORT = "its first request was turned away while places are short"
+    PROCESS_EMPTIES = "the process empties"
+    PROCESS_ENDS = "the process ends"
 
 
 class Breach(StrEnum):
@@ -43,11 +57,13 @@
 
     CLOSED_UNANSWERED = "closed with commands unanswered"
     CLOSED_UNDELIVERED = "closed with replies not delivered"
+    ENDED_OVER_COMMAND = "ended over a command that had come before"
     READ_TOO_LATE = "read on a connection that can't be answered"
     SENT_UNWANTED = "sent for a client that does not wait"
     SENT_LATE = "sent after its time"
 
 
+UNASKED = (CloseReason.NOT_ADMITTED, CloseReason.TRANSPORT_FAILED)  # ends that nobody has decided on
 UNRATIONED = {"unrationed": True}  # of a line of the log: it is written however many others there are
 
 
@@ -64,6 +80,22 @@
         return self.unanswered > 0 or self.unparsed
 
 
+PEER_ENDS = (CloseReason.PEER_LEFT, CloseReason.PEER_RESET)
+
+
+@dataclass(frozen=True, slots=True)
+class HalfClose:
+    """Our half-close of a connection, told at its end."""
+
+    reason: HalfCloseReason
+    since_s: float  # from the half-close to the end
+    came_s: float  # from the peer's last byte to the end, by the kernel
+
+    def over_command(self) -> bool:
+        """Whether the last byte had come before the half-close, on a connection that was still read."""
+        return self.reason is not HalfCloseReason.TURNED_AWAY and self.came_s > self.since_s + CAME_SLACK_S
+
+
 @dataclass(frozen=True, slots=True)
 class PeerFacts:
     """What the kernel tells of the peer of a connection that is closed."""
@@ -75,7 +107,7 @@
 
     def bear_out(self, reason: CloseReason) -> bool:
         """Whether the peer is the reason."""
-        if reason is CloseReason.PEER_LEFT:
+        if reason in PEER_ENDS:
             return self.left
         if reason is CloseReason.TAKES_TOO_LITTLE:
             stated = self.over_s >= STATED_S - STATED_SLACK_S
@@ -135,10 +167,16 @@
     def __init__(self) -> None:
         self.closed: Counter[str] = Counter()
         self.closed_unread: Counter[str] = Counter()
+        self.half_closed: Counter[str] = Counter()
+        self.crossed: Counter[str] = Counter()  # half-closes that bytes of the peer crossed
         self.breaches: Counter[str] = Counter()
         self.withheld: Counter[str] = Counter()
         self.lost = 0  # requests whose clients took too little of their answers
 
+    def half_closes(self, reason: HalfCloseReason) -> None:
+        """Our side of a client's connection has been ended."""
+        self.half_closed[reason.value] += 1
+
     def closes(
         self,
         name: str,
@@ -147,28 +185,42 @@
         unread: bool = False,
         peer: PeerFacts = PeerFacts(),  # noqa: B008
         requests: Sequence[str] = (),
+        half_close: HalfClose | None = None,
+        error: BaseException | None = None,
     ) -> None:
-        """A client's connection is closed; ``unread``: over bytes that nobody read, which are sent again.
+        """A client's connection ends, whoever ends it; told once of each that was accepted.
 
-        ``peer``: by the kernel, which has to bear out a reason of the peer's own. ``requests``: those that
-        have had no whole answer.
+        ``unread``: over bytes that nobody read, which are sent again. ``peer``: by the kernel, which has to
+        bear out a reason of the peer's own. ``requests``: those that have had no whole answer.
+        ``half_close``: ours, if there was one before. ``error``: what the transport or the loop reported.
         """
         self.closed[reason.value] += 1
         if unread:
-            self.closed_unread[reason.value] += 1
-            log.info("%s is closed over bytes that were not read: %s, %s", name, reason.value, dues)
+            self._ends_unread(name, dues, reason, half_close)
+        if error is not None or reason in UNASKED:
+            log.warning("%s has ended: %s, %s, %r", name, reason.value, dues, error)
         if not dues.unheard() and not dues.undelivered:
+            log.debug("%s has ended: %s", name, reason.value)
             return
         named = " ".join(requests[:MOST_NAMED])
         detail = f"{name}: {reason.value}, {dues}, {peer}, {len(requests)} requests: {named}"
-        if peer.bear_out(reason):
-            if not peer.left:
-                self.lost += len(requests)
-                log.warning("requests lost: %s", detail, extra=UNRATIONED)
-        elif dues.unheard():
-            self.breach(Breach.CLOSED_UNANSWERED, detail)
+        if not peer.bear_out(reason):
+            self.breach(Breach.CLOSED_UNANSWERED if dues.unheard() else Breach.CLOSED_UNDELIVERED, detail)
+        elif peer.left:
+            log.info("requests withdrawn: %s", detail)
         else:
-            self.breach(Breach.CLOSED_UNDELIVERED, detail)
+            self.lost += len(requests)
+            log.warning("requests lost: %s", detail, extra=UNRATIONED)
+
+    def _ends_unread(self, name: str, dues: Dues, reason: CloseReason, half_close: HalfClose | None) -> None:
+        self.closed_unread[reason.value] += 1
+        if half_close and half_close.over_command():
+            self.breach(Breach.ENDED_OVER_COMMAND, f"{name}: {reason.value}, {half_close}")
+            return
+        if half_close:
+            self.crossed[half_close.reason.value] += 1
+        detail = half_close or dues
+        log.info("%s is closed over bytes that were not read: %s, %s", name, reason.value, detail)
 
     def withholds(self, name: str, why: Withheld) -> None:
         """An attempt is not written."""
--- a/brackenloft/ops/station.py
+++ b/brackenloft/ops/station.py
@@ -40,6 +40,8 @@
         obligations = edge.driver.obligations
         figures["connections_closed"] = dict(obligations.closed)
         figures["closed_unread"] = dict(obligations.closed_unread)
+        figures["connections_half_closed"] = dict(obligations.half_closed)
+        figures["connections_crossed"] = dict(obligations.crossed)
         figures["attempts_withheld"] = dict(obligations.withheld)
         figures["memory_held"] = {kind.value: size for kind, size in edge.memory.held.items()}
         figures["breaches"] = dict(obligations.breaches)
--- a/tests/test_net_process.py
+++ b/tests/test_net_process.py
@@ -235,6 +235,14 @@
     assert record.getMessage() == f"later ({2 * program_module.LOG_LINES} lines left out before)"
 
 
+# Guards against lines on servers that leave none for what becomes of clients' connections.
+def test_lines_of_one_logger_take_nothing_from_the_ration_of_another():
+    ration = program_module.Ration()
+    for _ in range(2 * program_module.LOG_LINES):
+        ration.filter(logging.makeLogRecord({"name": "servers", "msg": "full", "created": 1000.0}))
+    assert ration.filter(logging.makeLogRecord({"name": "clients", "msg": "closed", "created": 1000.0}))
+
+
 # Guards against losses that are left out of the log because bad clients fill it.
 def test_line_on_a_request_that_was_lost_is_written_however_many_others_there_are():
     ration = program_module.Ration()
