lab.overload: full and resetting servers, a gateway that stands still, clients that rest

The trial judged a kept connection that ends under a request as a crossing, however long after, and its servers were never full and never reset.

--- a/brackenloft/lab/overload/__main__.py
+++ b/brackenloft/lab/overload/__main__.py
@@ -14,7 +14,7 @@
 import uvloop
 
 from brackenloft.lab.overload.run import ROOT, Run
-from brackenloft.lab.overload.scenario import CrowdKind, Scenario
+from brackenloft.lab.overload.scenario import CrowdKind, Scenario, Trouble
 
 
 def play(scenario: Scenario, root: Path) -> dict[str, Any]:
@@ -33,7 +33,8 @@
     if options.kind is None:
         return [Scenario.drawn(seed, options.seconds) for seed in seeds]
     setting = (options.kind, options.crowd, options.memory_mb, options.sockets, options.seconds)
-    return [Scenario(seed, *setting, options.restart_at) for seed in seeds]
+    trouble = Trouble(options.places, options.reset_share, options.stops_per_s)
+    return [Scenario(seed, *setting, options.restart_at, options.rate, trouble) for seed in seeds]
 
 
 def main() -> int:
@@ -47,6 +48,10 @@
     parser.add_argument("--sockets", type=int, default=1024)
     parser.add_argument("--seconds", type=float, default=10.0)
     parser.add_argument("--restart-at", type=float, default=0.0, help="seconds; 0 for never")
+    parser.add_argument("--rate", type=float, default=60.0, help="of sound requests a second")
+    parser.add_argument("--places", type=int, default=0, help="of a server; 0 for any number")
+    parser.add_argument("--reset-share", type=float, default=0.0, help="of connections to servers")
+    parser.add_argument("--stops-per-s", type=float, default=0.0, help="of the gateway's process")
     parser.add_argument("--root", type=Path, default=ROOT, help="the version of the gateway to play")
     parser.add_argument("--at-once", type=int, default=1, help="runs side by side")
     options = parser.parse_args()
--- a/brackenloft/lab/overload/bad_clients.py
+++ b/brackenloft/lab/overload/bad_clients.py
@@ -112,6 +112,11 @@
         sock.close()
         self.left.append(DepartureRecord(identity, time.monotonic()))
 
+    async def rest(self, sock: socket.socket) -> None:
+        """Ask once, then keep the connection until it is closed."""
+        await asyncio.get_running_loop().sock_sendall(sock, command(self.identity(), Effect.SAFE, WAIT_S))
+        await self._until_closed(sock)
+
     async def pipeline(self, sock: socket.socket) -> None:
         """Many reads at once, whose answers are read slowly."""
         sizes = [self.random.choice(PIPELINED_SIZES) for _ in range(PIPELINED)]
@@ -128,6 +133,7 @@
     CrowdKind.GARBLE: BadClient.garble,
     CrowdKind.CHURN: BadClient.churn,
     CrowdKind.PIPELINE: BadClient.pipeline,
+    CrowdKind.REST: BadClient.rest,
 }
 
 
--- a/brackenloft/lab/overload/gateway.py
+++ b/brackenloft/lab/overload/gateway.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import os
+import random
 import signal
 import sys
 import time
@@ -22,6 +23,9 @@
 READY_S, LOOK_S = 30.0, 0.02
 SAMPLE_S = 0.05  # between two looks at the memory
 KILL_S = 3.7  # from SIGTERM to SIGKILL
+STOPS_S = (0.03, 0.15)  # for which the process stands still
+FAULTS = ("Traceback", "the loop reports", "never retrieved", "obligation not kept")  # in its log
+MOST_SHOWN = 1000  # bytes of the log behind the first fault of a kind
 PONG = b"+PONG\r\n"
 
 
@@ -95,6 +99,22 @@
             self._sample()
             await asyncio.sleep(SAMPLE_S)
 
+    async def stand_still(self) -> None:
+        """Stop the process and let it go on, again and again, until this is cancelled."""
+        chance = random.Random(f"stops {self.scenario.seed}")
+        while True:
+            await asyncio.sleep(chance.expovariate(self.scenario.trouble.stops_per_s))
+            self._signal(signal.SIGSTOP)
+            try:
+                await asyncio.sleep(chance.uniform(*STOPS_S))
+            finally:
+                self._signal(signal.SIGCONT)
+
+    def _signal(self, number: int) -> None:
+        if self.process and self.process.returncode is None:
+            with suppress(ProcessLookupError):
+                self.process.send_signal(number)
+
     def _sample(self) -> None:
         if self.process is None or self.process.returncode is not None:
             return
@@ -112,5 +132,8 @@
                 await self.process.wait()
         self.agent.close()
         text = self.log.read_text(errors="replace") if self.log.exists() else ""
-        if "Traceback" in text:
-            self.crashes.append(text[text.index("Traceback") :][:2000])
+        for fault in FAULTS:
+            if fault in text:
+                found = text.index(fault)
+                start = text.rfind("\n", 0, found) + 1
+                self.crashes.append(f"{text.count(fault)} times: {text[start : found + MOST_SHOWN]}")
--- a/brackenloft/lab/overload/judge.py
+++ b/brackenloft/lab/overload/judge.py
@@ -13,7 +13,7 @@
 LATE_S = 0.5  # past its time an answer is lost
 SENT_FOR_NOBODY_S = 0.1 + 0.15  # after a client's close, with what a process may be held up
 STREAMED_FROM = 64 * 1024  # bytes of a value that is judged by its first byte
-LOST = (Outcome.CUT, Outcome.READ_AND_CLOSED, Outcome.CLOSED_TWICE)
+LOST = (Outcome.CUT, Outcome.READ_AND_CLOSED, Outcome.CLOSED_TWICE, Outcome.ENDED_UNDER)
 LONG_TAIL = 0.99
 
 
--- a/brackenloft/lab/overload/records.py
+++ b/brackenloft/lab/overload/records.py
@@ -20,6 +20,7 @@
     CUT = "cut in the middle of an answer"
     READ_AND_CLOSED = "read and closed unanswered"
     CLOSED_TWICE = "closed unanswered on two connections"
+    ENDED_UNDER = "connection ended under a request that had come"
     NOT_CONNECTED = "no connection"
     PENDING = "no whole answer"
 
@@ -40,6 +41,7 @@
     received_bytes: int = 0
     local_port: int = 0
     turned_back: int = 0  # times that its connection ended unread
+    was_open: bool = False  # by the client's kernel, as the last byte went there
 
 
 class DepartureRecord(msgspec.Struct):
--- a/brackenloft/lab/overload/run.py
+++ b/brackenloft/lab/overload/run.py
@@ -46,7 +46,10 @@
     def __init__(self, scenario: Scenario, folder: Path, root: Path = ROOT) -> None:
         self.scenario, self.folder, self.root = scenario, folder, root
         self.attempts: list[AttemptRecord] = []
-        self.servers = [OverloadServer(number, scenario.seed, self.attempts) for number in range(SERVERS)]
+        self.servers = [
+            OverloadServer(number, scenario.seed, self.attempts, scenario.trouble)
+            for number in range(SERVERS)
+        ]
         self.children: list[asyncio.subprocess.Process] = []
 
     async def play(self) -> Result:
@@ -58,12 +61,20 @@
         try:
             await gateway.start([server.row() for server in self.servers])
             tasks.append(asyncio.create_task(gateway.watch_memory()))
+            if self.scenario.trouble.stops_per_s:
+                tasks.append(asyncio.create_task(gateway.stand_still()))
             if self.scenario.restart_at_s:
                 tasks.append(asyncio.create_task(self._restart(gateway)))
             crowd = asyncio.create_task(self._crowd(gateway.port))
             await asyncio.sleep(LEAD_S)
             requests = await self._child(
-                RequestRecord, "sound_clients", gateway.port, self.scenario.seed, self.scenario.seconds
+                RequestRecord,
+                "sound_clients",
+                gateway.port,
+                self.scenario.seed,
+                self.scenario.seconds,
+                self.scenario.rate_per_s,
+                self.scenario.trouble.kept_short(),
             )
             left = await crowd
         finally:
--- a/brackenloft/lab/overload/scenario.py
+++ b/brackenloft/lab/overload/scenario.py
@@ -18,14 +18,29 @@
     GARBLE = "garble"
     CHURN = "churn"
     PIPELINE = "pipeline"
+    REST = "rest"
     ALL = "all"
 
 
-ALL_KINDS = tuple(kind for kind in CrowdKind if kind not in (CrowdKind.NONE, CrowdKind.ALL))
+APART = (CrowdKind.NONE, CrowdKind.REST, CrowdKind.ALL)  # kinds that are no part of ALL, nor drawn
+ALL_KINDS = tuple(kind for kind in CrowdKind if kind not in APART)
 MEMORIES_MB, SOCKETS, CROWDS = (32, 48, 64, 192), (256, 1024), (60, 100, 300, 600, 900)
 RESTART_SHARE = 0.25  # of the drawn runs
 
 
+@dataclass(frozen=True, slots=True)
+class Trouble:
+    """What servers do to connections, and how often the gateway's process stands still."""
+
+    places: int = 0  # requests of a server at once, beyond which it refuses and ends the connection; 0: any
+    reset_share: float = 0.0  # of the connections to servers, reset as they come up
+    stops_per_s: float = 0.0  # SIGSTOP of the gateway, each for a part of ``LONGEST_STOP_S``
+
+    def kept_short(self) -> bool:
+        """Whether sound clients ask for short values alone, one at a time, so that more of them can ask."""
+        return self != Trouble()
+
+
 @dataclass(frozen=True, slots=True)
 class Scenario:
     """One run. ``restart_at_s``: when the process is told to end and replaced; 0 for never."""
@@ -37,12 +52,17 @@
     sockets: int = 1024
     seconds: float = 10.0
     restart_at_s: float = 0.0
+    rate_per_s: float = 60.0  # of sound requests
+    trouble: Trouble = Trouble()
 
     @staticmethod
     def drawn(seed: int, seconds: float) -> Scenario:
         """Limits, crowd and restarts of a seed."""
         chance = random.Random(f"overload {seed}")
-        kind, memory_mb = chance.choice(list(CrowdKind)), chance.choice(MEMORIES_MB)
+        kind, memory_mb = (
+            chance.choice([kind for kind in CrowdKind if kind is not CrowdKind.REST]),
+            chance.choice(MEMORIES_MB),
+        )
         crowd, sockets = chance.choice(CROWDS), chance.choice(SOCKETS)
         restarts = chance.random() < RESTART_SHARE
         return Scenario(seed, kind, crowd, memory_mb, sockets, seconds, seconds / 2 if restarts else 0.0)
--- a/brackenloft/lab/overload/sound_clients.py
+++ b/brackenloft/lab/overload/sound_clients.py
@@ -1,7 +1,8 @@
-"""Sound clients, a process of their own: ``... sound_clients FILE PORT SEED SECONDS``.
+"""Sound clients, a process of their own: ``... sound_clients FILE PORT SEED SECONDS RATE SHORT``.
 
 They keep connections and open more when all are busy, ask for values of all sizes, read at full speed, and
-some send several requests at once. A line of JSON for each request goes to the file at the end.
+some send several requests at once; with SHORT they ask for short values one at a time. A line of JSON for
+each request goes to the file at the end.
 """
 
 from __future__ import annotations
@@ -23,8 +24,8 @@
 
 from brackenloft.lab.overload.payload import VALUE_BYTES, Effect, Origin, command, request_id, value_of
 from brackenloft.lab.overload.records import Outcome, RequestRecord
+from brackenloft.net.lag import Lag
 
-RATE_PER_S = 60.0
 EFFECT_SHARES = (0.6, 0.25, 0.15)
 SIZE_SHARES = (0.5, 0.3, 0.12, 0.08)
 SEVERAL_SHARE, SEVERAL = 0.1, 3  # of the turns, and the requests that are sent at once in those
@@ -33,7 +34,13 @@
 LINGER_S = 1.0  # behind the end of a connection, until which a reset says that something was not read
 CONNECT_AGAIN_S = 0.02
 GIVE_UP_S = 1.0  # past its time
-TCP_CLOSED = 7  # tcpi_state of struct tcp_info, tcp(7)
+TCP_ESTABLISHED, TCP_CLOSED = 1, 7  # tcpi_state of struct tcp_info, tcp(7)
+CROSSING_S = 0.005  # for which an end and a request may be under way at once; as long as a loop turns here
+
+
+def tcp_state(sock: socket.socket) -> int:
+    """The state of a connection, by the kernel."""
+    return sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
 
 
 class SoundConnection(asyncio.Protocol):
@@ -70,8 +77,9 @@
         self.transport.write(data)
         await self.writable.wait()
         now = time.monotonic()
+        was_open = not self.ended and tcp_state(self.socket) == TCP_ESTABLISHED
         for record in records:
-            record.sent_at = now
+            record.sent_at, record.was_open = now, was_open
         return done
 
     def data_received(self, data: bytes) -> None:
@@ -105,8 +113,7 @@
     def _settle(self) -> None:
         """The peer has had its time to reset the connection."""
         if not self.settled.is_set():
-            state = self.socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
-            self.was_reset = state == TCP_CLOSED
+            self.was_reset = tcp_state(self.socket) == TCP_CLOSED
             self.settled.set()
             self.transport.abort()
 
@@ -137,8 +144,8 @@
 class SoundClients:
     """All of them, with the connections that they keep."""
 
-    def __init__(self, port: int, seed: int, seconds: float) -> None:
-        self.port, self.seconds = port, seconds
+    def __init__(self, port: int, seed: int, seconds: float, rate_per_s: float, short: bool) -> None:
+        self.port, self.seconds, self.rate_per_s, self.short = port, seconds, rate_per_s, short
         self.random = random.Random(f"sound {seed}")
         first = int(time.monotonic() * 1000.0) << 20  # ids are new over the plays of one machine
         self.numbers = itertools.count(first & ((1 << 48) - 1))
@@ -149,21 +156,27 @@
     async def run(self) -> list[RequestRecord]:
         """Ask at a steady rate, whatever becomes of it."""
         loop = asyncio.get_running_loop()
+        self.lag = Lag(loop, CROSSING_S * 1000.0, lambda seconds: None, lambda: True)
+        self.lag.watch()
         due = began = loop.time()
         while due < began + self.seconds:
             await asyncio.sleep(due - loop.time())
-            count = SEVERAL if self.random.random() < SEVERAL_SHARE else 1
+            several = not self.short and self.random.random() < SEVERAL_SHARE
+            count = SEVERAL if several else 1
             self.tasks.add(loop.create_task(self._ask([self._draw() for _ in range(count)])))
-            due += count * self.random.expovariate(RATE_PER_S)
+            due += count * self.random.expovariate(self.rate_per_s)
         await asyncio.gather(*self.tasks)
+        self.lag.stop()
         return self.records
 
     def _draw(self) -> tuple[RequestRecord, bytes]:
         chance = self.random
         (effect,) = chance.choices(list(Effect), EFFECT_SHARES)
-        (size_index,) = chance.choices(range(len(SIZE_SHARES)), SIZE_SHARES)
+        size_index = 0
+        if not self.short:
+            (size_index,) = chance.choices(range(len(SIZE_SHARES)), SIZE_SHARES)
         identity = request_id(Origin.SOUND, size_index, next(self.numbers))
-        wait_s, size = chance.choice(WAITS_S), chance.choice(BODY_BYTES)
+        wait_s, size = chance.choice(WAITS_S), BODY_BYTES[0] if self.short else chance.choice(BODY_BYTES)
         body = b"" if effect is Effect.SAFE else b"b" * size
         record = RequestRecord(identity, effect, VALUE_BYTES[size_index], len(body), wait_s)
         self.records.append(record)
@@ -200,6 +213,8 @@
             outcome = Outcome.READ_AND_CLOSED
         elif not again:
             outcome = Outcome.CLOSED_TWICE
+        elif any(self._ended_under(record) for record, _ in unanswered):
+            outcome = Outcome.ENDED_UNDER
         else:
             for record, _ in unanswered:
                 record.turned_back += 1
@@ -208,6 +223,11 @@
         for record, _ in unanswered:
             record.outcome = outcome
 
+    def _ended_under(self, record: RequestRecord) -> bool:
+        """Whether the request had come when its connection was ended: it did not cross the end."""
+        ours_s = self.lag.stalls.within(record.sent_at, record.ended_at)
+        return record.was_open and record.ended_at - record.sent_at - ours_s >= CROSSING_S
+
     async def _connection(self, kept: bool) -> SoundConnection | None:
         """One that is ``kept``, or a new one; None where nobody listens for long."""
         while kept and self.idle:
@@ -225,8 +245,9 @@
 
 def main() -> None:
     """Play, then write the records."""
-    port, seed, seconds = int(sys.argv[2]), int(sys.argv[3]), float(sys.argv[4])
-    records = uvloop.run(SoundClients(port, seed, seconds).run())
+    port, seed, seconds, rate_per_s = int(sys.argv[2]), int(sys.argv[3]), *map(float, sys.argv[4:6])
+    short = sys.argv[6] == str(True)
+    records = uvloop.run(SoundClients(port, seed, seconds, rate_per_s, short).run())
     Path(sys.argv[1]).write_bytes(b"\n".join(map(msgspec.json.encode, records)))
 
 
