One owner of each descriptor: a socket is bound to its transport as that takes it over

Seen: with servers that reset connections as they come up, clients' connections ended under requests with no line, and the process ended by itself. Cause: uvloop's create_connection(sock=) binds the socket object a turn after the transport has the descriptor. A first write that fails closes it in between; the object keeps the number and closes it again. Change: net/transport_handover.hand_over, the one way for accepted, operators' and servers' sockets: connect_accepted_socket binds in the same step. Connection.up is gone; an exception of any kind while it comes up is an outcome; Host has a file of its own.

--- a/brackenloft/edge/sources.py
+++ b/brackenloft/edge/sources.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from brackenloft.checks import FieldError
-from brackenloft.net.server_connection import Host
+from brackenloft.net.server_host import Host
 from brackenloft.policy.servers import Server
 
 LAST_PORT = 65535
--- a/brackenloft/net/listener.py
+++ b/brackenloft/net/listener.py
@@ -15,6 +15,7 @@
 from brackenloft.net.limits import BufferLimits
 from brackenloft.net.momentary import tried_again
 from brackenloft.net.streams import STREAM_FROM
+from brackenloft.net.transport_handover import hand_over
 from brackenloft.obligations import CloseReason, Dues, Obligations
 
 log = logging.getLogger(__name__)
@@ -205,15 +206,13 @@
         return int(min(self._descriptors_free(), max(0, fit)))
 
     async def _admit(self, sock: socket.socket) -> None:
+        name = peer_name(sock)
         try:
             with suppress(OSError):  # it can be served without
                 sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            await self.loop.connect_accepted_socket(lambda: self.made(sock), sock)
+            await hand_over(self.loop, lambda: self.made(sock), sock)
         except Exception as error:  # of any kind: the place is free, and the end is told
-            self.obligations.closes(
-                peer_name(sock), Dues(), CloseReason.NOT_ADMITTED, unread(sock), error=error
-            )
-            sock.close()
+            self.obligations.closes(name, Dues(), CloseReason.NOT_ADMITTED, error=error)
             self._place_free()
 
     def _close_queue(self) -> None:
--- a/brackenloft/net/server_connection.py
+++ b/brackenloft/net/server_connection.py
@@ -25,8 +25,10 @@
 from brackenloft.net.kernel import bound_buffers, unacknowledged
 from brackenloft.net.read_buffer import ReadBuffer
 from brackenloft.net.resp import ProtocolError
+from brackenloft.net.server_host import Host
 from brackenloft.net.server_protocol import ServerProtocol
 from brackenloft.net.streams import STREAM_FROM, Stream, Streams
+from brackenloft.net.transport_handover import hand_over
 from brackenloft.net.wire import parts
 
 log = logging.getLogger(__name__)
@@ -74,20 +76,6 @@
         """A connection that is closing counts no more."""
 
 
-class Host:
-    """A server as discovery last told it. Each change that makes old connections useless is an epoch."""
-
-    __slots__ = ("address", "started", "ready", "idle", "epoch", "coming_up", "waiting", "timer")
-
-    def __init__(self) -> None:
-        self.address: Address = ("", 0)
-        self.started, self.ready, self.epoch = 0.0, False, 0
-        self.idle: list[Connection] = []  # the most recently used last
-        self.coming_up = 0  # connections that are not up yet
-        self.waiting: deque[Attempt] = deque()  # for one of these or an idle one that has rested
-        self.timer: asyncio.TimerHandle | None = None  # for the latter
-
-
 def _is_up(sock: socket.socket) -> bool:
     """Whether it is connected. Guards against blaming a server for a loop that was held up meanwhile."""
     try:
@@ -120,9 +108,6 @@
         )
         self.number = attempt.server  # the server's
         self.idle_since = 0.0
-        # The loop has taken over the socket. Guards against closing the transport before that: uvloop closes
-        # the descriptor then, and Python's socket does so once more, when it may be another connection's.
-        self.up = False
         self.closed = False
         attempt.connection = self
 
@@ -135,26 +120,17 @@
 
     async def open(self) -> None:
         """Connect within the time-out of the settings, then send the attempt that asked for it."""
-        loop, sock = self.servers.loop, None
+        sock = None
         try:
-            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-            sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            bound_buffers(sock, self.servers.socket_buffer)
-            try:
-                async with asyncio.timeout(self.servers.connect_timeout_s):
-                    await self.servers.connect(sock, self.host.address)
-            except TimeoutError:
-                if not _is_up(sock):
-                    raise
+            sock = self._make_socket()
+            await self._connect(sock)
             self.socket = sock
-            await loop.create_connection(lambda: self, sock=sock)
-            self.up = True
-            if self.closed and self.transport:
-                self.transport.abort()
+            await hand_over(self.servers.loop, lambda: self, sock)
             if self.servers.watcher:
                 self.servers.watcher(self.number, True)
-        except (OSError, TimeoutError):  # out of descriptors is an OSError too: an outcome, not a crash
+        except Exception as error:  # out of descriptors too: an outcome, not a crash
+            if not isinstance(error, (OSError, TimeoutError)):
+                log.exception("a connection to server %d did not come up", self.number)
             if self.servers.watcher and sock:
                 self.servers.watcher(self.number, False)
             self.close(api.Status.CONNECT_FAILED)
@@ -163,12 +139,34 @@
             if sock and self.socket is None:
                 sock.close()
 
+    def _make_socket(self) -> socket.socket:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            bound_buffers(sock, self.servers.socket_buffer)
+        except OSError:
+            sock.close()
+            raise
+        return sock
+
+    async def _connect(self, sock: socket.socket) -> None:
+        try:
+            async with asyncio.timeout(self.servers.connect_timeout_s):
+                await self.servers.connect(sock, self.host.address)
+        except TimeoutError:
+            if not _is_up(sock):
+                raise
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         # uvloop's transports are not asyncio.Transport by class: no isinstance here
         self.transport = cast(asyncio.Transport, transport)
+        if self.closed:  # while it came up
+            self.transport.abort()
+            return
         # With a limit of 0 the loop tells when the last byte has gone to the kernel (resume_writing).
         self.transport.set_write_buffer_limits(0)
-        if self.closed or self.attempt is None:
+        if self.attempt is None:
             self.close(api.Status.CANCELLED)
         elif self.epoch != self.host.epoch or not self.host.ready:
             # Guards against a first byte to a server that began to drain, left or moved meanwhile.
@@ -392,8 +390,7 @@
                 with suppress(OSError):
                     if self.socket and graceful:
                         self.socket.shutdown(socket.SHUT_RDWR)
-                if self.up:
-                    self.transport.abort()
+                self.transport.abort()
             self.unwritten.clear()  # which refers to a body
             self.stream = None  # which refers to the connection in turn
         if attempt:
--- a/brackenloft/net/servers.py
+++ b/brackenloft/net/servers.py
@@ -26,7 +26,8 @@
 from brackenloft.net.limits import BufferLimits
 from brackenloft.net.read_buffer import ReadBuffer
 from brackenloft.net.resp import Answers, ProtocolError
-from brackenloft.net.server_connection import Connection, Host
+from brackenloft.net.server_connection import Connection
+from brackenloft.net.server_host import Host
 from brackenloft.net.server_protocol import ServerProtocol
 from brackenloft.net.server_replies import RespReplyDecoder
 from brackenloft.net.streams import LEAST_WINDOW, STREAM_FROM, Streams
--- a/brackenloft/ops/address.py
+++ b/brackenloft/ops/address.py
@@ -13,6 +13,7 @@
 import httptools
 
 from brackenloft.net.momentary import tried_again
+from brackenloft.net.transport_handover import hand_over
 from brackenloft.ops.calls import Response, problem
 
 PLACES = 16  # callers at once, with descriptors of this address's own; who says nothing longest goes first
@@ -140,9 +141,8 @@
     async def _admit(self, sock: socket.socket, caller: Caller) -> None:
         try:
             sock.setblocking(False)
-            await self.loop.connect_accepted_socket(lambda: caller, sock)
-        except OSError:
-            sock.close()
+            await hand_over(self.loop, lambda: caller, sock)
+        except (OSError, RuntimeError):
             self.ended(caller)
 
     def ended(self, caller: Caller) -> None:
