End a client's connection in the step that looks for unread bytes, not a turn later

Seen: kept connections half-closed or closed under requests that had come, with no line; several in one millisecond. Cause: unread() was asked when the end was decided; write_eof() and abort() of a transport take place at the end of the loop's turn, or after a stop of the process. Change: kernel.end_unless_unread looks and shuts the socket down with nothing between; _half_close and drop use it. What is owed is read before our own end, which counts as undelivered.

--- a/brackenloft/net/client_closing.py
+++ b/brackenloft/net/client_closing.py
@@ -8,13 +8,14 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import time
 from typing import Any
 
 from brackenloft.net.client_owner import ClientOwner
 from brackenloft.net.client_state import ConnectionEvent, ConnectionState
 from brackenloft.net.close_audit import PeerHistory
-from brackenloft.net.kernel import age_s, unacknowledged, unread
+from brackenloft.net.kernel import age_s, end_unless_unread, shut_down, unacknowledged, unread
 from brackenloft.net.replies import STALLED_S, Replies
 from brackenloft.net.resp import Commands
 from brackenloft.obligations import CloseReason, Dues, HalfClose, HalfCloseReason, may_close
@@ -62,11 +63,11 @@
         """Whether it may be closed between requests: for want of places, or as the process empties.
 
         Guards against turning back a command that crosses the close: who is within one, or has just come, is
-        waited for, but not without end; what has come unread is read first.
+        waited for, but not without end.
         """
         if self.clients.closing:
             return True
-        if not self.parting and not self.clients.emptying or unread(self.socket):
+        if not self.parting and not self.clients.emptying:
             return False
         if self.clients.finishing():
             return True
@@ -82,8 +83,11 @@
         if self.transport.get_write_buffer_size():
             self.transport.set_write_buffer_limits(0)  # it tells when the last byte has gone to the kernel
             return
+        if self.ending or self.clients.closing:
+            shut_down(self.socket, socket.SHUT_WR)
+        elif not end_unless_unread(self.socket, socket.SHUT_WR):
+            return  # that is read first
         self._happens(ConnectionEvent.HALF_CLOSE)
-        self.transport.write_eof()
         now = self.half_closed_at = time.monotonic()
         self.half_close_reason = self._why_half_closed()
         self.clients.obligations.half_closes(self.half_close_reason)
@@ -110,16 +114,18 @@
             return HalfCloseReason.PROCESS_ENDS
         return HalfCloseReason.PLACES_SHORT if self.parting else HalfCloseReason.PROCESS_EMPTIES
 
-    def close(self, reason: CloseReason) -> None:
-        """End the connection now, whatever is still to be written on it."""
+    def close(self, reason: CloseReason, dues: Dues | None = None) -> None:
+        """End the connection now, whatever is still to be written on it; ``dues``: before our own end."""
         if self.transport is None or self.transport.is_closing():
             return
-        self._note_end(reason)
+        self._note_end(reason, dues=dues)
         if not self.half_closed:
             self._happens(ConnectionEvent.END)
         self.transport.abort()
 
-    def _note_end(self, reason: CloseReason, error: Exception | None = None) -> None:
+    def _note_end(
+        self, reason: CloseReason, error: Exception | None = None, dues: Dues | None = None
+    ) -> None:
         """Tell the audit how the connection ends; the first reason counts."""
         if self.end_noted:
             return
@@ -131,7 +137,7 @@
             half_close = HalfClose(self.half_close_reason, since_s, age_s(self.socket))
         self.clients.obligations.closes(
             self.peer_name,
-            self.dues(),
+            dues or self.dues(),
             reason,
             unread(self.socket),
             self.peer_history.facts(),
@@ -152,9 +158,12 @@
 
     def drop(self) -> bool:
         """Close it to make room, unless something is owed or a command has come that was not read yet."""
-        if self.transport is None or self.transport.is_closing() or not may_close(self.dues()):
+        if self.transport is None or self.transport.is_closing():
+            return False
+        dues = self.dues()
+        if not may_close(dues):
             return False
-        if not self.half_closed and unread(self.socket):
+        if not self.half_closed and not end_unless_unread(self.socket, socket.SHUT_RDWR):
             return False
-        self.close(CloseReason.ROOM)
+        self.close(CloseReason.ROOM, dues)
         return True
--- a/brackenloft/net/kernel.py
+++ b/brackenloft/net/kernel.py
@@ -70,6 +70,24 @@
     return False
 
 
+def end_unless_unread(sock: socket.socket, how: int) -> bool:
+    """Shut a connection down (``socket.SHUT_WR`` or ``SHUT_RDWR``) unless something has come unread.
+
+    Whether it was. The act follows its check with no turn of the loop between them, and takes place at once.
+    Guards against a request that comes in between: a transport ends a connection a turn of the loop later.
+    """
+    if unread(sock):
+        return False
+    shut_down(sock, how)
+    return True
+
+
+def shut_down(sock: socket.socket, how: int) -> None:
+    """Shut a connection down now; one that has been reset is left as it is."""
+    with suppress(OSError):
+        sock.shutdown(how)
+
+
 def may_hide_end(sock: socket.socket) -> bool:
     """Whether unread bytes may keep the peer's end from coming: its window is, or may be, closed.
 
--- a/tests/test_net_closing.py
+++ b/tests/test_net_closing.py
@@ -11,7 +11,7 @@
 from brackenloft import Plan
 from brackenloft.edge import edge as edge_module
 from brackenloft.net import client as client_module
-from brackenloft.net import client_closing
+from brackenloft.net import client_closing, kernel
 from brackenloft.net import clients as clients_module
 
 VALUE = b"x" * 12_000  # more than the peers below have room for in their kernel
@@ -53,7 +53,7 @@
             sock.send(call(1))
             await until(lambda: client.asked == 1 and not client.slots)
             await until(lambda: not client.transport.get_write_buffer_size())
-            monkeypatch.setattr(client_closing, "unread", unread)
+            monkeypatch.setattr(kernel, "unread", unread)
             client.parting = True
             client.flush()
             await until(lambda: bool(looks))
@@ -237,3 +237,49 @@
             await until(lambda: gateway.clients.listener is None)
 
     run(test())
+
+
+# Guards against an end that is decided now and takes place a turn of the loop later, over what comes between.
+@pytest.mark.parametrize("way", ["half-close", "room"])
+def test_end_between_requests_takes_place_in_the_turn_that_decides_on_it(way):
+    async def test():
+        async with node(FakeServer()) as gateway:
+            with socket.create_connection(gateway.clients.listener.getsockname()) as sock:
+                sock.setblocking(False)
+                sock.send(call(1))
+                await until(lambda: any(client.asked for client in gateway.clients.connections))
+                (client,) = gateway.clients.connections
+                await until(lambda: not client.slots and not client.undelivered())
+                sock.recv(4096)
+                if way == "room":
+                    assert client.drop()
+                else:
+                    client.parting = True
+                    client.flush()
+                assert sock.recv(1) == b""  # no turn of the loop has passed
+                assert gateway.driver.obligations.breaches == {}
+
+    run(test())
+
+
+@pytest.mark.parametrize("way", ["half-close", "room"])
+def test_connection_is_not_ended_over_a_request_that_came_before_the_end(way):
+    async def test():
+        async with node(FakeServer()) as gateway:
+            with socket.create_connection(gateway.clients.listener.getsockname()) as sock:
+                sock.setblocking(False)
+                sock.send(call(1))
+                await until(lambda: any(client.asked for client in gateway.clients.connections))
+                (client,) = gateway.clients.connections
+                await until(lambda: not client.slots and not client.undelivered())
+                sock.recv(4096)
+                sock.send(call(2))
+                if way == "room":
+                    assert not client.drop()
+                else:
+                    client.parting = True
+                    client.flush()
+                    assert not client.half_closed
+                await until(lambda: client.asked == 2)
+
+    run(test())
