A write that the kernel refuses never ran: it is no reset of a request that went out

Seen: an unsafe request failed (-ERR failed) where its server had reset the connection before a byte was written. Cause: a transport whose write fails reports it a turn later and buffers nothing, so that the command counted as handed over whole. Change: after each write the transport is asked whether it is closing.

--- a/brackenloft/net/server_connection.py
+++ b/brackenloft/net/server_connection.py
@@ -200,6 +200,8 @@
             part = self.unwritten.popleft()
             self.written += len(part)
             self.transport.write(part)
+            if self.transport.is_closing():  # the kernel has refused it, as the loop tells before long
+                return
         if not self.handed and not self.unwritten and not self.transport.get_write_buffer_size():
             self.handed = True
             self.servers.tries += 1
