Soak and overload fail a run for loop errors, a second close, a late exit

The soak looked at a gateway's exit and log only after its rules had been checked, so that neither could fail a run; a second close of a descriptor was seen by nobody. Change: the preloaded library counts close() with EBADF; logs are read before the check; test_overload plays full and resetting servers and a process that stands still.

--- a/brackenloft/lab/overload/gateway.py
+++ b/brackenloft/lab/overload/gateway.py
@@ -15,7 +15,8 @@
 from typing import Any
 
 from brackenloft.lab.overload.memory import socket_bytes, status_bytes
-from brackenloft.lab.overload.scenario import Scenario
+from brackenloft.lab.overload.scenario import Scenario, Trouble
+from brackenloft.lab.soak.preload import Preload, build
 from brackenloft.lab.soak.settings import settings
 from brackenloft.standins.discovery import Agent
 from brackenloft.standins.platform import free_port
@@ -39,6 +40,9 @@
         self.process: asyncio.subprocess.Process | None = None
         self.most_bytes = 0  # of the process and its sockets
         self.crashes: list[str] = []
+        self.preload: Preload | None = None  # in trouble, where descriptors are closed in many ways
+        if scenario.trouble != Trouble():
+            self.preload = Preload(build(folder), folder / "control", scenario.seed)
 
     async def start(self, rows: Sequence[dict[str, Any]]) -> None:
         """Start the agent, with this list, and the first process."""
@@ -59,6 +63,8 @@
         }
         self.config.write_text(json.dumps(document))
         environment = {**os.environ, "EDGE_CONFIG": str(self.config), "PYTHONPATH": str(self.root)}
+        if self.preload:
+            environment |= self.preload.environment()
         with self.log.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable, "-m", "brackenloft", env=environment, cwd=self.root, stderr=log
@@ -132,6 +138,10 @@
                 await self.process.wait()
         self.agent.close()
         text = self.log.read_text(errors="replace") if self.log.exists() else ""
+        if self.preload:
+            if self.preload.bad_closes():
+                self.crashes.append(f"descriptors closed twice: {self.preload.bad_closes()}")
+            self.preload.close()
         for fault in FAULTS:
             if fault in text:
                 found = text.index(fault)
--- a/brackenloft/lab/soak/gateways.py
+++ b/brackenloft/lab/soak/gateways.py
@@ -25,6 +25,7 @@
 LOOK_S = 0.02
 BETWEEN_SIGNALS_S = 0.15
 LEAST_QUEUED_S = 0.005
+FAULTS = ("Traceback", "the loop reports", "never retrieved")  # in a process's log
 GOOD_EXITS = (0, -signal.SIGKILL)
 
 
@@ -194,6 +195,10 @@
                 self.history.crashes.append(f"gateway {self.number} had ended: {self.process.returncode}")
         self.agent.close()
         text = self.log.read_text(errors="replace")
-        if "Traceback" in text:
-            self.history.crashes.append(f"gateway {self.number}: {text[text.index('Traceback') :][:2000]}")
+        for fault in FAULTS:
+            if fault in text:
+                self.history.crashes.append(f"gateway {self.number}: {text[text.index(fault) :][:2000]}")
+        if self.preload.bad_closes():
+            count = self.preload.bad_closes()
+            self.history.crashes.append(f"gateway {self.number}: descriptors closed twice {count} times")
         self.preload.close()
--- a/brackenloft/lab/soak/preload.py
+++ b/brackenloft/lab/soak/preload.py
@@ -14,7 +14,8 @@
 SIGNED = struct.Struct("=q")
 CLOCK_STEP_AT = PORTS * COUNTER.size
 FAIL_PERCENT_AT = CLOCK_STEP_AT + SIGNED.size
-CONTROL_BYTES = FAIL_PERCENT_AT + SIGNED.size
+BAD_CLOSES_AT = FAIL_PERCENT_AT + SIGNED.size
+CONTROL_BYTES = BAD_CLOSES_AT + COUNTER.size
 
 
 def build(folder: Path) -> Path:
@@ -48,6 +49,11 @@
         count: int = COUNTER.unpack_from(self.memory, client_port * COUNTER.size)[0]
         return count
 
+    def bad_closes(self) -> int:
+        """How often the process has closed a descriptor that was not open: one that has two owners."""
+        count: int = COUNTER.unpack_from(self.memory, BAD_CLOSES_AT)[0]
+        return count
+
     def step_clock(self, seconds: int) -> None:
         """The process's wall clock is off by so much from now on."""
         SIGNED.pack_into(self.memory, CLOCK_STEP_AT, seconds)
--- a/brackenloft/lab/soak/run.py
+++ b/brackenloft/lab/soak/run.py
@@ -96,7 +96,8 @@
             await self._inject(began)
             await asyncio.sleep(max(0.0, began + self.scenario.length_s - time.monotonic()))
             await asyncio.gather(*self.tasks)
-            return await self._result(began)
+            length_s = time.monotonic() - began
+            await self._settle()
         finally:
             lag.cancel()
             for task in self.tasks:
@@ -106,6 +107,7 @@
             await asyncio.gather(*(gateway.close() for gateway in self.gateways))
             for server in self.servers:
                 server.close()
+        return self._result(length_s)  # once the logs are whole
 
     async def _watch_lag(self) -> None:
         sampled = time.monotonic()
@@ -199,14 +201,16 @@
 
     # ---- The end
 
-    async def _result(self, began: float) -> Result:
-        """Send no more, wait for what is owed, and check the rules."""
-        length_s = time.monotonic() - began
+    async def _settle(self) -> None:
+        """Send no more, and wait for what is owed."""
         for client in self.clients:
             client.habit = QUIET
         await asyncio.sleep(SETTLE_S)
+        self.history.ended_at = time.monotonic()
+
+    def _result(self, length_s: float) -> Result:
+        """Check the rules."""
         history = self.history
-        history.ended_at = time.monotonic()
         for gateway in self.gateways:
             self._excuse_killed(gateway)
         calls_per_s = ROOM * len(history.attempts) / length_s / len(self.servers)
--- a/brackenloft/lab/soak/system_calls.c
+++ b/brackenloft/lab/soak/system_calls.c
@@ -1,7 +1,7 @@
 /* A preloaded library for one gateway process.
 
-   It counts the bytes that the process reads from each client, fails or shortens system calls, and moves the wall
-   clock. All of it is steered through a file that is mapped into memory (struct control below, see preload.py).
+   It counts the bytes that the process reads from each client and the closes of descriptors that are not open, fails
+   or shortens system calls, and moves the wall clock. All of it is steered through a file that is mapped into memory (struct control below, see preload.py).
 
    PRELOAD_CONTROL   path of the file
    PRELOAD_SEED      which of the calls fail
@@ -28,6 +28,7 @@
     uint64_t bytes_read[PORTS]; /* from the client of this port, since its connection was accepted */
     int64_t clock_step_s;       /* by which the wall clock is off */
     int64_t fail_percent;       /* of the calls that fail or come short */
+    uint64_t bad_closes;        /* of descriptors that were closed before: somebody owns them twice */
 };
 
 static struct control *control;
@@ -155,7 +156,9 @@
 int close(int fd) {
     REAL(close, int, int);
     if (fd >= 0 && fd < DESCRIPTORS) client_port[fd] = 0;
-    return real(fd);
+    int failed = real(fd);
+    if (failed && errno == EBADF && control) control->bad_closes++;
+    return failed;
 }
 int clock_gettime(clockid_t clock, struct timespec *t) {
     REAL(clock_gettime, int, clockid_t, struct timespec *);
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -6,7 +6,7 @@
 import uvloop
 
 from brackenloft.lab.overload.run import Run
-from brackenloft.lab.overload.scenario import CrowdKind, Scenario
+from brackenloft.lab.overload.scenario import CrowdKind, Scenario, Trouble
 
 SECONDS = 6.0  # of a run
 LIMIT_S = 90.0  # a run that takes so long hangs
@@ -44,3 +44,31 @@
         Scenario(12, CrowdKind.ALL, 100, 48, seconds=SECONDS, restart_at_s=SECONDS / 2), tmp_path
     )
     assert verdict.broken == {}, verdict.shown
+
+
+# Guards against connections that end under requests: a descriptor with two owners, an end that comes late.
+@pytest.mark.parametrize(
+    ("crowd", "sockets", "rate_per_s", "trouble"),
+    [
+        (60, 1024, 300.0, Trouble(places=2, reset_share=0.2)),
+        (150, 256, 200.0, Trouble(places=2, stops_per_s=2.0)),
+    ],
+)
+def test_connections_do_not_end_under_requests_beside_full_servers_that_reset_and_a_process_that_stands_still(
+    crowd, sockets, rate_per_s, trouble, tmp_path
+):
+    verdict = played(
+        Scenario(
+            13,
+            CrowdKind.REST,
+            crowd,
+            memory_mb=192,
+            sockets=sockets,
+            seconds=SECONDS,
+            rate_per_s=rate_per_s,
+            trouble=trouble,
+        ),
+        tmp_path,
+    )
+    assert verdict.broken == {}, verdict.shown
+    assert verdict.figures["served"] > 0
