A connection whose first request is turned away ends once it rests

Cause: a connection was ended right behind the -BUSY of its first request, the moment in which a client that keeps connections asks again; 600 such ends a second leave one for a stop to hit. Change: it is ended while places are short once nothing has come for QUIET_S, looked at where room is made. Tests that set parting set QUIET_S to 0.

--- a/brackenloft/net/client.py
+++ b/brackenloft/net/client.py
@@ -38,7 +38,7 @@
         super().__init__(clients, sock)
         self.asked = self.errors = 0  # requests so far, and bad commands in a row
         self.withheld: deque[bytes] = deque()  # errors behind the end, written only if a request follows
-        self.parting = False  # to be closed as soon as nothing is owed on it
+        self.parting = False  # to be ended as soon as it rests, while places are short
         self.within = False  # a part of a command has come, and may be dropped
         self.timer: asyncio.TimerHandle | None = None  # while it lingers
         self.waits_until: float | None = None  # the client of a command that waits to be read whole
@@ -259,12 +259,13 @@
         return self.transport is not None and may_hide_end(self.socket)
 
     def turned_away(self) -> None:
-        """Nothing was sent on for a request. If it was the first one, and places are short, it ends here.
+        """Nothing was sent on for a request. If it was the first one, and places are short, it ends soon.
 
         Guards against connections that hold a place for seconds for nothing.
         """
         if self.asked == 1 and self.clients.short():
             self.parting = True
+            self.clients.part(self)
 
     def _refuse(self, why: str) -> None:
         """A bad command: an error, and after many in a row the end."""
--- a/brackenloft/net/client_closing.py
+++ b/brackenloft/net/client_closing.py
@@ -23,8 +23,8 @@
 LINGER_S = 0.3  # from our half-close to the peer's, before the connection is closed all the same
 LINGER_LOOK_S = 0.05  # between two looks at a connection that lingers
 FRESH_S = 0.25  # who has said nothing is let be so long, or would come back at once, again and again
-# After an answer, before its connection is closed as the process empties: who asks again at once has done so.
-# A request that crosses the close would be turned back.
+# After an answer, before its connection is ended between requests: who asks again at once has done so. A
+# request that crosses the end would be turned back.
 QUIET_S = 0.02
 
 
@@ -35,7 +35,7 @@
     reader: Commands
     spoke: bool  # a whole command has come
     within: bool  # a part of a command has come, and may be dropped
-    parting: bool  # to be closed as soon as nothing is owed on it
+    parting: bool  # to be ended as soon as it rests, while places are short
     timer: asyncio.TimerHandle | None  # while it lingers
     peer_history: PeerHistory
     peer_name: str  # for the log: its address
@@ -72,7 +72,7 @@
         if self.clients.finishing():
             return True
         rested_s = self.clients.loop.time() - self.clients.roll.since(self)
-        quiet = self.parting or rested_s >= (QUIET_S if self.spoke else FRESH_S)
+        quiet = rested_s >= (QUIET_S if self.spoke else FRESH_S)
         return quiet and not self.reader.left
 
     def _half_close(self) -> None:
--- a/brackenloft/net/client_owner.py
+++ b/brackenloft/net/client_owner.py
@@ -55,6 +55,9 @@
     def rests(self, client: ClientT) -> None:
         """All that came on a connection has been answered."""
 
+    def part(self, client: ClientT) -> None:
+        """A connection is to be ended as soon as it rests."""
+
     def is_within(self, client: ClientT) -> None:
         """A connection is within a command."""
 
--- a/brackenloft/net/clients.py
+++ b/brackenloft/net/clients.py
@@ -69,6 +69,7 @@
         self.swept = time.monotonic()
         self.connections: OrderedDict[Client, None] = OrderedDict()
         self.owing: OrderedDict[Client, float] = OrderedDict()  # a command or an end, since when
+        self.parting: OrderedDict[Client, None] = OrderedDict()  # to be ended as soon as they rest
         self.roll: Roll[Client] = Roll()  # who does nothing now, and may be closed for it
         self.asking = 0  # connections that have asked for something
         self.turns = ReadTurns(self.loop)
@@ -97,6 +98,7 @@
         Guards against clients that keep a connection for good and so make the usual ones open theirs anew.
         Never one within a command or with a request in hand.
         """
+        self._end_parting()
         now, room = self.loop.time(), ROOM
         for client in list(islice(self.owing, 4 * ROOM)):
             if client.ending:
@@ -109,6 +111,20 @@
         if self.budget.free(Side.CLIENTS) and not self._places_free():
             self._refuse_the_newest(ROOM)
 
+    def part(self, client: Client) -> None:
+        """A connection is to be ended as soon as it rests."""
+        self.parting[client] = None
+        self.look_after()
+
+    def _end_parting(self) -> None:
+        """End who was turned away and has not asked again at once."""
+        for client in list(islice(self.parting, 4 * ROOM)):
+            client.flush()
+            if client.half_closed:
+                self.parting.pop(client, None)
+            elif client in self.parting:
+                self.parting.move_to_end(client)
+
     def scarcity(self) -> float:
         """The share of the places for requests that is taken, by one's own count or the clients'.
 
@@ -156,6 +172,7 @@
         self.owing.pop(client, None)
         self.slow.pop(client, None)
         self.stuck.pop(client, None)
+        self.parting.pop(client, None)
         self.is_whole(client)
         self.roll.stirs(client)
         client.account.close()
--- a/tests/test_net_client_state.py
+++ b/tests/test_net_client_state.py
@@ -5,6 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from brackenloft.net import client_closing
 from brackenloft.net.client_state import FACTS, FOLLOWS, ConnectionEvent, ConnectionState
 
 State, Event = ConnectionState, ConnectionEvent
@@ -62,6 +63,7 @@
             if sent:
                 peer.send(sent)
             else:
+                monkeypatch.setattr(client_closing, "QUIET_S", 0.0)
                 client.parting = True
                 client.flush()
             await until(lambda: not gateway.clients.connections)
--- a/tests/test_net_closing.py
+++ b/tests/test_net_closing.py
@@ -54,6 +54,7 @@
             await until(lambda: client.asked == 1 and not client.slots)
             await until(lambda: not client.transport.get_write_buffer_size())
             monkeypatch.setattr(kernel, "unread", unread)
+            monkeypatch.setattr(client_closing, "QUIET_S", 0.0)
             client.parting = True
             client.flush()
             await until(lambda: bool(looks))
@@ -181,7 +182,9 @@
     run(test())
 
 
-def test_command_that_comes_behind_our_end_is_left_in_the_kernel():
+def test_command_that_comes_behind_our_end_is_left_in_the_kernel(monkeypatch):
+    monkeypatch.setattr(client_closing, "QUIET_S", 0.0)
+
     async def test():
         async with node(FakeServer()) as gateway:
             peer = await gateway.peer()
@@ -241,7 +244,9 @@
 
 # Guards against an end that is decided now and takes place a turn of the loop later, over what comes between.
 @pytest.mark.parametrize("way", ["half-close", "room"])
-def test_end_between_requests_takes_place_in_the_turn_that_decides_on_it(way):
+def test_end_between_requests_takes_place_in_the_turn_that_decides_on_it(way, monkeypatch):
+    monkeypatch.setattr(client_closing, "QUIET_S", 0.0)
+
     async def test():
         async with node(FakeServer()) as gateway:
             with socket.create_connection(gateway.clients.listener.getsockname()) as sock:
@@ -263,7 +268,9 @@
 
 
 @pytest.mark.parametrize("way", ["half-close", "room"])
-def test_connection_is_not_ended_over_a_request_that_came_before_the_end(way):
+def test_connection_is_not_ended_over_a_request_that_came_before_the_end(way, monkeypatch):
+    monkeypatch.setattr(client_closing, "QUIET_S", 0.0)
+
     async def test():
         async with node(FakeServer()) as gateway:
             with socket.create_connection(gateway.clients.listener.getsockname()) as sock:
@@ -283,3 +290,23 @@
                 await until(lambda: client.asked == 2)
 
     run(test())
+
+
+# Guards against an end right behind a refusal, when its client is most likely to ask again.
+def test_connection_whose_first_request_is_turned_away_stays_while_its_client_asks_again_at_once(monkeypatch):
+    monkeypatch.setattr(client_closing, "QUIET_S", 60.0)
+
+    async def test():
+        async with node(FakeServer()) as gateway:
+            other = await gateway.peer()
+            assert await other.ask(call(1, plan="tiny")) == b"%016x" % 1
+            monkeypatch.setattr(gateway.clients, "short", lambda: True)
+            peer = await gateway.peer()
+            assert (await peer.ask(call(2, plan="tiny"))).startswith("-BUSY")
+            gateway.clients._make_room()
+            assert await peer.ask(call(3)) == b"%016x" % 3
+            monkeypatch.setattr(client_closing, "QUIET_S", 0.0)
+            gateway.clients._make_room()
+            assert await peer.reply() is None
+
+    run(test())
--- a/tests/test_net_ends.py
+++ b/tests/test_net_ends.py
@@ -9,6 +9,7 @@
 import pytest
 from fakes import FakeServer, call, node, run, until
 
+from brackenloft.net import client_closing
 from brackenloft.obligations import Breach, CloseReason, HalfCloseReason
 
 RESET = struct.pack("ii", 1, 0)  # struct linger: on, for no time
@@ -128,7 +129,8 @@
     run(test())
 
 
-def test_request_that_crosses_a_half_close_is_told_with_the_reason_of_that(caplog):
+def test_request_that_crosses_a_half_close_is_told_with_the_reason_of_that(caplog, monkeypatch):
+    monkeypatch.setattr(client_closing, "QUIET_S", 0.0)
     caplog.set_level(logging.INFO)
 
     async def test():
