--- a/tests/test_net_closing.py
+++ b/tests/test_net_closing.py
@@ -242,6 +242,18 @@
     run(test())
 
 
+async def rested(gateway):
+    """A socket whose one request has been answered, and its connection."""
+    sock = socket.create_connection(gateway.clients.listener.getsockname())
+    sock.setblocking(False)
+    sock.send(call(1))
+    await until(lambda: any(client.asked for client in gateway.clients.connections))
+    (client,) = gateway.clients.connections
+    await until(lambda: not client.slots and not client.undelivered())
+    sock.recv(4096)
+    return sock, client
+
+
 # Guards against an end that is decided now and takes place a turn of the loop later, over what comes between.
 @pytest.mark.parametrize("way", ["half-close", "room"])
 def test_end_between_requests_takes_place_in_the_turn_that_decides_on_it(way, monkeypatch):
@@ -249,13 +261,8 @@
 
     async def test():
         async with node(FakeServer()) as gateway:
-            with socket.create_connection(gateway.clients.listener.getsockname()) as sock:
-                sock.setblocking(False)
-                sock.send(call(1))
-                await until(lambda: any(client.asked for client in gateway.clients.connections))
-                (client,) = gateway.clients.connections
-                await until(lambda: not client.slots and not client.undelivered())
-                sock.recv(4096)
+            sock, client = await rested(gateway)
+            with sock:
                 if way == "room":
                     assert client.drop()
                 else:
@@ -273,13 +280,8 @@
 
     async def test():
         async with node(FakeServer()) as gateway:
-            with socket.create_connection(gateway.clients.listener.getsockname()) as sock:
-                sock.setblocking(False)
-                sock.send(call(1))
-                await until(lambda: any(client.asked for client in gateway.clients.connections))
-                (client,) = gateway.clients.connections
-                await until(lambda: not client.slots and not client.undelivered())
-                sock.recv(4096)
+            sock, client = await rested(gateway)
+            with sock:
                 sock.send(call(2))
                 if way == "room":
                     assert not client.drop()
