Bytes that came before the process read no more are no breach at its half-close

Found by reading the change: Breach.ENDED_OVER_COMMAND would have counted each client that sends up to the kill. test_obligations has the five cases.

--- a/brackenloft/obligations.py
+++ b/brackenloft/obligations.py
@@ -80,6 +80,10 @@
         return self.unanswered > 0 or self.unparsed
 
 
+READS_NO_MORE = (
+    HalfCloseReason.TURNED_AWAY,
+    HalfCloseReason.PROCESS_ENDS,
+)  # bytes may have come before these
 PEER_ENDS = (CloseReason.PEER_LEFT, CloseReason.PEER_RESET)
 
 
@@ -93,7 +97,7 @@
 
     def over_command(self) -> bool:
         """Whether the last byte had come before the half-close, on a connection that was still read."""
-        return self.reason is not HalfCloseReason.TURNED_AWAY and self.came_s > self.since_s + CAME_SLACK_S
+        return self.reason not in READS_NO_MORE and self.came_s > self.since_s + CAME_SLACK_S
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_obligations.py
+++ b/tests/test_obligations.py
@@ -10,6 +10,8 @@
     Breach,
     CloseReason,
     Dues,
+    HalfClose,
+    HalfCloseReason,
     Obligations,
     PeerFacts,
     SendFacts,
@@ -63,6 +65,27 @@
     assert all(record.unrationed for record in named)
 
 
+# Guards against an end between requests that takes place over one, and is told as a crossing.
+@pytest.mark.parametrize(
+    ("reason", "came_s", "breached"),
+    [
+        (HalfCloseReason.PLACES_SHORT, 0.4, True),
+        (HalfCloseReason.PROCESS_EMPTIES, 0.4, True),
+        (HalfCloseReason.PLACES_SHORT, 0.3, False),
+        (HalfCloseReason.TURNED_AWAY, 0.4, False),
+        (HalfCloseReason.PROCESS_ENDS, 0.4, False),
+    ],
+)
+def test_half_close_over_bytes_that_had_come_is_a_breach_where_the_connection_was_still_read(
+    reason, came_s, breached
+):
+    obligations = Obligations()
+    half_close = HalfClose(reason, since_s=0.3, came_s=came_s)
+    obligations.closes("a client", Dues(), CloseReason.DONE, unread=True, half_close=half_close)
+    assert obligations.breaches == ({Breach.ENDED_OVER_COMMAND: 1} if breached else {})
+    assert obligations.crossed == ({} if breached else {reason: 1})
+
+
 @pytest.mark.parametrize("reason", CloseReason)
 def test_close_when_nothing_is_owed_is_no_breach(reason):
     obligations = Obligations()
