--- a/brackenloft/obligations.py
+++ b/brackenloft/obligations.py
@@ -83,7 +83,7 @@
 READS_NO_MORE = (
     HalfCloseReason.TURNED_AWAY,
     HalfCloseReason.PROCESS_ENDS,
-)  # bytes may have come before these
+)  # bytes may come before
 PEER_ENDS = (CloseReason.PEER_LEFT, CloseReason.PEER_RESET)
 
 
