Review case 10: a drained gateway says yes again from SIGTERM on

POST /-/drain, and SIGTERM 5 s later: PING is answered +PONG for as long as the process still accepts.

--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec "$(dirname "$0")/../run-2.sh" "$(dirname "$0")"
