--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,93 +1,85 @@
-"""Some good answers come twice, the second time some milliseconds late: whose answers do clients get?"""
+"""A client pipelines, and the server's connection is reset within the long answer before."""
 
 from __future__ import annotations
 
 from pathlib import Path
 
-from rig_2 import SETTINGS, TROUBLE, Conn, Gateway, Record, Server, answer, asyncio, main, read_board
-
-LATE_S = 0.012  # the second answer behind the first
-ONE_IN = 10  # answers that come twice
-AWAY_S = 0.001  # one way between the gateway and a server: 0.7 to 1.3 ms between rooms
-CLIENTS, ASKED = 40, 70
-WORK_S = 0.15
-
-
-class Board:
-    """A sound board node; some answers come twice, if nothing else waits on the connection by then."""
-
-    def __init__(self) -> None:
-        self.answered = self.twice = 0
-
-    async def __call__(self, server: Server, conn: Conn) -> None:
-        """Serve a connection; what is read and written takes its way."""
-        loop, commands = asyncio.get_running_loop(), asyncio.Queue[bytes]()
-        seen = [0]  # commands that have come here
-
-        def come(request_id: bytes) -> None:
-            seen[0] += 1
-            commands.put_nowait(request_id)
-
-        def write(value: bytes) -> None:
-            loop.call_later(AWAY_S, conn.writer.write, value)
-
-        def again(value: bytes, before: int, request_id: bytes) -> None:
-            if seen[0] == before:
-                self.twice += 1
-                server.record.note(f"{server.name}/{conn.number} answers {request_id.decode()} once more")
-                write(value)
-
-        async def serve() -> None:
-            while True:
-                request_id = await commands.get()
-                await asyncio.sleep(WORK_S)
-                value = answer(b"for:" + request_id)
-                write(value)
-                self.answered += 1
-                if TROUBLE and self.answered % ONE_IN == 0:
-                    loop.call_later(LATE_S, again, value, seen[0], request_id)
-
-        serving = asyncio.create_task(serve())
-        try:
-            while True:
-                _, words = await conn.words()
-                loop.call_later(AWAY_S, come, words[2])
-        finally:
-            serving.cancel()
+from rig_2 import (
+    SETTINGS,
+    TROUBLE,
+    Conn,
+    Gateway,
+    Record,
+    Server,
+    answer,
+    asyncio,
+    buy_highlight,
+    main,
+    read_board,
+)
+
+SIZE = 400 * 1024  # bytes of a long value; up to 4 MiB occur
+PIECE, PIECE_S = 16 * 1024, 0.04  # how it is written: 400 KB a second
+RESET_AFTER = 256 * 1024  # bytes of it
+
+
+def board(ran: set[bytes]):
+    """A sound board node; with trouble, a connection is reset within a long answer."""
+
+    async def behave(server: Server, conn: Conn) -> None:
+        while True:
+            _, words = await conn.words()
+            request_id = words[2]
+            ran.add(request_id)
+            server.record.note(f"{server.name} runs {request_id.decode()}")
+            if not request_id.startswith(b"long"):
+                await asyncio.sleep(0.2)
+                conn.writer.write(answer(b"for:" + request_id))
+                continue
+            whole = answer(b"v" * SIZE)
+            for start in range(0, len(whole), PIECE):
+                if TROUBLE and start >= RESET_AFTER:
+                    server.record.note(f"{server.name} resets the connection within {request_id.decode()}")
+                    conn.reset()
+                    return
+                conn.writer.write(whole[start : start + PIECE])
+                await conn.writer.drain()
+                await asyncio.sleep(PIECE_S)
+
+    return behave
 
 
 async def play(record: Record, folder: Path) -> bool:
-    """Ask on many connections and compare each value with the one that was made for the request."""
-    board = Board()
-    counts = {"right": 0, "wrong": 0, "other": 0}
+    """Four clients, each with a read of a long value and a purchase right behind it."""
+    ran: set[bytes] = set()
     servers = [
-        await Server(f"s-{number}", "sala-b" if number % 2 else "sala-a", board, record).start()
+        await Server(f"s-{number}", "sala-b" if number % 2 else "sala-a", board(ran), record).start()
         for number in range(9)
     ]
     gateway = await Gateway(folder, record, SETTINGS).start(servers)
+    lost: list[str] = []
 
     async def client(number: int) -> None:
         conn = await gateway.connect()
-        for turn in range(ASKED):
-            request_id = b"%08x%08x" % (number, turn)
-            conn.writer.write(read_board(request_id, customer=number * 1000 + turn))
-            said = await asyncio.wait_for(conn.reply(), 8.0)
-            if said == b"$for:" + request_id:
-                counts["right"] += 1
-            elif said and said.startswith(b"$"):
-                counts["wrong"] += 1
-                record.note(f"client {number} gets {said!r} for {request_id.decode()}: ANOTHER'S")
-            else:
-                counts["other"] += 1
-            if said is None:
-                conn = await gateway.connect()
-            await asyncio.sleep(0.01 * (number % 7))
+        long, buy = b"long%012d" % number, b"buy%013d" % number
+        first = read_board(long, customer=0x100 + number)
+        conn.writer.write(first + buy_highlight(buy, customer=0x200 + number))
+        record.note(f"client {number} sends {long.decode()} and {buy.decode()}")
+        for request_id in (long, buy):
+            said = await asyncio.wait_for(conn.reply(), 15.0)
+            size = "the connection ended" if said is None else f"{len(said)} bytes {said[:24]!r}"
+            record.note(f"client {number} gets for {request_id.decode()}: {size}")
+        if said is None:
+            lost.append(buy.decode() + (", which has run" if buy in ran else ""))
         conn.close()
 
     try:
-        await asyncio.gather(*(client(number) for number in range(CLIENTS)))
-        record.note(f"answers {counts}, of {board.answered} given {board.twice} came twice")
-        return not counts["wrong"]
+        await asyncio.gather(*(client(number) for number in range(4)))
+        record.note(f"taken and never answered: {lost}")
+        for line in gateway.log_lines():
+            if "obligation not kept" in line:
+                record.note(f"the gateway's log: {line}")
+        return not lost
     finally:
         await gateway.stop()
 
