--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,8 +1,7 @@
-"""A gateway is drained, and ended by SIGTERM some seconds later: does it go on saying no?"""
+"""A planned restart while a server still gives a long value that is passed on."""
 
 from __future__ import annotations
 
-import contextlib
 from pathlib import Path
 
 from rig_2 import (
@@ -10,77 +9,72 @@
     TROUBLE,
     Conn,
     Gateway,
-    NotRunError,
     Record,
     Server,
     answer,
     asyncio,
-    command,
     main,
     read_board,
     signal,
     time,
 )
 
-ASKS_S = 0.1  # the front asks PING so often
-DRAINED_S = 4.0  # after the call, a yes breaks the rule on lost requests
-TERM_S = 5.0  # after the call: the planned restart
-WATCHED_S = 6.5
+SIZE = 2 * 1024 * 1024  # bytes of a value; up to 4 MiB occur
+GIVEN_S = 3.45  # the time in which a server writes it
+PIECES = 46
+KILL_S = 3.7  # from SIGTERM to SIGKILL at the earliest: the longest deadline (3 s at most) and 0.7 s
 
 
 async def behave(server: Server, conn: Conn) -> None:
-    """A sound board node."""
+    """A sound board node that writes a long value slowly and steadily, the first bytes at once."""
     while True:
         _, words = await conn.words()
+        began = time.monotonic()
         server.record.note(f"{server.name} runs {words[2].decode()}")
-        await asyncio.sleep(0.15)
-        conn.writer.write(answer(b"for:" + words[2]))
-
-
-async def drain(gateway: Gateway) -> bytes:
-    """``POST /-/drain`` at the second address; the status line."""
-    reader, writer = await asyncio.open_connection("127.0.0.1", gateway.admin)
-    writer.write(b"POST /-/drain HTTP/1.1\r\nHost: gateway\r\n\r\n")
-    line = await reader.readline()
-    writer.close()
-    return line.strip()
+        whole = answer(b"v" * SIZE)
+        step = len(whole) // PIECES + 1
+        for number, start in enumerate(range(0, len(whole), step)):
+            await asyncio.sleep(max(0.0, began + number * GIVEN_S / PIECES - time.monotonic()))
+            conn.writer.write(whole[start : start + step])
+            await conn.writer.drain()
+        server.record.note(f"{server.name} has given all of it")
 
 
 async def play(record: Record, folder: Path) -> bool:
-    """Ask as the front does, drain, end; a yes after the drain takes the gateway in again."""
+    """Three reads of long values, then SIGTERM; SIGKILL when it may come."""
     servers = [
         await Server(f"s-{number}", "sala-b" if number % 2 else "sala-a", behave, record).start()
         for number in range(4)
     ]
     gateway = await Gateway(folder, record, SETTINGS).start(servers)
-    late_yes = 0
+    ends: list[bool] = []
+
+    async def client(number: int) -> None:
+        conn = await gateway.connect()
+        request_id = b"%016x" % number
+        conn.writer.write(read_board(request_id, customer=0x300 + number))
+        record.note(f"client sends {request_id.decode()}")
+        said = await asyncio.wait_for(conn.reply(), 12.0)
+        record.note(f"client gets {'a value cut off' if said is None else f'{len(said) - 1} bytes'}")
+        ends.append(said is not None)
+        conn.close()
+
+    async def end() -> None:
+        gateway.signal(signal.SIGTERM)
+        told = time.monotonic()
+        try:
+            await asyncio.wait_for(gateway.process.wait(), KILL_S)
+            record.note(f"the gateway has ended by itself {time.monotonic() - told:.2f} s after SIGTERM")
+        except TimeoutError:
+            gateway.signal(signal.SIGKILL)
+
     try:
-        status = await drain(gateway)
-        called = time.monotonic()
-        record.note(f"POST /-/drain: {status.decode()}")
-        if b" 200 " not in status + b" ":
-            raise NotRunError("the drain was refused")
-        ended = False
-        while (since := time.monotonic() - called) < WATCHED_S:
-            if TROUBLE and since >= TERM_S and not ended:
-                ended = True
-                gateway.signal(signal.SIGTERM)
-            said = None
-            with contextlib.suppress(OSError, TimeoutError):
-                conn = await gateway.connect()
-                conn.writer.write(command(b"PING"))
-                said = await asyncio.wait_for(conn.reply(), 1.0)
-                if said == b"+PONG" and since > DRAINED_S:
-                    late_yes += 1
-                    request_id = b"%016x" % late_yes
-                    conn.writer.write(read_board(request_id))  # the front has taken it in
-                    got = await asyncio.wait_for(conn.reply(), 6.0)
-                    record.note(f"the front deals it {request_id.decode()}, answered {got!r:.40}")
-                conn.close()
-            record.note(f"{since:.2f} s after the call, PING: {said!r}")
-            await asyncio.sleep(ASKS_S)
-        record.note(f"yes said {late_yes} times more than {DRAINED_S:g} s after the call")
-        return not late_yes
+        clients = [asyncio.create_task(client(number)) for number in range(3)]
+        await asyncio.sleep(0.05)
+        if TROUBLE:
+            await end()
+        await asyncio.gather(*clients)
+        return all(ends)
     finally:
         await gateway.stop()
 
