--- a/brackenloft/net/client.py
+++ b/brackenloft/net/client.py
@@ -141,7 +141,10 @@
         self._leave_if_done()
 
     def read_no_more(self) -> None:
-        """Take nothing more from the kernel; what was read already is answered at once, then it is closed."""
+        """Take nothing more from the kernel; what was read already is answered at once, then it is closed.
+
+        A command that was read in part is refused: its client may have written all of it.
+        """
         self.throttle()
         self._read()
 
@@ -163,10 +166,10 @@
             self.waits_until = inf if wait_ms is None else self.came_at + wait_ms / 1000.0
         return now >= self.waits_until
 
-    def refuse_waiting(self) -> None:
+    def refuse_partial(self, why: str) -> None:
         """Refuse a command that was never read whole. Its rest can't be told from a next one: the end."""
         if not self.ending:
-            self._break("no memory in time", wire.answer_line(Refused()))
+            self._break(why, wire.answer_line(Refused()))
 
     def _take(self, command: list[bytes], size: int) -> None:
         name = command[0].upper()
--- a/brackenloft/net/client_closing.py
+++ b/brackenloft/net/client_closing.py
@@ -50,14 +50,26 @@
 
     def dues(self) -> Dues:
         """What is owed on it."""
-        return Dues(len(self.slots), self.unparsed, self.undelivered())
+        return Dues(len(self.slots), self.unparsed, self.undelivered(), self._has_partial())
+
+    def _has_partial(self) -> bool:
+        """Whether a part of a command was read, whose rest is still taken."""
+        return self.reader.left > 0 and not self.ending
 
     def _leave_if_done(self) -> None:
         """Close between requests, when it is time to, and behind the last reply of one that ends."""
         if not self.transport or self.slots or self.unparsed or self.stuck or self.transport.is_closing():
             return
-        if self.ending or self._may_go():
+        if self.half_closed or not (self.ending or self._may_go()):
+            return
+        if not self._has_partial():
             self._half_close()
+        elif self.clients.closing or not unread(self.socket):  # else that is read first
+            self.refuse_partial("the process ends")
+
+    def refuse_partial(self, why: str) -> None:
+        """Refuse a command that was never read whole, and end the connection."""
+        raise NotImplementedError
 
     def _may_go(self) -> bool:
         """Whether it may be closed between requests: for want of places, or as the process empties.
@@ -78,8 +90,6 @@
     def _half_close(self) -> None:
         """A lingering close: end our side behind the last reply, then wait for the peer's end."""
         assert self.transport
-        if self.half_closed:
-            return
         if self.transport.get_write_buffer_size():
             self.transport.set_write_buffer_limits(0)  # it tells when the last byte has gone to the kernel
             return
--- a/brackenloft/net/client_memory.py
+++ b/brackenloft/net/client_memory.py
@@ -28,6 +28,7 @@
 LONG_SHARE = 0.75  # of what may be held, for commands of more than STREAM_FROM and for what is read ahead
 # Bytes of all, and share of what may be held, up to which commands are read that can't be taken yet.
 MOST_AHEAD, AHEAD_SHARE = 8 * 1024 * 1024, 0.25
+NO_MEMORY = "no memory in time"  # why a command that was not read whole is refused
 ANSWER = 16 * 1024  # bytes that a request's answer may take while others are in hand on its connection
 
 
@@ -165,11 +166,11 @@
         waiting = [one for one, ask in self.commands.waiting.items() if ask.size > STREAM_FROM]
         for client in waiting[1:][-most:]:
             self.bites.bite("memory for connections", "the newest long command that waits is refused")
-            client.refuse_waiting()
+            client.refuse_partial(NO_MEMORY)
 
     def _end_waits(self) -> None:
         """Refuse commands that have waited for memory until their client's time was up."""
         now = time.monotonic()
         for client in [one for one in self.commands.waiting if one.time_is_up(now)]:
             self.bites.bite("memory for commands", "one that waited is refused as its time is up")
-            client.refuse_waiting()
+            client.refuse_partial(NO_MEMORY)
--- a/brackenloft/obligations.py
+++ b/brackenloft/obligations.py
@@ -1,8 +1,9 @@
 """What is owed to clients: whether a connection may be closed and an attempt sent now.
 
-A command that was read whole is owed one reply, and a reply is owed until the peer's machine has acknowledged
-it. What was never read is not owed: the client sends it again on another connection. A close may therefore
-leave bytes in the kernel, but nobody may read them only to throw them away. An attempt is sent only while its
+A command of which anything was read is owed one reply: its rest may lie in the kernel, written whole by its
+client. A reply is owed until the peer's machine has acknowledged it. What was never read is not owed: the
+client sends it again on another connection. A close may therefore leave bytes in the kernel, but nobody may
+read them only to throw them away. An attempt is sent only while its
 client waits for it, and is told no longer a deadline than the client has left. Callers ask here first;
 ``Obligations`` checks what they do all the same, and counts each violation.
 """
@@ -74,10 +75,11 @@
     unanswered: int = 0  # commands read whole, without a reply
     unparsed: bool = False  # bytes were read that may hold whole commands
     undelivered: int = 0  # bytes of replies not yet acknowledged by the peer's machine
+    partial: bool = False  # a part of a command was read, whose rest may have come
 
     def unheard(self) -> bool:
         """Whether a command may have been read and has no reply."""
-        return self.unanswered > 0 or self.unparsed
+        return self.unanswered > 0 or self.unparsed or self.partial
 
 
 READS_NO_MORE = (
--- a/tests/test_net_closing.py
+++ b/tests/test_net_closing.py
@@ -163,6 +163,7 @@
             for peer in peers:
                 replies = [await peer.reply() for _ in range(owed)]
                 assert all(reply in ("-BUSY", "-ERR failed") for reply in replies)
+                assert not sent or await peer.reply() == "-BUSY"
                 assert await peer.reply() is None
 
     run(test())
--- a/tests/test_net_ops.py
+++ b/tests/test_net_ops.py
@@ -123,7 +123,7 @@
             within.send(b"*4\r\n")
             await until(lambda: gateway.clients.held)
             await ask("POST", "/-/drain")
-            assert await within.reply() is None
+            assert [await within.reply(), await within.reply()] == ["-BUSY", None]
 
     run(test())
 
