--- a/brackenloft/edge/edge.py
+++ b/brackenloft/edge/edge.py
@@ -132,8 +132,7 @@
             self._end()
 
     def _busy(self) -> bool:
-        clients = self.clients
-        return bool(clients.connections or clients.queue or clients.listener or self._own or self.granted_now)
+        return bool(self.clients.busy() or self._own or self.granted_now)
 
     def _end(self) -> None:
         self.is_open = False
--- a/brackenloft/net/clients.py
+++ b/brackenloft/net/clients.py
@@ -292,6 +292,13 @@
 
     # ---- The end
 
+    def busy(self) -> bool:
+        """Whether there are connections, in whatever state, or more may come.
+
+        Guards against ending while the last connections are being handed to the loop, still unread.
+        """
+        return bool(self.connections or self.tasks or self.queue or self.listener)
+
     def stop_listening(self, left_s: float = inf) -> None:
         """Close each connection once nothing is owed on it, accept who waits in the kernel, then nobody.
 
--- a/tests/test_net_leaving.py
+++ b/tests/test_net_leaving.py
@@ -1,8 +1,13 @@
-"""Requests that were read in part as the process ends: each is refused, none is closed over."""
+"""Requests whose connections are not read to the end as the process ends: none is closed over."""
+
+import asyncio
 
 import pytest
 from fakes import FakeServer, call, node, run, until
 
+from brackenloft.edge import edge as edge_module
+from brackenloft.net import listener as listener_module
+
 BODY = b"x" * 60_000
 PURCHASE = call(3, "buy", body=BODY)
 
@@ -72,3 +77,32 @@
             assert gateway.driver.obligations.breaches == {}
 
     run(test())
+
+
+# Guards against ending before the time is up, while the last connections of a crowd are handed to the loop.
+def test_process_ends_only_when_connections_that_were_accepted_have_been_answered(monkeypatch):
+    handed = asyncio.Event()
+    hand_over = listener_module.hand_over
+
+    async def held_up(*arguments):
+        await handed.wait()
+        await hand_over(*arguments)
+
+    monkeypatch.setattr(listener_module, "hand_over", held_up)
+    monkeypatch.setattr(edge_module, "LOOK_S", 0.0)
+
+    async def test():
+        async with node(FakeServer()) as gateway:
+            clients, peer = gateway.clients, await gateway.peer()
+            peer.send(call(1))
+            await until(lambda: clients.tasks)
+            closing = asyncio.ensure_future(gateway.edge.close(5.0))
+            await until(lambda: not clients.listener and not clients.queue)
+            assert clients.tasks and not clients.connections
+            for _ in range(20):  # looks whether all has been done
+                await asyncio.sleep(0)
+            handed.set()
+            assert [await peer.reply(), await peer.reply()] == [b"%016x" % 1, None]
+            await closing
+
+    run(test())
