--- a/brackenloft/net/counters.py
+++ b/brackenloft/net/counters.py
@@ -15,3 +15,8 @@
     gone: int = 0  # the client left, or the host cancelled, before the answer
     stalls: int = 0  # times that the loop was held up by more than the loop's lag allows
     stalled_ms: float = 0.0
+
+    def stalled(self, seconds: float) -> None:
+        """The loop was held up for so long."""
+        self.stalls += 1
+        self.stalled_ms += seconds * 1000.0
--- a/brackenloft/net/driver.py
+++ b/brackenloft/net/driver.py
@@ -19,7 +19,7 @@
 from brackenloft.net.send_check import SendCheck
 from brackenloft.net.sent_requests import SentRequests
 from brackenloft.net.servers import Servers
-from brackenloft.net.streams import GATHER_MS, Stream
+from brackenloft.net.streams import Stream, gather_ms
 from brackenloft.net.timers import Timers
 from brackenloft.net.wire import Buffers
 from brackenloft.obligations import Obligations
@@ -50,7 +50,7 @@
         self.handling = False
         self.loop = asyncio.get_running_loop()
         self.timers = Timers(self.loop, clock, LATE_MS)
-        self.lag = Lag(self.loop, LATE_MS, self._stalled, lambda: bool(self.calls))
+        self.lag = Lag(self.loop, LATE_MS, self.counters.stalled, lambda: bool(self.calls))
         self.check = SendCheck(self.lag, self.sent_requests, self.obligations, self.client_gone)
         self.actions: dict[type, Callable[[Any], None]] = {
             api.Send: self._send,
@@ -268,10 +268,13 @@
             return False
         call.stream, call.first_ms = stream, self._taken_ms(attempt)
         self.post(api.StreamStarted(call.request_id, attempt.number, attempt.server, call.first_ms))
+        stream.on_gather = partial(self._hurry_later, call, stream)
         call.on_open(Opened(stream))
-        self._later(call, GATHER_MS, Stream.hurry, stream)
         return True
 
+    def _hurry_later(self, call: Call, stream: Stream) -> None:
+        self._later(call, gather_ms(call.deadline - self.clock()), Stream.hurry, stream)
+
     def _taken_ms(self, attempt: Attempt) -> float:
         """How long an attempt has taken until now, without what was the loop's doing."""
         now = time.monotonic()
@@ -381,10 +384,6 @@
         if attempt:
             self._stop(attempt, api.Status.CANCELLED)
 
-    def _stalled(self, seconds: float) -> None:
-        self.counters.stalls += 1
-        self.counters.stalled_ms += seconds * 1000.0
-
     # ---- Timers
 
     def _later(self, call: Call, delay_ms: float, run: Callable[[Any], None], argument: Any) -> None:
--- a/brackenloft/net/servers.py
+++ b/brackenloft/net/servers.py
@@ -262,7 +262,10 @@
 
     def room(self, connection: Connection) -> int:
         """Bytes that may still be held of what comes on a connection, which may begin a long value."""
-        held = connection.stream.held if connection.stream else 0
+        stream = connection.stream
+        if stream and stream.reserved:
+            return stream.reserved
+        held = stream.held if stream else 0
         of_streams = min(self.streams.part() - held, self.streams.most - self.streams.held)
         left = min(of_streams, self._room(), self.memory.left_beside_headroom())
         return int(max(LEAST_WINDOW - held, left))
--- a/brackenloft/net/streams.py
+++ b/brackenloft/net/streams.py
@@ -4,6 +4,10 @@
 turn and the client takes more. One budget of bytes is shared by all streams: each may hold its even part of
 it, and a least window in any case. Guards against values that fill the memory, and against servers that are
 kept at an answer, and customers' places with them, for as long as a slow client takes it.
+
+Nothing can follow a value whose rest never comes, so that one with replies owed behind it is gathered before
+any of it goes to the client. It has its whole size reserved of the budget first, so that what is gathered
+becomes whole beside others that do the same. Where that does not fit yet, it waits for it with a window.
 """
 
 from __future__ import annotations
@@ -18,8 +22,18 @@
 LEAST_WINDOW = (
     8 * 1024
 )  # bytes that a stream may hold however short the memory is: a quick client waits for none
-# For which a value is held back for the replies behind it: an answer half a second late is lost.
-GATHER_MS = 400.0
+# For which a value is held back for the replies behind it. Held back for 2 s it would be lost; a loop that is
+# held up takes some of that.
+GATHER_MS = 1600.0
+LEAST_GATHER_MS = 400.0  # also where its client has less time left: an answer half a second late is lost
+
+
+def gather_ms(left_ms: float) -> float:
+    """How long a value may be held back in favour of the replies behind it; all in milliseconds.
+
+    ``left_ms``: until its client's time is up.
+    """
+    return min(GATHER_MS, max(LEAST_GATHER_MS, left_ms))
 
 
 class Source(Protocol):
@@ -44,6 +58,7 @@
         self.most, self.least_window, self.held = most, least_window, 0
         self.memory = memory or MemoryAccount()
         self.open: set[Stream] = set()
+        self.waiting: dict[Stream, None] = {}  # that gather and have nothing reserved, the first first
 
     def fits(self, held: int) -> bool:
         """Whether a stream that holds so much may read on."""
@@ -56,9 +71,23 @@
         return self.memory.left_beside_headroom() <= 0
 
     def hold(self, size: int) -> None:
-        """So much more of them is held, or less."""
+        """So much more of them is held or reserved, or less."""
         self.held += size
         self.memory.hold(Held.STREAMS, size)
+        if size < 0 and self.waiting:
+            self._grant()
+
+    def reserve(self, size: int) -> bool:
+        """Set so many bytes apart, if they are there; whether they were."""
+        if self.held + size > self.most or self.memory.left_beside_headroom() < size:
+            return False
+        self.hold(size)
+        return True
+
+    def _grant(self) -> None:
+        """Something has come free: those that wait reserve what they need, as far as it goes."""
+        for stream in list(self.waiting):
+            stream.reserve()
 
     def part(self) -> int:
         """Bytes that each stream may hold, where all hold as much."""
@@ -80,6 +109,8 @@
         "begun",
         "gathers",
         "hurried",
+        "reserved",
+        "on_gather",
     )
 
     def __init__(self, size: int, source: Source, streams: Streams) -> None:
@@ -91,6 +122,8 @@
         self.begun = False  # some of it has gone to the client
         self.gathers = False  # none of it goes to the client before all of it is here
         self.hurried = False  # it goes as it comes, whatever is owed behind it
+        self.reserved: int | None = None  # bytes set apart for what has yet to come, while it gathers
+        self.on_gather: Callable[[], None] = _nobody  # told when it begins to gather
         streams.open.add(self)
 
     def _hold(self, size: int) -> None:
@@ -103,10 +136,14 @@
         """A piece of the value."""
         self.pieces.append(piece)
         self._hold(len(piece))
+        self._use_reserved(len(piece))
         self.sink()
-        if self.gathers and (self.streams.held >= self.streams.most or self.streams.is_short()):
-            self.hurry()
-        if not self.gathers and not self.streams.fits(self.held):
+        if self.reserved is not None:
+            return
+        if self.gathers and not self._may_reserve():
+            if self.streams.held >= self.streams.most or self.streams.is_short():
+                self.hurry()
+        elif not self.streams.fits(self.held):
             self.source.pause()
 
     def end(self) -> None:
@@ -121,31 +158,67 @@
 
     def _tell_last(self) -> None:
         """Tell the sink for the last time, and release it: the client's connection refers to the stream."""
-        sink, self.sink = self.sink, _nobody
+        sink, self.sink, self.on_gather = self.sink, _nobody, _nobody
+        self._gather_no_more()
         sink()
 
     # ---- The client's side
 
     def begin(self) -> None:
         """From now on the client has a part of it."""
-        self.begun, self.gathers = True, False
+        self.begun = True
+        self._gather_no_more()
 
     def gather(self) -> None:
         """Other replies are owed behind it, which a part of it would take along if the rest never came.
 
-        It is gathered until it is hurried, or all that is gathered outgrows the budget.
+        It is gathered until it is hurried. One that alone is more than the budget is so once that is full.
         """
-        if not self.gathers and not self.ended:
-            self.gathers = True
+        if self.gathers or self.ended:
+            return
+        self.gathers = True
+        self.on_gather()
+        if self._may_reserve():
+            self.streams.waiting[self] = None
+            self.reserve()
+        else:
             self.source.resume()
 
+    def _may_reserve(self) -> bool:
+        """Whether there will be room for all of it."""
+        return self.size <= self.streams.most
+
+    def reserve(self) -> None:
+        """Set apart what has yet to come of it, if there is room, and read on."""
+        more = max(0, self.size - self.held)
+        if not self.streams.reserve(more):
+            return
+        self.reserved = more
+        self.streams.waiting.pop(self, None)
+        self.source.resume()
+
+    def _use_reserved(self, size: int) -> None:
+        if self.reserved:
+            used = min(self.reserved, size)
+            self.reserved -= used
+            self.streams.hold(-used)
+
+    def _gather_no_more(self) -> None:
+        """Give back what is still set apart."""
+        self.gathers = False
+        self.streams.waiting.pop(self, None)
+        reserved, self.reserved = self.reserved, None
+        if reserved:
+            self.streams.hold(-reserved)
+
     def hurry(self) -> None:
         """It is held back no longer, once it is its turn.
 
         Guards against cutting off what the server still gives when its client's time is up.
         """
         if not self.begun and not self.ended and not self.failed:
-            self.hurried, self.gathers = True, False
+            self.hurried = True
+            self._gather_no_more()
             self.sink()
 
     def take(self, most: int) -> bytes | memoryview:
@@ -162,7 +235,8 @@
 
     def abandon(self) -> None:
         """The client has gone, or has been told that the rest is missing."""
-        self.sink = _nobody
+        self.sink = self.on_gather = _nobody
+        self._gather_no_more()
         self.pieces.clear()
         self._hold(-self.held)
         self.streams.open.discard(self)
