--- a/brackenloft/net/clients.py
+++ b/brackenloft/net/clients.py
@@ -283,7 +283,7 @@
         room_wanted = self._waits_for_place()
         for client in list(self.stuck):
             client.peer_history.sample()
-            if client.takes_nothing(now) and room_wanted and not late:
+            if client.takes_nothing(now, late) and room_wanted:
                 self.bites.bite("least rate of answers", "a client that takes nothing is cut off")
                 client.close(CloseReason.TAKES_NOTHING)
             elif client.takes_too_little(now, late):
--- a/brackenloft/net/close_audit.py
+++ b/brackenloft/net/close_audit.py
@@ -59,4 +59,4 @@
         since, before = self.samples[0]
         now = time.monotonic()
         unmoved = next((at for at, seen in self.samples if seen == count), now)
-        return PeerFacts(left, count - before, now - since, now - unmoved)
+        return PeerFacts(left, count - before, now - since, now - unmoved, count)
--- a/brackenloft/net/replies.py
+++ b/brackenloft/net/replies.py
@@ -17,9 +17,9 @@
 from brackenloft.net.kernel import unacknowledged
 from brackenloft.net.slots import Slot
 from brackenloft.net.streams import Stream
+from brackenloft.obligations import longest_silence_s
 
 STALLED_S = 15.0  # a client that takes no byte of its answers for so long is gone; a burst may save as much
-IDLE_S = 3.0  # a client that takes no byte for so long while others wait for room is given up
 REPLY = 256  # bytes that a reply takes beside its own, while those before it are owed
 BUFFERED = (
     Held.COMMANDS,
@@ -242,12 +242,17 @@
         self.writes.moved(max(0, self.taken_before - before), now)
         return self.writes.too_slow(now)
 
-    def takes_nothing(self, now: float) -> bool:
-        """Whether its machine has acknowledged nothing for ``IDLE_S``; ``now`` by time.monotonic()."""
+    def takes_nothing(self, now: float, late: float) -> bool:
+        """Whether its machine acknowledges nothing for longer than a process that reads would let it.
+
+        ``now`` by time.monotonic(); ``late``: seconds for which the loop was held up since the last look.
+        """
         taken = self._taken()
         if taken != self.taken_last:
             self.taken_last, self.taken_at = taken, now
-        return now - self.taken_at >= IDLE_S
+        else:
+            self.taken_at += late
+        return now - self.taken_at >= longest_silence_s(taken)
 
     def _taken(self) -> int:
         """Bytes of replies that the peer's machine has acknowledged."""
--- a/brackenloft/obligations.py
+++ b/brackenloft/obligations.py
@@ -22,7 +22,8 @@
 LEAST_TOLD_MS = 1.0  # a deadline of nothing is of another form
 # A peer that takes less than this over at least so long may be given up, whatever is owed to it.
 STATED_S, STATED_RATE = 15.0, 4 * 1024  # seconds, bytes a second
-STATED_IDLE_S = 3.0  # of a peer that takes nothing at all, while others wait for room
+STATED_IDLE_S = 3.0  # at least, of a peer that takes nothing at all while others wait for room
+WINDOW_STEP = 1.5  # of what filled a peer's receive buffer, read before its machine tells of room again
 STATED_SLACK_S = 1.0  # between two samples of what a peer has acknowledged
 MOST_NAMED = 16  # requests that a line of the log names
 CAME_SLACK_S = 0.02  # of the kernel's figure of when the last byte came, which moves in steps of up to 10 ms
@@ -110,6 +111,7 @@
     acknowledged: int = 0  # bytes, over the last ``over_s``
     over_s: float = 0.0
     idle_s: float = 0.0  # since it last acknowledged anything, as far as that was looked at
+    taken: int = 0  # bytes that it has acknowledged in all
 
     def bear_out(self, reason: CloseReason) -> bool:
         """Whether the peer is the reason."""
@@ -119,10 +121,20 @@
             stated = self.over_s >= STATED_S - STATED_SLACK_S
             return stated and self.acknowledged < STATED_RATE * self.over_s
         if reason is CloseReason.TAKES_NOTHING:
-            return self.idle_s >= STATED_IDLE_S - STATED_SLACK_S
+            return self.idle_s >= longest_silence_s(self.taken) - STATED_SLACK_S
         return False
 
 
+def longest_silence_s(taken: int) -> float:
+    """For how long a peer's machine may acknowledge nothing while its process reads at the least rate.
+
+    ``taken``: bytes that it has acknowledged in all, no less than what has filled its receive buffer. However
+    steadily the process reads, a window that has closed opens again only when a good part of that buffer is
+    free (RFC 9293, 3.8.6.2.2); on Linux that may be all of it and what it has grown by.
+    """
+    return min(STATED_S, max(STATED_IDLE_S, taken * WINDOW_STEP / STATED_RATE))
+
+
 def may_close(dues: Dues) -> bool:
     """Whether a connection may be closed by our own choice."""
     return not dues.unheard() and not dues.undelivered
--- a/tests/test_net_slow.py
+++ b/tests/test_net_slow.py
@@ -18,6 +18,7 @@
 from brackenloft.net import replies
 from brackenloft.net import servers as servers_module
 from brackenloft.net.kernel import age_s
+from brackenloft.obligations import longest_silence_s
 from brackenloft.standins import BoardNode, Fault, at_random
 
 LARGE = b"v" * 900_000
@@ -214,6 +215,23 @@
     run(test())
 
 
+# Guards against a busy loop that never gives up anybody, and against blaming a client for the loop.
+def test_client_that_takes_nothing_is_told_from_a_loop_that_was_held_up():
+    async def test():
+        async with node(FakeServer(lambda words: array(LARGE))) as gateway:
+            small_buffers(gateway)
+            sock = await deaf_peer(gateway, call(1, "buy"))
+            await until(lambda: bool(gateway.clients.stuck))
+            (client,) = gateway.clients.stuck
+            now, longest_s = time.monotonic(), longest_silence_s(client._taken())
+            assert not client.takes_nothing(now, late=0.0)
+            assert not client.takes_nothing(now + longest_s + 0.9, late=1.0)
+            assert client.takes_nothing(now + longest_s + 1.1, late=0.05)
+            sock.close()
+
+    run(test())
+
+
 def test_client_that_takes_its_answer_above_the_least_rate_gets_it_whole():
     async def test():
         server = FakeServer(lambda words: array(LARGE))
--- a/tests/test_obligations.py
+++ b/tests/test_obligations.py
@@ -24,6 +24,7 @@
 OWED = [
     (Dues(unanswered=1), Breach.CLOSED_UNANSWERED),
     (Dues(unparsed=True), Breach.CLOSED_UNANSWERED),
+    (Dues(partial=True), Breach.CLOSED_UNANSWERED),
     (Dues(undelivered=1), Breach.CLOSED_UNDELIVERED),
     (Dues(unanswered=2, undelivered=3), Breach.CLOSED_UNANSWERED),
 ]
@@ -50,6 +51,9 @@
         (CloseReason.TAKES_TOO_LITTLE, PeerFacts(False, 0, STATED_S / 2), False),
         (CloseReason.TAKES_NOTHING, PeerFacts(False, 0, 9.0, STATED_IDLE_S), True),
         (CloseReason.TAKES_NOTHING, PeerFacts(False, 0, 9.0, STATED_IDLE_S / 2), False),
+        (CloseReason.TAKES_NOTHING, PeerFacts(False, 0, 9.0, 8.0, 6 * STATED_RATE), True),
+        (CloseReason.TAKES_NOTHING, PeerFacts(False, 0, 9.0, 7.9, 6 * STATED_RATE), False),
+        (CloseReason.TAKES_NOTHING, PeerFacts(False, 0, 20.0, STATED_S, 1 << 30), True),
         (CloseReason.ROOM, PeerFacts(True, 0, STATED_S), False),
         (CloseReason.PROCESS_ENDS, PeerFacts(False, 0, STATED_S), False),
     ],
