--- a/brackenloft/net/server_connection.py
+++ b/brackenloft/net/server_connection.py
@@ -304,8 +304,9 @@
         stream = self.stream = Stream(size, self, self.servers.streams)
         attempt.streams = True
         self.pace = Pace(Least(1.0, STALLED_S, STALLED_S), time.monotonic())
-        if not attempt.opened(attempt, stream):
-            self.close(api.Status.CANCELLED)
+        if not attempt.opened(attempt, stream):  # its request has another attempt's value, or its answer
+            attempt.streams = False
+            stream.abandon()
             return
         self.servers.look_at(self)
         stream.came(piece)
