--- a/brackenloft/net/server_connection.py
+++ b/brackenloft/net/server_connection.py
@@ -12,22 +12,19 @@
 import struct
 import time
 from collections import deque
-from collections.abc import Awaitable, Callable
 from contextlib import suppress
-from typing import Protocol, cast
+from typing import cast
 
 from brackenloft import interface as api
-from brackenloft.admission.account import Held, MemoryAccount, PeerAccount
+from brackenloft.admission.account import Held, PeerAccount
 from brackenloft.admission.memory import CONNECTION_BYTES, RECEIVED_PARTS, SENT_PARTS
 from brackenloft.admission.rate import Least, Pace
-from brackenloft.net.address import Address
 from brackenloft.net.attempt import Attempt, Reply
 from brackenloft.net.kernel import bound_buffers, unacknowledged
-from brackenloft.net.read_buffer import ReadBuffer
 from brackenloft.net.resp import ProtocolError
 from brackenloft.net.server_host import Host
-from brackenloft.net.server_protocol import ServerProtocol
-from brackenloft.net.streams import STREAM_FROM, Stream, Streams
+from brackenloft.net.server_pool import Pool
+from brackenloft.net.streams import STREAM_FROM, Stream
 from brackenloft.net.transport_handover import hand_over
 from brackenloft.net.wire import parts
 
@@ -37,45 +34,6 @@
 STALLED_S = 15.0  # a server that sends nothing of a stream for so long has died
 
 
-class Pool(Protocol):
-    """What a connection needs of the pool that it belongs to."""
-
-    loop: asyncio.AbstractEventLoop
-    connect: Callable[[socket.socket, Address], Awaitable[None]]
-    protocol: ServerProtocol
-    streams: Streams
-    read_buffer: ReadBuffer
-    socket_buffer: int
-    memory: MemoryAccount
-    connect_timeout_s: float
-    tries: int
-    watcher: Callable[[int, bool], None] | None
-
-    def fail_waiting(self, host: Host) -> None:
-        """A connection to this server did not come up: fail the attempts that wait for one."""
-
-    def give_back(self, connection: Connection) -> None:
-        """An attempt has ended well: keep its connection, unless the server changed meanwhile."""
-
-    def hold(self, size: int, connection: Connection) -> None:
-        """Count bytes held for an answer; raises ProtocolError where there is no memory for it."""
-
-    def room(self, connection: Connection) -> int:
-        """Bytes that may still be held of what comes on a connection."""
-
-    def whole_up_to(self) -> int:
-        """Bytes of a value that is held until it is whole."""
-
-    def may_stream(self) -> bool:
-        """Whether there is memory for another long value that a client may take slowly."""
-
-    def look_at(self, connection: Connection) -> None:
-        """Watch the pace of a command or an answer that did not go or come at once."""
-
-    def forget(self, connection: Connection) -> None:
-        """A connection that is closing counts no more."""
-
-
 def _is_up(sock: socket.socket) -> bool:
     """Whether it is connected. Guards against blaming a server for a loop that was held up meanwhile."""
     try:
@@ -98,6 +56,7 @@
         self.account = PeerAccount(servers.memory)
         self.account.hold(Held.CONNECTION, CONNECTION_BYTES)
         self.handed = False  # the attempt's last byte to the kernel: written whole; never, while it is not
+        self.answered_early = False  # something of an answer has come before that
         self.pace: Pace | None = None  # of a command or an answer that is under way for a while
         self.stream: Stream | None = None  # the value of its answer, passed on as it comes
         self.reading = True
@@ -185,7 +144,8 @@
 
     def _write(self, attempt: Attempt) -> None:
         assert self.transport is not None
-        self.handed, attempt.written = False, time.monotonic()
+        self.handed = self.answered_early = False
+        attempt.written = time.monotonic()
         self.unwritten = parts(attempt.payload(attempt.written), self.servers.socket_buffer)
         self._write_parts()
         if not self.handed:
@@ -255,6 +215,7 @@
         if self.attempt is None:
             self.close(api.Status.RESET)
             return
+        self.answered_early = self.answered_early or not self.handed
         if self.stream is None:
             self.reader.feed(data)
         elif self._pass_on(data):
@@ -269,18 +230,34 @@
             reply = self.servers.protocol.decoder.decode(answer)
         except ProtocolError as error:
             log.warning("an answer that can't be read: %s: %.60r", error, data[:60])
-            self.close(api.Status.ERROR)  # it may have run
+            self._give_up_answer()
+            return
+        if self.answered_early and reply.status is not api.Status.FULL:
+            self._refuse_early_answer()
             return
         attempt, self.attempt = self.attempt, None
         if self.stream:
             self.stream, reply.value = None, None
             self.resume()
-        if self.reader.left:
+        if self.reader.left or self.answered_early:
             self.close(api.Status.RESET)
         else:
             self.servers.give_back(self)
         attempt.finish(reply)
 
+    def _refuse_early_answer(self) -> None:
+        """Take no answer that began before the command was written whole: no server has begun it by then.
+
+        Guards against the answer to an earlier request, and against a next command that is written into the
+        middle of this one. A refusal is believed; the connection ends in any case.
+        """
+        log.warning("server %d answers a command that it can't have read", self.number)
+        self._give_up_answer()
+
+    def _give_up_answer(self) -> None:
+        """Its attempt may have run if the command was written whole."""
+        self.close(api.Status.ERROR if self.handed else api.Status.CONNECT_FAILED)
+
     # ---- A long value, passed on as it comes
 
     def _more(self, data: bytes) -> None:
@@ -288,7 +265,10 @@
         attempt = self.attempt
         may_stream = attempt and attempt.opened and self.stream is None
         if attempt and may_stream and (opening := self.reader.opening(self.servers.whole_up_to())):
-            self._open(attempt, *opening)
+            if self.answered_early:
+                self._refuse_early_answer()
+            else:
+                self._open(attempt, *opening)
             return
         self.servers.hold(self.reader.left - self.held, self)
         if self.pace:
