--- a/brackenloft/handover/channel.py
+++ b/brackenloft/handover/channel.py
@@ -18,7 +18,7 @@
 from brackenloft.edge.edge import Edge
 from brackenloft.handover.frames import Document, FrameError
 from brackenloft.handover.line import SENT, STEP_S, Line
-from brackenloft.handover.sent import adopt_sent, note_sent
+from brackenloft.handover.sent import adopt_sent, note_sent, read_sent
 from brackenloft.handover.state import Adopted, StateError, pending, tell
 from brackenloft.lifecycle import Event, State
 from brackenloft.net.call import Call
@@ -232,13 +232,14 @@
         state = await line.expect("state")
         if not edge.heard:  # discovery has not spoken here: the list of the process before is the newest
             edge.discovery.told(state.get("list"))
-        adopted = Adopted(driver.gateway, state, edge.discovery.roster.numbers, driver.clock())
         ages = state.get("sent")
-        if ages is not None:
-            adopt_sent(driver, ages)
+        sent = None if ages is None else read_sent(ages)
+        adopted = Adopted(driver.gateway, state, edge.discovery.roster.numbers, driver.clock())
+        if sent is not None:
+            adopt_sent(driver, sent)
         line.say({"kind": "took"})
         self._shares(await line.expect("go"))
-        if ages is not None:  # one that tells its own listens to ours
+        if sent is not None:  # one that tells its own listens to ours
             driver.tap = self.tap
             self.tap.listens(line)
         log.info("taken over: %d customers", len(driver.gateway.meter.customers))
--- a/brackenloft/handover/sent.py
+++ b/brackenloft/handover/sent.py
@@ -4,10 +4,12 @@
 
 from typing import Any
 
-from brackenloft.handover.state import LONGEST_NAME, StateError
+from brackenloft.handover.state import LARGEST, LONGEST_NAME, StateError
 from brackenloft.net.driver import Driver
 from brackenloft.net.sent_requests import MOST_REMEMBERED, REMEMBERED_MS
 
+SentAges = list[tuple[str, float]]  # ids and ages in milliseconds
+
 
 def _id(value: Any) -> str:
     if not isinstance(value, str) or len(value) > LONGEST_NAME:
@@ -21,15 +23,24 @@
     return value
 
 
-def adopt_sent(driver: Driver, rows: Any) -> None:
-    """Those that were sent on before, each with its age in milliseconds. Raises StateError."""
-    found: list[tuple[str, float]] = []
+def read_sent(rows: Any) -> SentAges:
+    """Those that were sent on before, each with its age in milliseconds. Raises StateError.
+
+    Those that are remembered no more are left out: a process that has sent nothing on for minutes tells them.
+    """
+    found: SentAges = []
     for row in _rows(rows):
         if not isinstance(row, list) or len(row) != 2 or type(row[1]) not in (int, float):
             raise StateError("no age of a request")
-        if not 0.0 <= row[1] <= REMEMBERED_MS * 2.0:
+        if not 0.0 <= row[1] <= LARGEST:
             raise StateError("an age that can't be")
-        found.append((_id(row[0]), float(row[1])))
+        if row[1] < REMEMBERED_MS:
+            found.append((_id(row[0]), float(row[1])))
+    return found
+
+
+def adopt_sent(driver: Driver, found: SentAges) -> None:
+    """Remember them as sent on elsewhere."""
     now = driver.clock()
     for request_id, age_ms in found:
         driver.sent_requests.note(request_id, now - age_ms, elsewhere=True)
--- a/brackenloft/net/sent_requests.py
+++ b/brackenloft/net/sent_requests.py
@@ -41,5 +41,6 @@
         return sent_at is not None and now - sent_at < REMEMBERED_MS
 
     def ages(self, now: float) -> list[tuple[str, float]]:
-        """The ids and how long ago they were sent on."""
-        return [(request_id, max(0.0, now - sent_at)) for request_id, sent_at in self.sent_at.items()]
+        """The ids that are remembered and how long ago they were sent on."""
+        aged = ((request_id, max(0.0, now - sent_at)) for request_id, sent_at in self.sent_at.items())
+        return [(request_id, age) for request_id, age in aged if age < REMEMBERED_MS]
