--- a/brackenloft/handover/channel.py
+++ b/brackenloft/handover/channel.py
@@ -237,14 +237,22 @@
         adopted = Adopted(driver.gateway, state, edge.discovery.roster.numbers, driver.clock())
         if sent is not None:
             adopt_sent(driver, sent)
-        line.say({"kind": "took"})
-        self._shares(await line.expect("go"))
+        try:
+            await self._let_go(line)
+        except BaseException:
+            adopted.ended()  # nobody tells any more when its attempts end
+            raise
         if sent is not None:  # one that tells its own listens to ours
             driver.tap = self.tap
             self.tap.listens(line)
         log.info("taken over: %d customers", len(driver.gateway.meter.customers))
         return adopted
 
+    async def _let_go(self, line: Line) -> None:
+        """The process before accepts no more; what it keeps of the descriptors."""
+        line.say({"kind": "took"})
+        self._shares(await line.expect("go"))
+
     def _shares(self, document: Document) -> None:
         held = document.get("held")
         if type(held) is int and held >= 0:
