Stand-ins listen at a port that they were given, or at a reserved one

Change: a port that is set stays. Measured: the tests of stores, quotas, GraphQL, stand-ins and load pass.

--- a/brackenloft/standins/board.py
+++ b/brackenloft/standins/board.py
@@ -74,8 +74,9 @@
 
     async def start(self) -> BoardNode:
         """Listen; at the same port as before, if it has had one."""
-        self.reserved = self.reserved or ReservedPort()
-        self.port = self.reserved.number
+        if not self.port:
+            self.reserved = ReservedPort()
+            self.port = self.reserved.number
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
         return self
 
--- a/brackenloft/standins/counter.py
+++ b/brackenloft/standins/counter.py
@@ -322,8 +322,9 @@
 
     async def start(self) -> Counter:
         """Listen, at the same port again if it listened before."""
-        self.reserved = self.reserved or ReservedPort()
-        self.port = self.reserved.number
+        if not self.port:
+            self.reserved = ReservedPort()
+            self.port = self.reserved.number
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
         return self
 
