Give up who was turned away once its machine has the refusal, while places are short

Cause: a half-closed connection was kept for 0.3 s or until its client closed, so 40 places turned away 200 to 300 requests a second. Change: while places are short it is closed once everything is acknowledged.

--- a/brackenloft/net/client_closing.py
+++ b/brackenloft/net/client_closing.py
@@ -22,6 +22,7 @@
 
 LINGER_S = 0.3  # from our half-close to the peer's, before the connection is closed all the same
 LINGER_LOOK_S = 0.05  # between two looks at a connection that lingers
+SHORT_LOOK_S = 0.01  # the same, while others wait for its place
 FRESH_S = 0.25  # who has said nothing is let be so long, or would come back at once, again and again
 # After an answer, before its connection is ended between requests: who asks again at once has done so. A
 # request that crosses the end would be turned back.
@@ -105,17 +106,24 @@
         self._linger(now, now, unacknowledged(self.socket))
 
     def _linger(self, since: float, moved_at: float, undelivered: int) -> None:
-        """Close when the peer has had its time to end, and its machine has all that was written."""
+        """Close when the peer has had its time to end, and its machine has all that was written.
+
+        While places are short it has no time beyond that: a reset takes nothing along that its machine has.
+        """
         if self.transport is None or self.transport.is_closing():
             return
         now, left = time.monotonic(), unacknowledged(self.socket)
         self.peer_history.sample()
         if left != undelivered:
             moved_at = now
-        if now - since >= LINGER_S and (not left or now - moved_at >= STALLED_S):
+        # Guards against a crowd that waits in the kernel, while those who were turned away keep their places.
+        short = self.clients.short()
+        lingers_s = 0.0 if short else LINGER_S
+        if now - since >= lingers_s and (not left or now - moved_at >= STALLED_S):
             self.close(CloseReason.TAKES_TOO_LITTLE if left else CloseReason.DONE)
             return
-        self.timer = self.clients.loop.call_later(LINGER_LOOK_S, self._linger, since, moved_at, left)
+        look_s = SHORT_LOOK_S if short and left else LINGER_LOOK_S
+        self.timer = self.clients.loop.call_later(look_s, self._linger, since, moved_at, left)
 
     def _why_half_closed(self) -> HalfCloseReason:
         if self.state is ConnectionState.LINGERING_ENDED:
