--- a/brackenloft/lab/overload/__main__.py
+++ b/brackenloft/lab/overload/__main__.py
@@ -34,7 +34,8 @@
         return [Scenario.drawn(seed, options.seconds) for seed in seeds]
     setting = (options.kind, options.crowd, options.memory_mb, options.sockets, options.seconds)
     trouble = Trouble(options.places, options.reset_share, options.stops_per_s)
-    return [Scenario(seed, *setting, options.restart_at, options.rate, trouble) for seed in seeds]
+    how = (options.restart_at, options.rate, trouble, options.one_each)
+    return [Scenario(seed, *setting, *how) for seed in seeds]
 
 
 def main() -> int:
@@ -49,6 +50,7 @@
     parser.add_argument("--seconds", type=float, default=10.0)
     parser.add_argument("--restart-at", type=float, default=0.0, help="seconds; 0 for never")
     parser.add_argument("--rate", type=float, default=60.0, help="of sound requests a second")
+    parser.add_argument("--one-each", action="store_true", help="a connection for each sound request")
     parser.add_argument("--places", type=int, default=0, help="of a server; 0 for any number")
     parser.add_argument("--reset-share", type=float, default=0.0, help="of connections to servers")
     parser.add_argument("--stops-per-s", type=float, default=0.0, help="of the gateway's process")
--- a/brackenloft/lab/overload/bad_clients.py
+++ b/brackenloft/lab/overload/bad_clients.py
@@ -117,6 +117,10 @@
         await asyncio.get_running_loop().sock_sendall(sock, command(self.identity(), Effect.SAFE, WAIT_S))
         await self._until_closed(sock)
 
+    async def stay_silent(self, sock: socket.socket) -> None:
+        """Say nothing until the connection is closed."""
+        await self._until_closed(sock)
+
     async def pipeline(self, sock: socket.socket) -> None:
         """Many reads at once, whose answers are read slowly."""
         sizes = [self.random.choice(PIPELINED_SIZES) for _ in range(PIPELINED)]
@@ -134,6 +138,7 @@
     CrowdKind.CHURN: BadClient.churn,
     CrowdKind.PIPELINE: BadClient.pipeline,
     CrowdKind.REST: BadClient.rest,
+    CrowdKind.SILENT: BadClient.stay_silent,
 }
 
 
--- a/brackenloft/lab/overload/run.py
+++ b/brackenloft/lab/overload/run.py
@@ -74,7 +74,8 @@
                 self.scenario.seed,
                 self.scenario.seconds,
                 self.scenario.rate_per_s,
-                self.scenario.trouble.kept_short(),
+                self.scenario.kept_short(),
+                self.scenario.one_each,
             )
             left = await crowd
         finally:
--- a/brackenloft/lab/overload/scenario.py
+++ b/brackenloft/lab/overload/scenario.py
@@ -19,10 +19,12 @@
     CHURN = "churn"
     PIPELINE = "pipeline"
     REST = "rest"
+    SILENT = "silent"
     ALL = "all"
 
 
-APART = (CrowdKind.NONE, CrowdKind.REST, CrowdKind.ALL)  # kinds that are no part of ALL, nor drawn
+NOT_DRAWN = (CrowdKind.REST, CrowdKind.SILENT)
+APART = (CrowdKind.NONE, *NOT_DRAWN, CrowdKind.ALL)  # kinds that are no part of ALL
 ALL_KINDS = tuple(kind for kind in CrowdKind if kind not in APART)
 MEMORIES_MB, SOCKETS, CROWDS = (32, 48, 64, 192), (256, 1024), (60, 100, 300, 600, 900)
 RESTART_SHARE = 0.25  # of the drawn runs
@@ -36,10 +38,6 @@
     reset_share: float = 0.0  # of the connections to servers, reset as they come up
     stops_per_s: float = 0.0  # SIGSTOP of the gateway, each for a part of ``LONGEST_STOP_S``
 
-    def kept_short(self) -> bool:
-        """Whether sound clients ask for short values alone, one at a time, so that more of them can ask."""
-        return self != Trouble()
-
 
 @dataclass(frozen=True, slots=True)
 class Scenario:
@@ -54,13 +52,18 @@
     restart_at_s: float = 0.0
     rate_per_s: float = 60.0  # of sound requests
     trouble: Trouble = Trouble()
+    one_each: bool = False  # sound clients open a connection for each short request
+
+    def kept_short(self) -> bool:
+        """Whether sound clients ask for short values alone, one at a time, so that more of them can ask."""
+        return self.one_each or self.trouble != Trouble()
 
     @staticmethod
     def drawn(seed: int, seconds: float) -> Scenario:
         """Limits, crowd and restarts of a seed."""
         chance = random.Random(f"overload {seed}")
         kind, memory_mb = (
-            chance.choice([kind for kind in CrowdKind if kind is not CrowdKind.REST]),
+            chance.choice([kind for kind in CrowdKind if kind not in NOT_DRAWN]),
             chance.choice(MEMORIES_MB),
         )
         crowd, sockets = chance.choice(CROWDS), chance.choice(SOCKETS)
--- a/brackenloft/lab/overload/sound_clients.py
+++ b/brackenloft/lab/overload/sound_clients.py
@@ -1,7 +1,8 @@
-"""Sound clients, a process of their own: ``... sound_clients FILE PORT SEED SECONDS RATE SHORT``.
+"""Sound clients, a process of their own: ``... sound_clients FILE PORT SEED SECONDS RATE SHORT ONE_EACH``.
 
 They keep connections and open more when all are busy, ask for values of all sizes, read at full speed, and
-some send several requests at once; with SHORT they ask for short values one at a time. A line of JSON for
+some send several requests at once; with SHORT they ask for short values one at a time, with
+ONE_EACH each request has a connection of its own. A line of JSON for
 each request goes to the file at the end.
 """
 
@@ -34,6 +35,7 @@
 LINGER_S = 1.0  # behind the end of a connection, until which a reset says that something was not read
 CONNECT_AGAIN_S = 0.02
 GIVE_UP_S = 1.0  # past its time
+LONGEST_STAY_S = 0.2  # behind the answer, of a connection that has one request
 TCP_ESTABLISHED, TCP_CLOSED = 1, 7  # tcpi_state of struct tcp_info, tcp(7)
 CROSSING_S = 0.005  # for which an end and a request may be under way at once; as long as a loop turns here
 
@@ -144,8 +146,11 @@
 class SoundClients:
     """All of them, with the connections that they keep."""
 
-    def __init__(self, port: int, seed: int, seconds: float, rate_per_s: float, short: bool) -> None:
-        self.port, self.seconds, self.rate_per_s, self.short = port, seconds, rate_per_s, short
+    def __init__(
+        self, port: int, seed: int, seconds: float, rate_per_s: float, short: bool, one_each: bool
+    ) -> None:
+        self.port, self.seconds, self.rate_per_s = port, seconds, rate_per_s
+        self.short, self.one_each = short, one_each
         self.random = random.Random(f"sound {seed}")
         first = int(time.monotonic() * 1000.0) << 20  # ids are new over the plays of one machine
         self.numbers = itertools.count(first & ((1 << 48) - 1))
@@ -198,12 +203,19 @@
         done = await connection.send(records, b"".join(data for _, data in drawn))
         await asyncio.gather(*done)
         if not connection.ended:
-            self.idle.append(connection)
+            self._keep_or_close(connection)
             return
         unanswered = [pair for pair in drawn if pair[0].outcome is Outcome.PENDING]
         if unanswered:
             await self._closed_over(connection, unanswered, again)
 
+    def _keep_or_close(self, connection: SoundConnection) -> None:
+        if self.one_each:
+            stay_s = self.random.random() * LONGEST_STAY_S
+            asyncio.get_running_loop().call_later(stay_s, connection.transport.close)
+        else:
+            self.idle.append(connection)
+
     async def _closed_over(
         self, connection: SoundConnection, unanswered: list[tuple[RequestRecord, bytes]], again: bool
     ) -> None:
@@ -246,8 +258,8 @@
 def main() -> None:
     """Play, then write the records."""
     port, seed, seconds, rate_per_s = int(sys.argv[2]), int(sys.argv[3]), *map(float, sys.argv[4:6])
-    short = sys.argv[6] == str(True)
-    records = uvloop.run(SoundClients(port, seed, seconds, rate_per_s, short).run())
+    short, one_each = (word == str(True) for word in sys.argv[6:8])
+    records = uvloop.run(SoundClients(port, seed, seconds, rate_per_s, short, one_each).run())
     Path(sys.argv[1]).write_bytes(b"\n".join(map(msgspec.json.encode, records)))
 
 
--- a/brackenloft/net/clients.py
+++ b/brackenloft/net/clients.py
@@ -24,7 +24,7 @@
 from brackenloft.net.client_reading import MOST_PIPELINED
 from brackenloft.net.departures import Departures
 from brackenloft.net.driver import Driver
-from brackenloft.net.kernel import waiting_connections
+from brackenloft.net.kernel import age_s, waiting_connections
 from brackenloft.net.limits import BufferLimits
 from brackenloft.net.read_buffer import ReadBuffer
 from brackenloft.net.read_turns import ReadTurns
@@ -163,7 +163,8 @@
         self.connections[client] = None
         self.owing[client] = self.loop.time()
         self.look_after()
-        self.roll.rests(client, Standing.FRESH, self.loop.time())
+        # It has said nothing since it came to the kernel, however long it waited there for a place.
+        self.roll.rests(client, Standing.FRESH, self.loop.time() - age_s(client.socket))
 
     def closed(self, client: Client) -> None:
         """A connection has ended, and its descriptor is free."""
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -72,3 +72,24 @@
     )
     assert verdict.broken == {}, verdict.shown
     assert verdict.figures["served"] > 0
+
+
+# Guards against requests that wait in the kernel beyond their time: silent clients and such as were turned
+# away kept the few places.
+def test_requests_are_answered_in_time_where_silent_clients_want_the_few_descriptors(tmp_path):
+    verdict = played(
+        Scenario(
+            14,
+            CrowdKind.SILENT,
+            120,
+            memory_mb=192,
+            sockets=96,
+            seconds=SECONDS,
+            rate_per_s=400.0,
+            trouble=Trouble(places=8),
+            one_each=True,
+        ),
+        tmp_path,
+    )
+    assert verdict.broken == {}, verdict.shown
+    assert verdict.figures["served"] > 0
