--- a/tests/test_net_places.py
+++ b/tests/test_net_places.py
@@ -1,4 +1,4 @@
-"""Few places and many who want one: who was turned away, or says nothing, gives its place up in time (issue 75)."""
+"""Few places and many who want one: who was turned away, or is silent, gives its place up in time."""
 
 from fakes import FakeServer, call, node, resp, run
 
