--- a/brackenloft/net/client.py
+++ b/brackenloft/net/client.py
@@ -125,7 +125,7 @@
                 break
             took += 1
             self.spoke, self.waits_until = True, None
-            self.came_at = self.arrivals.take(before - self.reader.left)
+            self.came_at = self._take_arrival(before - self.reader.left)
             self._take(command, before - self.reader.left)
         self.reading = False
         self.within = within
--- a/brackenloft/net/client_reading.py
+++ b/brackenloft/net/client_reading.py
@@ -42,7 +42,8 @@
         self.arrivals = Arrivals()
         self.fresh = False  # what is taken now has just been read
         self.blocked = False  # no command is taken now, whether or not it is read ahead
-        self.paused_at = self.came_at  # reading, the last time
+        self.paused_at = self.still_since = self.came_at  # reading, the last time
+        self.still_s = 0.0  # for which reading stood still before what is read next, some of which had come
         self.backlog = False  # something came meanwhile, and was not read yet
         self.spoke = self.waits_turn = False
         self.reads: Pace | None = None  # while it is within a command
@@ -83,18 +84,27 @@
     def _arrival(self) -> float:
         """Reckon when what has just been read came to the kernel, early rather than late.
 
-        Guards against telling a server a time that the client spent in front of a paused connection.
+        Guards against telling a server a time that the client spent in front of a paused connection, and
+        against an answer that comes as late: what follows a pause may lie in the client's kernel by then.
         """
-        now = came_at = time.monotonic()
+        now = time.monotonic()
+        came_at = now - self.still_s
         if not self.spoke:
             came_at -= self.age_s
         elif self.backlog:
-            came_at = min(now - age_s(self.socket), self.paused_at + AGED_S)
+            came_at = min(came_at, now - age_s(self.socket), self.paused_at + AGED_S)
         elif self._may_have_waited():
             came_at -= age_s(self.socket)
         self.backlog = False
         return came_at
 
+    def _take_arrival(self, size: int) -> float:
+        """When the last of the next so many bytes came; what comes behind the last read was written later."""
+        came_at = self.arrivals.take(size)
+        if self.arrivals.in_last_read():
+            self.still_s = 0.0
+        return came_at
+
     def _may_have_waited(self) -> bool:
         """Whether the loop was held up before it read this, or may have been with nothing in hand."""
         lag = self.clients.driver.lag
@@ -169,7 +179,11 @@
 
     def _note_pause(self, pause: bool) -> None:
         now = time.monotonic()
-        if pause and not self.backlog:
-            self.paused_at = now
-        elif not pause and now - self.paused_at >= AGED_S:
+        if pause:
+            self.still_since = now
+            if not self.backlog:
+                self.paused_at = now
+        elif now - self.paused_at >= AGED_S:
             self.backlog = unread(self.socket)
+            if self.backlog:
+                self.still_s += now - self.still_since
--- a/tests/test_net_leaving.py
+++ b/tests/test_net_leaving.py
@@ -12,12 +12,12 @@
 PURCHASE = call(3, "buy", body=BODY)
 
 
-async def hold_memory(gateway, server):
-    """Two clients whose long requests take the memory and are never answered by their server."""
+async def hold_memory(gateway, server, commands=0):
+    """Two clients whose long requests take the memory, behind so many commands; no server answers them."""
     holders = [await gateway.peer() for _ in range(2)]
     for number, peer in enumerate(holders):
         peer.send(call(number, "buy", body=BODY))
-    await server.until(lambda: len(server.commands) == 2)
+    await server.until(lambda: len(server.commands) == commands + 2)
     return holders
 
 
