Refuse what waits for memory by its own time, not by the request's before it

Callers saw: on a kept connection a long command that had to wait for memory got -BUSY within 0.05 s if the request before it was older than its own wait. Cause: time_is_up counted from the command taken last. Change: from when its own head came.

--- a/brackenloft/net/arrivals.py
+++ b/brackenloft/net/arrivals.py
@@ -26,6 +26,10 @@
             came_at = self.reads.pop()[1]
         self.reads.append((self.read, came_at))
 
+    def newest(self) -> float:
+        """When what was read last came."""
+        return self.reads[-1][1]
+
     def in_last_read(self) -> bool:
         """Whether what was taken last ended within the newest read."""
         return len(self.reads) == 1
--- a/brackenloft/net/client.py
+++ b/brackenloft/net/client.py
@@ -163,7 +163,7 @@
         """Whether the time of a command that waits to be read whole is over; ``now`` by time.monotonic()."""
         if self.waits_until is None:
             wait_ms = wire.wait_ms(self.reader.words)
-            self.waits_until = inf if wait_ms is None else self.came_at + wait_ms / 1000.0
+            self.waits_until = inf if wait_ms is None else self.arrivals.newest() + wait_ms / 1000.0
         return now >= self.waits_until
 
     def refuse_partial(self, why: str) -> None:
--- a/tests/test_net_waiting.py
+++ b/tests/test_net_waiting.py
@@ -1,5 +1,7 @@
 """Requests that wait for memory, written whole to their clients' kernels: what time they have left."""
 
+import time
+
 import pytest
 from fakes import FakeServer, array, call, node, run, until
 from test_net_leaving import BODY, hold_memory
@@ -40,3 +42,25 @@
             assert client.still_s == 0.0  # the next request has its own time
 
     run(test())
+
+
+# Guards against refusing at once what waits for memory on a connection that was used long before.
+def test_request_that_waits_for_memory_has_its_own_time_not_that_of_the_one_before():
+    async def test():
+        server = FakeServer(lambda words: array(b"v") if words[0] == b"CALL.GET" else None)
+        async with node(server) as gateway:
+            gateway.clients.most_held = 150_000
+            peer = await gateway.peer()
+            assert await peer.ask(call(8)) == b"v"
+            (used,) = gateway.clients.connections
+            used.came_at -= 60.0
+            await hold_memory(gateway, server, 1)
+            client = await waiting(gateway, peer, call(9, "buy", body=BODY, wait=WAIT_MS))
+            assert client is used
+            gateway.clients._end_waits()
+            assert client in gateway.clients.commands.waiting
+            assert client.time_is_up(time.monotonic() + WAIT_MS / 1000.0)
+            gateway.clients.loop.call_soon(client.refuse_partial, "the test has seen it")
+            assert await peer.reply() == "-BUSY"
+
+    run(test())
