--- a/brackenloft/lab/overload/__main__.py
+++ b/brackenloft/lab/overload/__main__.py
@@ -14,7 +14,7 @@
 import uvloop
 
 from brackenloft.lab.overload.run import ROOT, Run
-from brackenloft.lab.overload.scenario import CrowdKind, Scenario, Trouble
+from brackenloft.lab.overload.scenario import CrowdKind, Scenario, Trouble, Usage
 
 
 def play(scenario: Scenario, root: Path) -> dict[str, Any]:
@@ -33,8 +33,8 @@
     if options.kind is None:
         return [Scenario.drawn(seed, options.seconds) for seed in seeds]
     setting = (options.kind, options.crowd, options.memory_mb, options.sockets, options.seconds)
-    trouble = Trouble(options.places, options.reset_share, options.stops_per_s)
-    how = (options.restart_at, options.rate, trouble, options.one_each)
+    trouble = Trouble(options.places, options.reset_share, options.body_rate, options.stops_per_s)
+    how = (options.restart_at, options.rate, trouble, options.usage)
     return [Scenario(seed, *setting, *how) for seed in seeds]
 
 
@@ -50,7 +50,8 @@
     parser.add_argument("--seconds", type=float, default=10.0)
     parser.add_argument("--restart-at", type=float, default=0.0, help="seconds; 0 for never")
     parser.add_argument("--rate", type=float, default=60.0, help="of sound requests a second")
-    parser.add_argument("--one-each", action="store_true", help="a connection for each sound request")
+    parser.add_argument("--usage", type=Usage, default=Usage.MIXED, help="what sound clients ask for")
+    parser.add_argument("--body-rate", type=float, default=0.0, help="of servers, bytes a second; 0 for any")
     parser.add_argument("--places", type=int, default=0, help="of a server; 0 for any number")
     parser.add_argument("--reset-share", type=float, default=0.0, help="of connections to servers")
     parser.add_argument("--stops-per-s", type=float, default=0.0, help="of the gateway's process")
--- a/brackenloft/lab/overload/gateway.py
+++ b/brackenloft/lab/overload/gateway.py
@@ -15,7 +15,7 @@
 from typing import Any
 
 from brackenloft.lab.overload.memory import socket_bytes, status_bytes
-from brackenloft.lab.overload.scenario import Scenario, Trouble
+from brackenloft.lab.overload.scenario import PURCHASE_WAIT_S, Scenario, Trouble, Usage
 from brackenloft.lab.soak.preload import Preload, build
 from brackenloft.lab.soak.settings import settings
 from brackenloft.standins.discovery import Agent
@@ -31,6 +31,15 @@
 PONG = b"+PONG\r\n"
 
 
+def settings_for(usage: Usage) -> dict[str, Any]:
+    """Those of the soak for one gateway; purchases may take as long as their clients wait."""
+    drawn = settings(0, 1)
+    if usage is Usage.PURCHASES:
+        for service in drawn["services"]:
+            service["hard_limit_ms"] = PURCHASE_WAIT_S * 1000.0
+    return drawn
+
+
 class OverloadGateway:
     """One gateway; ``root`` is the folder of the version that is played."""
 
@@ -59,7 +68,7 @@
             "discovery": f"127.0.0.1:{self.agent.port}",
             "seed": f"{self.scenario.seed:x}",
             "limits": limits,
-            "settings": settings(0, 1),
+            "settings": settings_for(self.scenario.usage),
             "known": {"generation": 1, "reset": True, "instances": list(self.agent.rows.values())},
         }
         self.config.write_text(json.dumps(document))
--- a/brackenloft/lab/overload/run.py
+++ b/brackenloft/lab/overload/run.py
@@ -74,8 +74,7 @@
                 self.scenario.seed,
                 self.scenario.seconds,
                 self.scenario.rate_per_s,
-                self.scenario.kept_short(),
-                self.scenario.one_each,
+                self.scenario.sound_usage(),
             )
             left = await crowd
         finally:
--- a/brackenloft/lab/overload/scenario.py
+++ b/brackenloft/lab/overload/scenario.py
@@ -23,11 +23,21 @@
     ALL = "all"
 
 
+class Usage(StrEnum):
+    """What the sound clients ask for."""
+
+    MIXED = "mixed"  # values and bodies of all sizes, on connections that they keep
+    SHORT = "short"  # short values, one at a time, so that more of them can ask
+    ONE_EACH = "one-each"  # the same, each on a connection of its own
+    PURCHASES = "purchases"  # unsafe requests with long bodies and long times
+
+
 NOT_DRAWN = (CrowdKind.REST, CrowdKind.SILENT)
 APART = (CrowdKind.NONE, *NOT_DRAWN, CrowdKind.ALL)  # kinds that are no part of ALL
 ALL_KINDS = tuple(kind for kind in CrowdKind if kind not in APART)
 MEMORIES_MB, SOCKETS, CROWDS = (32, 48, 64, 192), (256, 1024), (60, 100, 300, 600, 900)
 RESTART_SHARE = 0.25  # of the drawn runs
+PURCHASE_WAIT_S = 8.0  # of the clients of long purchases
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,6 +46,7 @@
 
     places: int = 0  # requests of a server at once, beyond which it refuses and ends the connection; 0: any
     reset_share: float = 0.0  # of the connections to servers, reset as they come up
+    body_rate: float = 0.0  # bytes a second at which a server takes a command; 0: at full speed
     stops_per_s: float = 0.0  # SIGSTOP of the gateway, each for a part of ``LONGEST_STOP_S``
 
 
@@ -52,11 +63,13 @@
     restart_at_s: float = 0.0
     rate_per_s: float = 60.0  # of sound requests
     trouble: Trouble = Trouble()
-    one_each: bool = False  # sound clients open a connection for each short request
+    usage: Usage = Usage.MIXED
 
-    def kept_short(self) -> bool:
-        """Whether sound clients ask for short values alone, one at a time, so that more of them can ask."""
-        return self.one_each or self.trouble != Trouble()
+    def sound_usage(self) -> Usage:
+        """What the sound clients ask for; in trouble no long values."""
+        if self.usage is Usage.MIXED and self.trouble != Trouble():
+            return Usage.SHORT
+        return self.usage
 
     @staticmethod
     def drawn(seed: int, seconds: float) -> Scenario:
--- a/brackenloft/lab/overload/servers.py
+++ b/brackenloft/lab/overload/servers.py
@@ -23,6 +23,7 @@
 from brackenloft.standins.peer import READ, array
 
 LONGEST_WORK_S = 0.06
+PIECE = 16 * 1024  # bytes that a slow server takes at once
 RESET_AT_CLOSE = struct.pack("ii", 1, 0)  # struct linger: on, for no time
 
 
@@ -64,7 +65,7 @@
             return
         parser: Any = hiredis.Reader()
         with suppress(OSError):
-            while data := await reader.read(READ):
+            while data := await self._read(reader):
                 parser.feed(data)
                 while (words := parser.gets()) is not False:
                     if not await self._answer(words, writer):
@@ -72,6 +73,14 @@
                         return
         writer.close()
 
+    async def _read(self, reader: asyncio.StreamReader) -> bytes:
+        """The next bytes, at the rate at which it takes them."""
+        if not self.trouble.body_rate:
+            return await reader.read(READ)
+        data = await reader.read(PIECE)
+        await asyncio.sleep(len(data) / self.trouble.body_rate)
+        return data
+
     async def _answer(self, words: Any, writer: asyncio.StreamWriter) -> bool:
         """Answer one command; False: the connection ends behind that."""
         if not is_call(words):
--- a/brackenloft/lab/overload/sound_clients.py
+++ b/brackenloft/lab/overload/sound_clients.py
@@ -1,8 +1,8 @@
-"""Sound clients, a process of their own: ``... sound_clients FILE PORT SEED SECONDS RATE SHORT ONE_EACH``.
+"""Sound clients, a process of their own: ``... sound_clients FILE PORT SEED SECONDS RATE USAGE``.
 
 They keep connections and open more when all are busy, ask for values of all sizes, read at full speed, and
-some send several requests at once; with SHORT they ask for short values one at a time, with
-ONE_EACH each request has a connection of its own. A line of JSON for
+some send several requests at once; ``scenario.Usage`` has what they may ask for
+instead. A line of JSON for
 each request goes to the file at the end.
 """
 
@@ -25,6 +25,7 @@
 
 from brackenloft.lab.overload.payload import VALUE_BYTES, Effect, Origin, command, request_id, value_of
 from brackenloft.lab.overload.records import Outcome, RequestRecord
+from brackenloft.lab.overload.scenario import PURCHASE_WAIT_S, Usage
 from brackenloft.net.lag import Lag
 
 EFFECT_SHARES = (0.6, 0.25, 0.15)
@@ -32,6 +33,7 @@
 SEVERAL_SHARE, SEVERAL = 0.1, 3  # of the turns, and the requests that are sent at once in those
 WAITS_S = (0.9, 1.5, 3.0, 4.9)
 BODY_BYTES = (10, 1_000, 30_000)
+PURCHASE_BYTES = 512 * 1024
 LINGER_S = 1.0  # behind the end of a connection, until which a reset says that something was not read
 CONNECT_AGAIN_S = 0.02
 GIVE_UP_S = 1.0  # past its time
@@ -146,11 +148,9 @@
 class SoundClients:
     """All of them, with the connections that they keep."""
 
-    def __init__(
-        self, port: int, seed: int, seconds: float, rate_per_s: float, short: bool, one_each: bool
-    ) -> None:
+    def __init__(self, port: int, seed: int, seconds: float, rate_per_s: float, usage: Usage) -> None:
         self.port, self.seconds, self.rate_per_s = port, seconds, rate_per_s
-        self.short, self.one_each = short, one_each
+        self.usage = usage
         self.random = random.Random(f"sound {seed}")
         first = int(time.monotonic() * 1000.0) << 20  # ids are new over the plays of one machine
         self.numbers = itertools.count(first & ((1 << 48) - 1))
@@ -166,7 +166,7 @@
         due = began = loop.time()
         while due < began + self.seconds:
             await asyncio.sleep(due - loop.time())
-            several = not self.short and self.random.random() < SEVERAL_SHARE
+            several = self.usage is Usage.MIXED and self.random.random() < SEVERAL_SHARE
             count = SEVERAL if several else 1
             self.tasks.add(loop.create_task(self._ask([self._draw() for _ in range(count)])))
             due += count * self.random.expovariate(self.rate_per_s)
@@ -177,11 +177,13 @@
     def _draw(self) -> tuple[RequestRecord, bytes]:
         chance = self.random
         (effect,) = chance.choices(list(Effect), EFFECT_SHARES)
-        size_index = 0
-        if not self.short:
+        size_index, wait_s, size = 0, chance.choice(WAITS_S), BODY_BYTES[0]
+        if self.usage is Usage.MIXED:
             (size_index,) = chance.choices(range(len(SIZE_SHARES)), SIZE_SHARES)
+            size = chance.choice(BODY_BYTES)
+        elif self.usage is Usage.PURCHASES:
+            effect, wait_s, size = Effect.UNSAFE, PURCHASE_WAIT_S, PURCHASE_BYTES
         identity = request_id(Origin.SOUND, size_index, next(self.numbers))
-        wait_s, size = chance.choice(WAITS_S), BODY_BYTES[0] if self.short else chance.choice(BODY_BYTES)
         body = b"" if effect is Effect.SAFE else b"b" * size
         record = RequestRecord(identity, effect, VALUE_BYTES[size_index], len(body), wait_s)
         self.records.append(record)
@@ -210,7 +212,7 @@
             await self._closed_over(connection, unanswered, again)
 
     def _keep_or_close(self, connection: SoundConnection) -> None:
-        if self.one_each:
+        if self.usage is Usage.ONE_EACH:
             stay_s = self.random.random() * LONGEST_STAY_S
             asyncio.get_running_loop().call_later(stay_s, connection.transport.close)
         else:
@@ -258,8 +260,7 @@
 def main() -> None:
     """Play, then write the records."""
     port, seed, seconds, rate_per_s = int(sys.argv[2]), int(sys.argv[3]), *map(float, sys.argv[4:6])
-    short, one_each = (word == str(True) for word in sys.argv[6:8])
-    records = uvloop.run(SoundClients(port, seed, seconds, rate_per_s, short, one_each).run())
+    records = uvloop.run(SoundClients(port, seed, seconds, rate_per_s, Usage(sys.argv[6])).run())
     Path(sys.argv[1]).write_bytes(b"\n".join(map(msgspec.json.encode, records)))
 
 
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -6,7 +6,7 @@
 import uvloop
 
 from brackenloft.lab.overload.run import Run
-from brackenloft.lab.overload.scenario import CrowdKind, Scenario, Trouble
+from brackenloft.lab.overload.scenario import CrowdKind, Scenario, Trouble, Usage
 
 SECONDS = 6.0  # of a run
 LIMIT_S = 90.0  # a run that takes so long hangs
@@ -87,9 +87,30 @@
             seconds=SECONDS,
             rate_per_s=400.0,
             trouble=Trouble(places=8),
-            one_each=True,
+            usage=Usage.ONE_EACH,
         ),
         tmp_path,
     )
     assert verdict.broken == {}, verdict.shown
     assert verdict.figures["served"] > 0
+
+
+# Guards against answers seconds behind their time: purchases wait for memory, and servers take them slowly.
+@pytest.mark.parametrize(("memory_mb", "sockets", "body_rate"), [(64, 1024, 200_000.0), (48, 512, 400_000.0)])
+def test_long_purchases_get_their_answers_in_time_where_servers_take_them_slowly(
+    memory_mb, sockets, body_rate, tmp_path
+):
+    trouble = Trouble(body_rate=body_rate)
+    scenario = Scenario(
+        15,
+        CrowdKind.NONE,
+        memory_mb=memory_mb,
+        sockets=sockets,
+        seconds=SECONDS,
+        rate_per_s=40.0,
+        trouble=trouble,
+        usage=Usage.PURCHASES,
+    )
+    verdict = played(scenario, tmp_path)
+    assert verdict.broken == {}, verdict.shown
+    assert verdict.figures["served"] > 0
