--- a/brackenloft/net/discovery.py
+++ b/brackenloft/net/discovery.py
@@ -18,11 +18,13 @@
 
 # One clock for silence: what a silent watch misses counts as told after 6 s of silence. An empty line comes
 # every 2 s, so a watch without one for SILENT_S is dead; another is asked at once and answers at once, or is
-# dead after FIRST_S. An object that has begun comes on at once or never: WHOLE_S for each PROGRESS bytes,
-# whatever beats come meanwhile. Two dead ones in a row, of any kind, leave time for a third (lab/watches.py).
+# late after FIRST_S: one more is asked beside it. An object that has begun comes on at once or never: WHOLE_S
+# for each PROGRESS bytes, whatever beats come meanwhile. Two dead ones in a row, of any kind, leave time for
+# a third (lab/watches.py).
 SILENT_S = 2.5
 FIRST_S = 1.0
 WHOLE_S = 1.0
+MOST_CALLS = 4  # at once, of which none has been answered: an agent that is slow is heard all the same
 PROGRESS = 16 * 1024
 BACKOFF_S = (0.05, 1.0)  # before another watch, first and at most
 CONNECT_S = 0.5  # the agent is on the same machine
@@ -94,7 +96,9 @@
         self.silent: asyncio.TimerHandle | None = None
         self.counted = 0  # bytes of an object that is not whole, when they were last progress
         self.closed = False
-        self.done = asyncio.get_running_loop().create_future()
+        loop = asyncio.get_running_loop()
+        self.done: asyncio.Future[None] = loop.create_future()
+        self.late: asyncio.Future[None] = loop.create_future()  # nothing has come in time, or it has ended
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         # uvloop's transports are not asyncio.Transport by class: no isinstance here
@@ -103,7 +107,12 @@
         self.transport.write(
             f"GET {self.target} HTTP/1.1\r\nHost: {host}:{port}\r\nAccept: application/json\r\n\r\n".encode()
         )
-        self._wait(FIRST_S)
+        self.silent = asyncio.get_running_loop().call_later(FIRST_S, self._is_late)
+
+    def _is_late(self) -> None:
+        log.warning("discovery at %s:%d has not answered yet", *self.feed.address)
+        if not self.late.done():
+            self.late.set_result(None)
 
     def _wait(self, seconds: float) -> None:
         """Guards against a watch that has died without a word: nothing for longer than a beat ends it."""
@@ -132,6 +141,7 @@
     def on_body(self, body: bytes) -> None:
         if self.closed or self.parser.get_status_code() != 200:
             return
+        self.feed.answered_by(self)
         whole = False
         try:
             for document in self.objects.feed(body):
@@ -158,8 +168,9 @@
     def connection_lost(self, exc: Exception | None) -> None:
         if self.silent:
             self.silent.cancel()
-        if not self.done.done():
-            self.done.set_result(None)
+        for outcome in (self.done, self.late):
+            if not outcome.done():
+                outcome.set_result(None)
 
 
 class Feed:
@@ -170,7 +181,8 @@
         self.backoff_s = BACKOFF_S[0]
         self.generation: int | None = None  # nothing: the whole list is asked for
         self.ended = False
-        self.watch: Watch | None = None
+        self.calls: list[Watch] = []  # that are open, the oldest first
+        self.watch: Watch | None = None  # the one that was answered
         self.task = asyncio.get_running_loop().create_task(self._run())
 
     def malformed(self, error: Exception, watch: Watch) -> None:
@@ -196,24 +208,47 @@
         """Watch no more."""
         self.ended = True
         self.task.cancel()
-        if self.watch:
-            self.watch.close("it is asked no more")
+        self._close_calls("it is asked no more")
+
+    def answered_by(self, watch: Watch) -> None:
+        """The first call that is answered is the watch; the others are given up."""
+        if self.watch is not watch:
+            self.watch = watch
+            self._close_calls("another call was answered", but=watch)
+
+    def _close_calls(self, why: str, but: Watch | None = None) -> None:
+        for call in self.calls:
+            if call is not but and not call.closed:
+                call.close(why)
 
     async def _run(self) -> None:
-        loop = asyncio.get_running_loop()
         while True:
-            try:
-                async with asyncio.timeout(CONNECT_S):
-                    _, self.watch = await loop.create_connection(self._new_watch, *self.address)
+            if self.watch is None:
+                await self._call()
+            if self.watch:
                 await self.watch.done
-            except (OSError, TimeoutError) as error:
-                log.warning("discovery can't be reached: %r", error)
+                self.watch = None
             await asyncio.sleep(self.backoff_s)
             self.backoff_s = min(BACKOFF_S[1], self.backoff_s * 2.0)
 
+    async def _call(self) -> None:
+        """Ask once more, beside the calls that are late; until this one is late too, or one has ended."""
+        self.calls = [call for call in self.calls if not call.done.done()]
+        if len(self.calls) >= MOST_CALLS:
+            self.calls.pop(0).close("silent")
+        try:
+            async with asyncio.timeout(CONNECT_S):
+                _, call = await asyncio.get_running_loop().create_connection(self._new_watch, *self.address)
+            await call.late
+        except (OSError, TimeoutError) as error:
+            log.warning("discovery can't be reached: %r", error)
+
     def _new_watch(self) -> Watch:
         generation = self.generation
-        return Watch(self, "/discovery/hosts?watch=1" + ("" if generation is None else f"&from={generation}"))
+        origin = "" if generation is None else f"&from={generation}"
+        call = Watch(self, f"/discovery/hosts?watch=1{origin}")
+        self.calls.append(call)
+        return call
 
 
 class Discovery:
--- a/tests/test_net_discovery.py
+++ b/tests/test_net_discovery.py
@@ -12,6 +12,7 @@
 from brackenloft.net import discovery as module
 from brackenloft.net.discovery import Discovery
 
+CALLS = 4  # at once, as long as none is answered
 TOLD_S = 6.0  # what a silent watch misses counts as told
 
 
@@ -251,3 +252,25 @@
             assert (await news.get())[1] == {1: ("127.0.0.1", 6)}
 
     run(test())
+
+
+# Guards against an agent that answers each call a little later than it is given: none of them would be heard.
+def test_call_that_is_late_is_heard_all_the_same_and_the_calls_beside_it_are_given_up(monkeypatch):
+    monkeypatch.setattr(module, "FIRST_S", 0.01)
+    monkeypatch.setattr(module, "BACKOFF_S", (0.01, 0.01))
+
+    async def test():
+        async with watched() as (_, fake, news):
+            calls = [(await fake.watch())[1] for _ in range(CALLS)]
+            monkeypatch.setattr(module, "FIRST_S", 3600.0)
+            _, _newest = await fake.watch()  # in whose place the oldest one went
+            calls[1].write(chunk(listing(7, row("s-1", 1), reset=True)))
+            assert (await news.get())[0].version == 7
+            calls[1].write(chunk(listing(8, row("s-1", 1, "Terminating"))))
+            assert (await news.get())[0].version == 8
+            assert fake.watches.empty()
+            calls[1].close()
+            target, _ = await fake.watch()
+            assert target == "/discovery/hosts?watch=1&from=8"
+
+    run(test())
