--- a/brackenloft/net/server_connection.py
+++ b/brackenloft/net/server_connection.py
@@ -213,6 +213,7 @@
         if self.closed:
             return
         if self.attempt is None:
+            self._note_extra()
             self.close(api.Status.RESET)
             return
         self.answered_early = self.answered_early or not self.handed
@@ -240,11 +241,16 @@
             self.stream, reply.value = None, None
             self.resume()
         if self.reader.left or self.answered_early:
+            self._note_extra()
             self.close(api.Status.RESET)
         else:
             self.servers.give_back(self)
         attempt.finish(reply)
 
+    def _note_extra(self) -> None:
+        """The server has sent what nobody asked for; its connections rest for longer from now on."""
+        self.host.extra_at = self.servers.loop.time()
+
     def _refuse_early_answer(self) -> None:
         """Take no answer that began before the command was written whole: no server has begun it by then.
 
@@ -333,7 +339,8 @@
         if self.closed:
             return False
         try:
-            self.socket.recv(1, socket.MSG_PEEK)
+            if self.socket.recv(1, socket.MSG_PEEK):
+                self._note_extra()
         except BlockingIOError:
             return True
         except OSError:
--- a/brackenloft/net/servers.py
+++ b/brackenloft/net/servers.py
@@ -36,6 +36,8 @@
 COMING_UP = 8  # connections to a server that are coming up at once: its accept queue takes many times as many
 LEAST_WAIT_S = 0.001  # for one that rests: the loop's timers are no finer
 REST_S = 0.012  # after an answer, before its connection is used again: what comes right behind shows by then
+# The same for a server that has sent more than its answers within EXTRA_S: more of it may come later still.
+LONG_REST_S, EXTRA_S = 0.1, 60.0
 SLOW_RATE = 32 * 1024  # bytes a second of an answer, or of a command that a server takes, at least
 SLOW_S = 1.0  # before that counts, and what a burst may save up: a small part of any aim
 LOOK_S = 0.1  # between two looks at those under way
@@ -163,7 +165,7 @@
             if connection is None and (host.coming_up >= COMING_UP or self._short(host)):
                 host.waiting.appendleft(attempt)
                 if host.idle and host.timer is None:
-                    wait = max(LEAST_WAIT_S, host.idle[0].idle_since + REST_S - self.loop.time())
+                    wait = max(LEAST_WAIT_S, host.idle[0].idle_since + self._rest_s(host) - self.loop.time())
                     host.timer = self.loop.call_later(wait, self._have_rested, host)
                 return
             attempt.waits = False
@@ -191,7 +193,7 @@
         Guards against bytes right behind an answer that have not come yet: nothing tells them from the
         answer to what is written next.
         """
-        idle, before = host.idle, self.loop.time() - REST_S
+        idle, before = host.idle, self.loop.time() - self._rest_s(host)
         place = bisect_right(idle, before, key=lambda connection: connection.idle_since)
         while place:
             place -= 1
@@ -201,6 +203,10 @@
             connection.close(api.Status.RESET)
         return None
 
+    def _rest_s(self, host: Host) -> float:
+        """For how long a connection rests after an answer."""
+        return LONG_REST_S if self.loop.time() - host.extra_at < EXTRA_S else REST_S
+
     def _connect(self, host: Host, attempt: Attempt) -> None:
         if not self.budget.take(Side.SERVERS) and not (self._evict() and self.budget.take(Side.SERVERS)):
             attempt.finish(Reply(api.Status.CONNECT_FAILED))
--- a/tests/test_net_early_answers.py
+++ b/tests/test_net_early_answers.py
@@ -1,13 +1,14 @@
-"""Servers that answer before they have had the whole command: its connection is never used again."""
+"""Servers that answer before the whole command, or more than once: when a connection is used again."""
 
 import asyncio
 import socket
 
 import pytest
-from fakes import array, call, node, run, until
+from fakes import FakeServer, array, call, node, run, until
 from test_net_servers import Ends
 
 from brackenloft import ServerEntry, Status
+from brackenloft.net import kernel
 from brackenloft.net import servers as servers_module
 
 BODY = b"b" * 1_000_000
@@ -117,3 +118,31 @@
                 second.close()
 
     run(test())
+
+
+# Guards against a copy of an answer that comes later than connections rest, and is taken for the next answer.
+@pytest.mark.parametrize("when", ["behind", "idle", "looked at"])
+def test_connections_of_a_server_that_has_sent_more_than_its_answers_rest_for_longer(when, monkeypatch):
+    monkeypatch.setattr(servers_module, "REST_S", 0.0)
+    monkeypatch.setattr(servers_module, "LONG_REST_S", 3600.0, raising=False)
+    extra = array(b"extra")
+
+    async def test():
+        server = FakeServer(lambda words: array(words[2]) + (extra if when == "behind" else b""))
+        async with node(server) as gateway:
+            peer = await gateway.peer()
+            assert await peer.ask(call(1)) == b"0000000000000001"
+            if when == "idle":
+                server.writers[0].write(extra)
+                await server.until(lambda: server.ended == 1)
+            elif when == "looked at":
+                (connection,) = gateway.servers.connections
+                connection.transport.pause_reading()
+                server.writers[0].write(extra)
+                await until(lambda: kernel.unread(connection.socket))
+            when_asked = [call(number) for number in (2, 3, 4)]
+            server.answer = lambda words: array(words[2])
+            assert [await peer.ask(one) for one in when_asked] == [b"%016x" % n for n in (2, 3, 4)]
+            assert len(set(server.by)) == 4
+
+    run(test())
