Give answers that are no slow ones their time in a test of the registry

Change: only the fault that is slow by itself has 0.4 s, the others 30 s. As strict: one line for each fault, the list that stays, the list behind it.

--- a/tests/test_eureka.py
+++ b/tests/test_eureka.py
@@ -91,7 +91,9 @@
 @pytest.mark.parametrize("fault", FAULTS)
 def test_what_cannot_be_read_leaves_the_last_list_and_is_said_once(fault, caplog):
     async def test():
-        async with fleet("a", "b", timeout_s=0.4, stale_after_s=0.5) as world:
+        # Only what is too slow by itself is to fail by its time: a busy machine's answer would be said too.
+        timeout_s = 0.4 if "byte_s" in FAULTS[fault] else 30.0
+        async with fleet("a", "b", timeout_s=timeout_s, stale_after_s=0.5) as world:
             await until(lambda: world.ready() == {"a", "b"})
             world.skin.faults = Faults(**FAULTS[fault])
             world.book.override("BOARD", "a", "OUT_OF_SERVICE")
