Time an attempt out by a moved clock, once its server has the command

KNOWN-RED's entry of test_attempt_times_out...: the loop was held up right behind the send, so that the command was not written within its 200 ms, and not_sent is the outcome that is meant then.

--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -130,3 +130,11 @@
         made.told(*(fake.entry(number) for number, fake in enumerate(fakes, 1)))
         edge.listen("127.0.0.1", 0)
         yield made
+
+
+def pass_time(gateway: Node, ms: float) -> None:
+    """Have the gateway's clock go on by so much, and whatever has fallen due called up."""
+    driver, before = gateway.driver, gateway.driver.clock
+    driver.clock = driver.timers.clock = lambda: before() + ms
+    driver.timers.reading_first = True
+    driver.timers._fire()
--- a/tests/test_net_driver.py
+++ b/tests/test_net_driver.py
@@ -4,7 +4,7 @@
 import time
 from types import SimpleNamespace
 
-from fakes import FakeServer, array, call, node, run, until
+from fakes import FakeServer, array, call, node, pass_time, run, until
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -123,8 +123,12 @@
     async def test():
         server = FakeServer(lambda words: None)
         async with node(server) as gateway:
-            script = Script(Request=lambda e: [Send("r", 1, 200.0)], Outcome=lambda e: [Fail("r")])
+            script = Script(Request=lambda e: [Send("r", 1, 2_000.0)], Outcome=lambda e: [Fail("r")])
             answers = scripted(gateway, script)
+            await server.until(lambda: len(server.commands) == 1)  # what was not written would not time out
+            pass_time(gateway, 1_000.0)
+            assert script.outcomes() == []
+            pass_time(gateway, 1_000.0)
             await server.until(lambda: server.ended == 1)
             assert script.outcomes() == [(0, Status.TIMEOUT, False)] and answers == [b"-ERR failed\r\n"]
 
--- a/tests/test_net_gathering.py
+++ b/tests/test_net_gathering.py
@@ -1,7 +1,7 @@
 """Long values with replies owed behind them: gathered first, so that a break takes no reply along."""
 
 import pytest
-from fakes import FakeServer, array, call, node, run, until
+from fakes import FakeServer, array, call, node, pass_time, run, until
 from hypothesis import given
 from hypothesis import strategies as st
 from test_net_streams import HEAD, LONG, TAIL, Tap
@@ -25,14 +25,6 @@
     }
 
 
-def pass_time(gateway, ms):
-    """Have the gateway's clock go on by so much, and whatever has fallen due called up."""
-    driver, before = gateway.driver, gateway.driver.clock
-    driver.clock = driver.timers.clock = lambda: before() + ms
-    driver.timers.reading_first = True
-    driver.timers._fire()
-
-
 # Guards against a reply that is in hand and never given, as the value before it had begun and broke off.
 @pytest.mark.parametrize("waited_ms", [500.0, GATHER_MS - 200.0])
 def test_value_that_breaks_off_after_a_while_takes_no_reply_behind_it_along(waited_ms):
